--- /dev/null
+++ b/internal/admission/fair.go
@@ -0,0 +1,157 @@
+package admission
+
+import "slices"
+
+// minWeight replaces a weight of zero, so that such a kind is served last but
+// is not starved for ever.
+const minWeight = 1e-3
+
+// maxIdleKinds bounds the kinds remembered without waiting requests.
+const maxIdleKinds = 64
+
+// kindQueue holds the waiting requests of one kind, by tenant.
+type kindQueue struct {
+	name    string
+	weight  float64
+	pass    float64 // place in the fair order; the least is served next
+	waiting int
+	tenants []*tenantQueue // served in turn
+}
+
+type tenantQueue struct {
+	name    string
+	tickets []*Ticket
+}
+
+func (q *Queue) kind(t *Ticket) *kindQueue {
+	weight := max(t.Weight, minWeight)
+	for _, k := range q.kinds {
+		if k.name == t.Kind {
+			k.weight = weight
+			if k.waiting == 0 {
+				k.pass = max(k.pass, q.pass)
+			}
+			return k
+		}
+	}
+	if len(q.kinds) >= maxIdleKinds {
+		q.kinds = slices.DeleteFunc(q.kinds, func(k *kindQueue) bool { return k.waiting == 0 })
+	}
+	k := &kindQueue{name: t.Kind, weight: weight, pass: q.pass}
+	q.kinds = append(q.kinds, k)
+	return k
+}
+
+func (k *kindQueue) push(t *Ticket) {
+	k.waiting++
+	for _, tn := range k.tenants {
+		if tn.name == t.Tenant {
+			tn.tickets = append(tn.tickets, t)
+			return
+		}
+	}
+	k.tenants = append(k.tenants, &tenantQueue{name: t.Tenant, tickets: []*Ticket{t}})
+}
+
+// pop takes the oldest request of the tenant whose turn it is.
+func (k *kindQueue) pop() *Ticket {
+	tn := k.tenants[0]
+	t := tn.tickets[0]
+	tn.tickets = tn.tickets[1:]
+	k.tenants = k.tenants[1:]
+	if len(tn.tickets) > 0 {
+		k.tenants = append(k.tenants, tn)
+	}
+	k.waiting--
+	return t
+}
+
+// dropNewest takes the newest request of the tenant that has the most waiting.
+func (k *kindQueue) dropNewest() *Ticket {
+	most := slices.MaxFunc(k.tenants, func(a, b *tenantQueue) int { return len(a.tickets) - len(b.tickets) })
+	t := most.tickets[len(most.tickets)-1]
+	k.remove(t)
+	return t
+}
+
+func (k *kindQueue) remove(t *Ticket) bool {
+	for i, tn := range k.tenants {
+		at := slices.Index(tn.tickets, t)
+		if at < 0 {
+			continue
+		}
+		tn.tickets = slices.Delete(tn.tickets, at, at+1)
+		if len(tn.tickets) == 0 {
+			k.tenants = slices.Delete(k.tenants, i, i+1)
+		}
+		k.waiting--
+		return true
+	}
+	return false
+}
+
+// take returns the next request in the fair order. The queue is not empty.
+func (q *Queue) take() *Ticket {
+	var next *kindQueue
+	for _, k := range q.kinds {
+		if k.waiting > 0 && (next == nil || k.pass < next.pass) {
+			next = k
+		}
+	}
+	q.pass = next.pass
+	next.pass += 1 / next.weight
+	q.waiting--
+	return next.pop()
+}
+
+// ahead estimates how many waiting requests are started before t would be.
+func (q *Queue) ahead(t *Ticket) int {
+	own := 1
+	for _, k := range q.kinds {
+		if k.name == t.Kind {
+			own += k.waiting
+		}
+	}
+	weight := max(t.Weight, minWeight)
+	n := own
+	for _, k := range q.kinds {
+		if k.name != t.Kind {
+			n += min(k.waiting, int(float64(own)*k.weight/weight))
+		}
+	}
+	return n
+}
+
+// displace makes room for t by dropping a request of the kind that has the
+// most waiting for its weight. It returns nil if t's own kind is that one.
+func (q *Queue) displace(t *Ticket) *Ticket {
+	own := q.kind(t)
+	worst, excess := own, float64(own.waiting+1)/own.weight
+	for _, k := range q.kinds {
+		if over := float64(k.waiting) / k.weight; k != own && over > excess {
+			worst, excess = k, over
+		}
+	}
+	if worst == own {
+		return q.displaceTenant(own, t)
+	}
+	q.waiting--
+	return worst.dropNewest()
+}
+
+// displaceTenant makes room inside a kind: a tenant with at least two more
+// requests waiting than t's gives up its newest.
+func (q *Queue) displaceTenant(k *kindQueue, t *Ticket) *Ticket {
+	own, most := 0, 0
+	for _, tn := range k.tenants {
+		if tn.name == t.Tenant {
+			own = len(tn.tickets)
+		}
+		most = max(most, len(tn.tickets))
+	}
+	if most < own+2 {
+		return nil
+	}
+	q.waiting--
+	return k.dropNewest()
+}
--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,135 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Gate is a Queue for use from many goroutines.
+type Gate struct {
+	mu       sync.Mutex
+	queue    *Queue
+	waiters  map[*Ticket]chan Verdict
+	draining bool
+}
+
+// NewGate returns a gate with an empty queue.
+func NewGate(cfg Config) *Gate {
+	return &Gate{queue: NewQueue(cfg), waiters: make(map[*Ticket]chan Verdict)}
+}
+
+// Enter waits for a slot. If the verdict is Started, the caller must call
+// Leave once. It returns at once when the request is refused, displaced, can
+// no longer finish in time, or ctx ends.
+func (g *Gate) Enter(ctx context.Context, t *Ticket) Verdict {
+	g.mu.Lock()
+	if g.draining {
+		defer g.mu.Unlock()
+		return g.queue.Refusal(ReasonDraining)
+	}
+	v, displaced := g.queue.Offer(time.Now(), t)
+	if displaced != nil {
+		g.settle(displaced, g.queue.Refusal(ReasonOutweighed))
+	}
+	if !v.Waiting {
+		g.mu.Unlock()
+		return v
+	}
+	ch := make(chan Verdict, 1)
+	g.waiters[t] = ch
+	latest := g.queue.LatestStart(t)
+	g.mu.Unlock()
+	return g.wait(ctx, t, ch, latest)
+}
+
+func (g *Gate) wait(ctx context.Context, t *Ticket, ch chan Verdict, latest time.Time) Verdict {
+	var late <-chan time.Time
+	if !latest.IsZero() {
+		timer := time.NewTimer(time.Until(latest))
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case v := <-ch:
+		return v
+	case <-late:
+		return g.giveUp(t, ch, ReasonTooLate)
+	case <-ctx.Done():
+		return g.giveUp(t, ch, ReasonCancelled)
+	}
+}
+
+// giveUp takes a waiting request out; if it was settled meanwhile, that stands.
+func (g *Gate) giveUp(t *Ticket, ch chan Verdict, r Reason) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.Remove(t) {
+		return <-ch // buffered: settled before the lock was taken
+	}
+	delete(g.waiters, t)
+	return g.queue.Refusal(r)
+}
+
+// settle tells a waiting request its verdict. The lock is held.
+func (g *Gate) settle(t *Ticket, v Verdict) {
+	ch, ok := g.waiters[t]
+	if !ok {
+		return
+	}
+	delete(g.waiters, t)
+	ch <- v
+}
+
+// Leave frees the slot of a started request that held it for the given time.
+func (g *Gate) Leave(held time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settleAll(g.queue.Release(time.Now(), held))
+}
+
+func (g *Gate) settleAll(start, late []*Ticket) {
+	for _, t := range start {
+		g.settle(t, Verdict{Started: true})
+	}
+	for _, t := range late {
+		g.settle(t, g.queue.Refusal(ReasonTooLate))
+	}
+}
+
+// SetSlots changes the number of slots.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetSlots(n)
+	g.settleAll(g.queue.Fill(time.Now()))
+}
+
+// SetDraining refuses further requests, or takes them again; those that wait
+// or run go on.
+func (g *Gate) SetDraining(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = on
+}
+
+// Draining reports whether further requests are refused.
+func (g *Gate) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// Load returns the present state.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Load()
+}
+
+// Refusal returns the verdict for a reason, with the advice when to come back.
+func (g *Gate) Refusal(r Reason) Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Refusal(r)
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,82 @@
+// Package cli is the command line of walldrift: it parses arguments, calls the
+// package that does the work, and turns errors into messages and exit codes.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// IO holds the output streams of a command.
+type IO struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// errUsage marks errors of the command line itself.
+var errUsage = errors.New("usage")
+
+func usagef(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), errUsage)
+}
+
+// Run executes one command and returns its exit code.
+func Run(ctx context.Context, args []string, out IO) int {
+	root := newRoot(out)
+	err := root.Parse(args)
+	if err == nil {
+		err = root.Run(ctx)
+	} else if !errors.Is(err, ff.ErrHelp) {
+		err = errors.Mark(err, errUsage)
+	}
+	selected := root.GetSelected()
+	if selected == nil {
+		selected = root
+	}
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, ff.ErrHelp):
+		_, _ = fmt.Fprintf(out.Out, "%s\n", ffhelp.Command(selected))
+		return exitOK
+	case errors.Is(err, ff.ErrNoExec):
+		_, _ = fmt.Fprintf(out.Err, "%s\n", ffhelp.Command(selected))
+		return exitUsage
+	case errors.Is(err, errUsage):
+		_, _ = fmt.Fprintf(out.Err, "walldrift: %v\ntry: walldrift %s --help\n", err, selected.Name)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintf(out.Err, "walldrift: %v\n", err)
+	return exitFailure
+}
+
+func newRoot(out IO) *ff.Command {
+	return &ff.Command{
+		Name:      "walldrift",
+		Usage:     "walldrift SUBCOMMAND ...",
+		ShortHelp: "distribute a mesh's configuration and carry its requests",
+		Flags:     ff.NewFlagSet("walldrift"),
+		Subcommands: []*ff.Command{
+			nodeCommand(out),
+			tableCommand(out),
+			statusCommand(out),
+			explainCommand(out),
+			demoCommand(out),
+			keysCommand(out),
+			standinCommand(out),
+			benchCommand(out),
+		},
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,148 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/walldrift/walldrift/internal/node"
+)
+
+// adminTimeout bounds a question to a node's admin address.
+const adminTimeout = 6 * time.Second
+
+const nodeFlagHelp = "admin address of any node, ip:port"
+
+func statusCommand(out IO) *ff.Command {
+	fs := ff.NewFlagSet("status")
+	addr := fs.String('n', "node", "127.0.0.1:9000", nodeFlagHelp)
+	asJSON := fs.BoolLong("json", "print JSON")
+	return &ff.Command{
+		Name:      "status",
+		Usage:     "walldrift status [--node ip:port] [--json]",
+		ShortHelp: "ask any node for the version that every node holds, and why",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			raw, err := askAdmin(ctx, *addr, node.PathFleet)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				_, err = out.Out.Write(raw)
+				return err
+			}
+			return printFleet(out.Out, raw)
+		},
+	}
+}
+
+// fleetRow is a node's status as its JSON shows it.
+type fleetRow struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"dc"`
+	Table      string `json:"table"`
+	HeldMs     int64  `json:"held_ms"`
+	From       string `json:"from"`
+	Reader     bool   `json:"reader"`
+	SourceAge  uint64 `json:"source_age_ms"`
+	Refused    string `json:"refused"`
+	Waiting    string `json:"waiting"`
+	Links      int    `json:"links"`
+}
+
+// unknownAge is the least source age that stands for "never".
+const unknownAge = uint64(1) << 40
+
+func printFleet(w io.Writer, raw []byte) error {
+	var rows []fleetRow
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return errors.Wrap(err, "status")
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tFROM\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED")
+	for _, r := range rows {
+		age := "never"
+		if r.SourceAge < unknownAge {
+			age = (time.Duration(r.SourceAge) * time.Millisecond).String() + " ago"
+		}
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\n", r.Name, r.DataCentre, r.Table,
+			time.Duration(r.HeldMs)*time.Millisecond, r.From, r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused))
+	}
+	return tw.Flush()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func explainCommand(out IO) *ff.Command {
+	fs := ff.NewFlagSet("explain")
+	addr := fs.String('n', "node", "127.0.0.1:9000", nodeFlagHelp)
+	asJSON := fs.BoolLong("json", "print JSON")
+	return &ff.Command{
+		Name:      "explain",
+		Usage:     "walldrift explain [--node ip:port] [--json] SERVICE",
+		ShortHelp: "show which upstreams a request would get now, and why others are left out",
+		Flags:     fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usagef("explain needs one SERVICE")
+			}
+			raw, err := askAdmin(ctx, *addr, node.PathExplain+args[0])
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				_, err = out.Out.Write(raw)
+				return err
+			}
+			return printExplanation(out.Out, raw)
+		},
+	}
+}
+
+func printExplanation(w io.Writer, raw []byte) error {
+	var rows []node.Explanation
+	if err := json.Unmarshal(raw, &rows); err != nil {
+		return errors.Wrap(err, "explain")
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "UPSTREAM\tDC\tWEIGHT\tCOST\tLEFT OUT BECAUSE")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%.3f\t%.3f\t%s\n", r.Upstream, r.DataCentre, r.Weight, r.Cost, dash(r.Excluded))
+	}
+	return tw.Flush()
+}
+
+// askAdmin gets one page of a node's admin address.
+func askAdmin(ctx context.Context, addr, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, usagef("--node %q: %v", addr, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "node %s", addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "node %s", addr)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("node %s answers %s: %s", addr, resp.Status, raw)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/distribution/message.go
@@ -0,0 +1,167 @@
+// Package distribution carries the table and the instance list from the nodes
+// that read the platform to all others.
+//
+// Its core is a set of state machines without I/O, goroutines or clocks:
+// Replica orders and heals one document, Census answers status queries over
+// the overlay, and Engine joins them with the membership view. Engine takes
+// events and returns the messages to send. Service, at the edge, owns the
+// sockets. The invariant kept here: a replica's held version never goes back,
+// and a document is taken only whole and only if its check accepts it.
+package distribution
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// ProtocolVersion is sent in every message. A receiver passes over fields it
+// does not know, so that a fleet is upgraded node by node.
+const ProtocolVersion = 1
+
+// MaxMessage is the largest encoded message in bytes: a whole table that does
+// not compress, and room for the envelope.
+const MaxMessage = table.MaxBytes + 64<<10
+
+// Doc names one distributed document.
+type Doc uint8
+
+// The documents.
+const (
+	DocTable Doc = iota
+	DocList
+	docCount
+)
+
+// String returns the lower-case name of the document.
+func (d Doc) String() string { return [...]string{"table", "list", "unknown"}[min(d, docCount)] }
+
+// Message is the envelope of everything sent between nodes on a control link.
+// Any of the parts may be set.
+type Message struct {
+	Protocol uint8              `cbor:"0,keyasint"`
+	Digest   *Digest            `cbor:"1,keyasint,omitempty"`
+	Updates  []Update           `cbor:"2,keyasint,omitempty"`
+	Wants    []Want             `cbor:"3,keyasint,omitempty"`
+	Rumors   []membership.Rumor `cbor:"4,keyasint,omitempty"`
+	Query    *Query             `cbor:"5,keyasint,omitempty"`
+	Reply    *Reply             `cbor:"6,keyasint,omitempty"`
+}
+
+// Digest tells what the sender holds. It is sent at intervals and on each new
+// link, and serves as the link's heartbeat.
+type Digest struct {
+	Held [docCount]version.ID `cbor:"1,keyasint"`
+	// SourceAge is how long ago the platform last answered any node that the
+	// sender has heard of, in milliseconds.
+	SourceAge uint64 `cbor:"2,keyasint"`
+	// Ask requests the receiver's digest at once.
+	Ask bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Update carries a newer document, as splices of From or, with From zero, as a
+// whole compressed one.
+type Update struct {
+	Doc     Doc            `cbor:"1,keyasint"`
+	From    version.ID     `cbor:"2,keyasint"`
+	To      version.ID     `cbor:"3,keyasint"`
+	Splices []table.Splice `cbor:"4,keyasint,omitempty"`
+	Whole   []byte         `cbor:"5,keyasint,omitempty"` // zstd
+}
+
+// Want asks for a document newer than Have.
+type Want struct {
+	Doc  Doc        `cbor:"1,keyasint"`
+	Have version.ID `cbor:"2,keyasint"`
+}
+
+// Query asks every node for its status. It spreads over the overlay; the
+// answers are gathered on the way back.
+type Query struct {
+	ID uint64 `cbor:"1,keyasint"`
+	// Patience is how long the receiver may wait for its own neighbours, in
+	// milliseconds.
+	Patience uint32 `cbor:"2,keyasint"`
+}
+
+// Reply answers a Query for the sender and those it asked.
+type Reply struct {
+	ID    uint64       `cbor:"1,keyasint"`
+	Nodes []NodeStatus `cbor:"2,keyasint,omitempty"`
+}
+
+// NodeStatus is what one node tells operators about the version it holds.
+type NodeStatus struct {
+	Name       string     `cbor:"1,keyasint" json:"name"`
+	DataCentre string     `cbor:"2,keyasint" json:"dc"`
+	Table      version.ID `cbor:"3,keyasint" json:"table"`
+	// HeldFor is the time since the version came into force, in milliseconds.
+	HeldFor uint64 `cbor:"4,keyasint" json:"held_ms"`
+	// From is the peer it came from, or SourcePlatform.
+	From      string     `cbor:"5,keyasint" json:"from"`
+	List      version.ID `cbor:"6,keyasint" json:"list"`
+	Reader    bool       `cbor:"7,keyasint" json:"reader"`
+	SourceAge uint64     `cbor:"8,keyasint" json:"source_age_ms"`
+	Refused   string     `cbor:"9,keyasint,omitempty" json:"refused,omitempty"`
+	Waiting   string     `cbor:"10,keyasint,omitempty" json:"waiting,omitempty"`
+	Bytes     Traffic    `cbor:"11,keyasint" json:"bytes"`
+	Links     int        `cbor:"12,keyasint" json:"links"`
+}
+
+// SourcePlatform is the From value of a version read from the platform.
+const SourcePlatform = "platform"
+
+// Traffic counts control bytes sent, by cause.
+type Traffic struct {
+	Push       uint64 `cbor:"1,keyasint" json:"push"`
+	Heal       uint64 `cbor:"2,keyasint" json:"heal"`
+	Digest     uint64 `cbor:"3,keyasint" json:"digest"`
+	Membership uint64 `cbor:"4,keyasint" json:"membership"`
+	Census     uint64 `cbor:"5,keyasint" json:"census"`
+}
+
+// Total returns the sum over all causes.
+func (t Traffic) Total() uint64 { return t.Push + t.Heal + t.Digest + t.Membership + t.Census }
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 1 << 10, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode returns the wire form of a message.
+func Encode(m *Message) ([]byte, error) {
+	m.Protocol = ProtocolVersion
+	return encMode.Marshal(m)
+}
+
+// Decode reads a message. It never panics, and its memory is bounded by the
+// input.
+func Decode(b []byte) (*Message, error) {
+	if len(b) > MaxMessage {
+		return nil, errors.Newf("message of %d bytes", len(b))
+	}
+	var m Message
+	if err := decMode.Unmarshal(b, &m); err != nil {
+		return nil, errors.Wrap(err, "decode message")
+	}
+	return &m, nil
+}
--- /dev/null
+++ b/internal/distribution/traffic.go
@@ -0,0 +1,63 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Wire is the control traffic of a node on the wire, overheads included.
+type Wire struct {
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+}
+
+// causeNames are the metric tags of the causes.
+var causeNames = [...]string{"push", "heal", "digest", "membership", "census"}
+
+// countSent is called from the writers of the links.
+func (s *Service) countSent(c Cause, n int) {
+	s.metrics.Tagged(map[string]string{"cause": causeNames[c]}).Counter("control_bytes").Inc(int64(n))
+	s.post(func(time.Time) Effects {
+		s.engine.CountSent(c, n)
+		return Effects{}
+	})
+}
+
+// WireBytes returns the bytes on the links in use.
+func (s *Service) WireBytes(ctx context.Context) Wire {
+	ch := make(chan Wire, 1)
+	s.post(func(time.Time) Effects {
+		ch <- s.links.wireBytes()
+		return Effects{}
+	})
+	select {
+	case w := <-ch:
+		return w
+	case <-ctx.Done():
+		return Wire{}
+	}
+}
+
+// IsSilent reports whether an error means that the peer stopped answering, as
+// opposed to closing the link.
+func IsSilent(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// acceptLoop takes in links that other nodes open.
+func (s *Service) acceptLoop(ctx context.Context) {
+	for {
+		l, err := s.transport.Accept(ctx)
+		if err != nil {
+			return
+		}
+		s.post(func(now time.Time) Effects {
+			s.links.add(now, l)
+			return Effects{}
+		})
+	}
+}
--- /dev/null
+++ b/internal/membership/list.go
@@ -0,0 +1,75 @@
+// Package membership knows the instances of the fleet: it combines the
+// platform's list, which lags, with what peers say, and computes from the
+// result the overlay links of a node and the readers of the platform.
+//
+// All decisions are pure: time is passed in, there are no goroutines and no
+// I/O. Nothing here is ever written to shared state.
+package membership
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// ListState is what the platform says about an instance.
+type ListState string
+
+// The states of the platform's list.
+const (
+	Live    ListState = "live"
+	Leaving ListState = "leaving"
+)
+
+// Instance is one upstream instance with its node. Generation is the start
+// time of the node in milliseconds since 1970; a later process under the same
+// name has a higher one.
+type Instance struct {
+	Name       string         `json:"name" cbor:"1,keyasint"`
+	Service    string         `json:"service" cbor:"2,keyasint"`
+	DataCentre string         `json:"dc" cbor:"3,keyasint"`
+	Region     string         `json:"region" cbor:"4,keyasint"`
+	Peer       netip.AddrPort `json:"peer" cbor:"5,keyasint"` // UDP address of the node
+	State      ListState      `json:"state" cbor:"6,keyasint"`
+	Generation uint64         `json:"generation,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// List is the platform's list of instances. Revision orders lists; the
+// platform uses the publication time in milliseconds, so that a restored
+// backup does not repeat one.
+type List struct {
+	Revision  uint64     `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
+
+// ErrList reports an unusable list.
+var ErrList = errors.New("unusable instance list")
+
+// ParseList reads and checks a list. It is a pure function of the bytes.
+func ParseList(raw []byte) (*List, version.ID, error) {
+	var l List
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return nil, version.ID{}, errors.CombineErrors(ErrList, err)
+	}
+	if l.Revision == 0 {
+		return nil, version.ID{}, errors.Wrap(ErrList, "no revision")
+	}
+	seen := make(map[string]bool, len(l.Instances))
+	for _, in := range l.Instances {
+		switch {
+		case in.Name == "" || in.DataCentre == "":
+			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q in data centre %q", in.Name, in.DataCentre)
+		case !in.Peer.IsValid():
+			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q has no address", in.Name)
+		case in.State != Live && in.State != Leaving:
+			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q has state %q", in.Name, in.State)
+		case seen[in.Name]:
+			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q stands twice", in.Name)
+		}
+		seen[in.Name] = true
+	}
+	return &l, version.Of(l.Revision, raw), nil
+}
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"net/http"
+	"runtime"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/distribution"
+	"github.com/walldrift/walldrift/internal/routing"
+)
+
+// Admin paths.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathSelf    = "/status"
+	PathFleet   = "/fleet"
+	PathTable   = "/table"
+	PathExplain = "/explain/"
+)
+
+// SelfStatus is the answer of PathSelf.
+type SelfStatus struct {
+	Node        distribution.NodeStatus `json:"node"`
+	Ready       bool                    `json:"ready"`
+	Load        admission.Load          `json:"load"`
+	Wire        distribution.Wire       `json:"control_wire_bytes"`
+	Connections int                     `json:"request_connections"`
+	Goroutines  int                     `json:"goroutines"`
+	// Findings of the newest refused table.
+	Findings string `json:"findings,omitempty"`
+}
+
+// Explanation is the answer of PathExplain for one upstream.
+type Explanation struct {
+	Upstream   string  `json:"upstream"`
+	DataCentre string  `json:"dc"`
+	Excluded   string  `json:"excluded,omitempty"`
+	Weight     float64 `json:"weight"`
+	Cost       float64 `json:"cost"`
+}
+
+func (n *Node) adminHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET(PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET(PathReady, n.getReady)
+	e.GET(PathMetrics, echo.WrapHandler(n.metrics.Handler()))
+	e.GET(PathSelf, n.getSelf)
+	e.GET(PathFleet, n.getFleet)
+	e.GET(PathTable, n.getTable)
+	e.GET(PathExplain+":service", n.getExplain)
+	return e
+}
+
+func (n *Node) getReady(c echo.Context) error {
+	if !n.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready: "+n.notReady()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (n *Node) notReady() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case n.holder.Current() == nil:
+		return "no table"
+	}
+	return "no neighbour has told what it holds"
+}
+
+func (n *Node) getSelf(c echo.Context) error {
+	st := SelfStatus{
+		Node:        n.service.Status(),
+		Ready:       n.Ready(),
+		Load:        n.backend.Load(),
+		Wire:        n.service.WireBytes(c.Request().Context()),
+		Connections: n.pool.Len(),
+		Goroutines:  runtime.NumGoroutine(),
+	}
+	if r, ok := n.service.Refusal(); ok {
+		st.Findings = r.Err.Error()
+	}
+	return c.JSON(http.StatusOK, st)
+}
+
+func (n *Node) getFleet(c echo.Context) error {
+	nodes, err := n.service.Survey(c.Request().Context())
+	if err != nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	}
+	return c.JSON(http.StatusOK, nodes)
+}
+
+func (n *Node) getTable(c echo.Context) error {
+	snap := n.holder.Current()
+	if snap == nil {
+		return echo.NewHTTPError(http.StatusNotFound, "no table")
+	}
+	return c.Blob(http.StatusOK, "text/csv; charset=utf-8", snap.Raw)
+}
+
+func (n *Node) getExplain(c echo.Context) error {
+	all, ok := n.frontend.Explain(c.Param("service"))
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "no such service")
+	}
+	out := make([]Explanation, len(all))
+	for i, cand := range all {
+		out[i] = explain(cand)
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func explain(c routing.Candidate) Explanation {
+	return Explanation{
+		Upstream:   c.Upstream.Name,
+		DataCentre: c.Instance.DataCentre,
+		Excluded:   string(c.Excluded),
+		Weight:     c.Weight,
+		Cost:       c.Cost,
+	}
+}
--- /dev/null
+++ b/internal/proxy/backend.go
@@ -0,0 +1,402 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+// BackendConfig holds the settings of a Backend.
+type BackendConfig struct {
+	Name     string   // the upstream beside this node
+	Upstream *url.URL // its address
+	// Slots is the number of requests it works on at once, where the table
+	// gives none.
+	Slots int
+	// QueueLimit is the number of requests that may wait for a slot.
+	QueueLimit int
+	Ledger     ledger.Config
+}
+
+// Backend admits work for the upstream beside it and calls it. It implements
+// http.RoundTripper: the request carries an Envelope in its headers.
+type Backend struct {
+	cfg      BackendConfig
+	holder   *snapshot.Holder
+	gate     *admission.Gate
+	pooled   http.RoundTripper
+	fresh    http.RoundTripper
+	metrics  *Metrics
+	inflight atomic.Int64
+	claims   Claimer
+
+	mu      sync.Mutex // guards what follows
+	limits  *admission.Limits
+	ledger  *ledger.Ledger
+	history *ledger.History
+}
+
+// Claimer asks the node beside an earlier home of a key about it.
+type Claimer interface {
+	Claim(ctx context.Context, home string, k ledger.Key, f ledger.Fence) (ledger.Verdict, error)
+}
+
+// upstreamConns bounds the idle connections kept to the upstream.
+const upstreamConns = 128
+
+// upstreamDial bounds the connection to the upstream, which is on this machine.
+const upstreamDial = time.Second
+
+// NewBackend returns the backend of one upstream.
+func NewBackend(cfg BackendConfig, holder *snapshot.Holder, claims Claimer, m *Metrics, now time.Time) *Backend {
+	dialer := &net.Dialer{Timeout: upstreamDial}
+	pooled := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        upstreamConns,
+		MaxIdleConnsPerHost: upstreamConns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	fresh := pooled.Clone()
+	fresh.DisableKeepAlives = true
+	b := &Backend{
+		cfg:     cfg,
+		holder:  holder,
+		gate:    admission.NewGate(admission.Config{Slots: cfg.Slots, QueueLimit: cfg.QueueLimit}),
+		pooled:  pooled,
+		fresh:   fresh,
+		metrics: m,
+		claims:  claims,
+		limits:  admission.NewLimits(),
+		ledger:  ledger.New(cfg.Ledger, now),
+		history: ledger.NewHistory(cfg.Ledger.Window),
+	}
+	return b
+}
+
+// Apply takes over the slots, limits and homes of the snapshot in force.
+func (b *Backend) Apply(snap *snapshot.Snapshot) {
+	now := time.Now()
+	slots := b.cfg.Slots
+	if u := snap.Upstream(b.cfg.Name); u != nil && u.Concurrency > 0 {
+		slots = u.Concurrency
+	}
+	b.mu.Lock()
+	b.history.Add(now, snap)
+	if row, ok := limitRow(snap, b.cfg.Name); ok {
+		b.limits.Set(now, row)
+	}
+	b.mu.Unlock()
+	b.gate.SetSlots(slots)
+}
+
+// limitRow collects what the table says about an upstream and its service.
+func limitRow(snap *snapshot.Snapshot, name string) (admission.Row, bool) {
+	u := snap.Upstream(name)
+	if u == nil {
+		return admission.Row{}, false
+	}
+	svc := snap.Service(u.Service)
+	row := admission.Row{
+		ServiceRate:        svc.Rate,
+		ServiceConcurrency: svc.Concurrency,
+		UpstreamRate:       u.Rate,
+	}
+	for i, sib := range svc.Upstreams {
+		row.Shares = append(row.Shares, sib.Share)
+		if sib.Name == name {
+			row.Self = i
+		}
+	}
+	return row, true
+}
+
+// Drain refuses all further work.
+func (b *Backend) Drain() { b.gate.SetDraining(true) }
+
+// SetDraining refuses further work, or takes it again.
+func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
+
+// InFlight returns the requests admitted and not yet ended.
+func (b *Backend) InFlight() int64 { return b.inflight.Load() }
+
+// Load returns the slots in use.
+func (b *Backend) Load() admission.Load { return b.gate.Load() }
+
+// RoundTrip admits the request, calls the upstream and returns its answer, or
+// the answer of a refusal. It never returns an error.
+func (b *Backend) RoundTrip(req *http.Request) (*http.Response, error) {
+	env, err := readEnvelope(req.Header)
+	if err != nil {
+		return b.refuse(req, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)), nil
+	}
+	if env.Target != b.cfg.Name {
+		return b.refuse(req, refusedBy(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter})), nil
+	}
+	b.inflight.Add(1)
+	call := &backendCall{b: b, env: env, req: req, start: time.Now()}
+	resp, problem := call.run()
+	if problem != nil {
+		b.inflight.Add(-1)
+		resp = b.refuse(req, problem)
+	}
+	return resp, nil
+}
+
+func (b *Backend) refuse(req *http.Request, p *Problem) *http.Response {
+	resp := p.response(req)
+	b.stamp(resp.Header)
+	return resp
+}
+
+// stamp adds what the caller's node learns from every answer.
+func (b *Backend) stamp(h http.Header) {
+	load := b.gate.Load()
+	text := strconv.Itoa(load.InUse) + "/" + strconv.Itoa(load.Slots) + "/" + strconv.Itoa(load.Waiting)
+	if b.gate.Draining() {
+		text += "/draining"
+	}
+	h.Set(headerLoad, text)
+	h.Set(HeaderServedBy, b.cfg.Name)
+}
+
+// backendCall is one request on its way through the backend.
+type backendCall struct {
+	b       *Backend
+	env     Envelope
+	req     *http.Request
+	start   time.Time
+	key     ledger.Key
+	keyed   bool
+	started time.Time // when the slot was taken
+}
+
+func (c *backendCall) run() (*http.Response, *Problem) {
+	ctx, cancel := context.WithDeadline(c.req.Context(), c.start.Add(c.env.Timeout))
+	resp, problem := c.admitted(ctx, cancel)
+	if problem != nil {
+		cancel()
+	}
+	return resp, problem
+}
+
+func (c *backendCall) admitted(ctx context.Context, cancel context.CancelFunc) (*http.Response, *Problem) {
+	if c.keyed = c.env.Key != "" && !c.env.Idempotent; c.keyed {
+		resp, problem := c.beginKey(ctx)
+		if resp != nil || problem != nil {
+			if resp != nil {
+				c.b.inflight.Add(-1)
+				cancel()
+			}
+			return resp, problem
+		}
+	}
+	if problem := c.enter(ctx); problem != nil {
+		c.finishKey(ledger.NotRun, nil)
+		return nil, problem
+	}
+	c.announce()
+	resp, problem := c.dispatch(ctx, cancel)
+	if problem != nil {
+		c.leave()
+		outcome := ledger.Lost
+		if problem.class.NotRun() {
+			outcome = ledger.NotRun
+		}
+		c.finishKey(outcome, nil)
+	}
+	return resp, problem
+}
+
+// enter passes limits and the gate.
+func (c *backendCall) enter(ctx context.Context) *Problem {
+	b := c.b
+	b.mu.Lock()
+	reason, after := b.limits.Start(time.Now())
+	b.mu.Unlock()
+	if reason != admission.ReasonNone {
+		return refusedBy(admission.Verdict{Reason: reason, RetryAfter: max(after, defaultRetryAfter/10)})
+	}
+	v := b.gate.Enter(ctx, &admission.Ticket{
+		Kind:     c.env.Kind,
+		Tenant:   c.env.Tenant,
+		Weight:   c.env.KindWeight,
+		Deadline: c.start.Add(c.env.Timeout),
+	})
+	b.metrics.queued(c.env.Kind, time.Since(c.start))
+	if !v.Started {
+		b.limitDone()
+		return refusedBy(v)
+	}
+	c.started = time.Now()
+	// The process may have been paused between the grant and now.
+	if !c.started.Before(c.start.Add(c.env.Timeout)) || ctx.Err() != nil {
+		c.leave()
+		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
+	}
+	return nil
+}
+
+func (b *Backend) limitDone() {
+	b.mu.Lock()
+	b.limits.Done()
+	b.mu.Unlock()
+}
+
+// leave gives the slot back.
+func (c *backendCall) leave() {
+	c.b.limitDone()
+	c.b.gate.Leave(time.Since(c.started))
+}
+
+// announce tells a sender that holds back its body to send it.
+func (c *backendCall) announce() {
+	if f, ok := c.req.Context().Value(admittedHook{}).(func()); ok && c.env.Await {
+		f()
+	}
+}
+
+// admittedHook is the context key of the function called on admission.
+type admittedHook struct{}
+
+// dispatch calls the upstream. The answer's body gives the slot back when it
+// ends.
+func (c *backendCall) dispatch(ctx context.Context, cancel context.CancelFunc) (*http.Response, *Problem) {
+	var connected atomic.Bool
+	if c.keyed {
+		// A repeat of the key wants the answer even if this caller goes away.
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(context.WithoutCancel(ctx), c.start.Add(c.env.Timeout))
+		outer := cancel
+		cancel = func() { stop(); outer() }
+	}
+	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
+	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
+	if err != nil {
+		cancel()
+		return nil, c.failure(err, connected.Load())
+	}
+	stripOwn(resp.Header)
+	stripHop(resp.Header)
+	c.b.stamp(resp.Header)
+	body := &endingBody{ReadCloser: resp.Body, want: resp.ContentLength}
+	if out.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified || resp.StatusCode == http.StatusNoContent {
+		body.want = -1
+	}
+	if c.keyed {
+		body.tee, body.keep = &bytes.Buffer{}, c.b.cfg.Ledger.MaxAnswer
+	}
+	body.end = func(whole bool) { c.ended(resp, body, whole, cancel) }
+	resp.Body = body
+	if c.keyed {
+		resp.Body = &drainedBody{endingBody: body}
+	}
+	return resp, nil
+}
+
+// failure classifies an error of the call to the upstream.
+func (c *backendCall) failure(err error, connected bool) *Problem {
+	if !connected {
+		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUpstream, defaultRetryAfter)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
+	}
+	return unknownOutcome(http.StatusBadGateway, reasonLost)
+}
+
+// ended is called once when the answer's body ends.
+func (c *backendCall) ended(resp *http.Response, body *endingBody, whole bool, cancel context.CancelFunc) {
+	c.leave()
+	cancel()
+	if !whole {
+		c.finishKey(ledger.Lost, nil)
+	} else if c.keyed {
+		c.finishKey(ledger.Done, &ledger.Answer{
+			Status: resp.StatusCode,
+			Header: resp.Header.Clone(),
+			Body:   bytes.Clone(body.tee.Bytes()),
+			Kept:   !body.over,
+		})
+	}
+	c.b.inflight.Add(-1)
+}
+
+// drainedBody reads the rest of a keyed answer when the caller goes away, so
+// that a repeat gets it.
+type drainedBody struct{ *endingBody }
+
+// Close reads on in the background; the request's deadline bounds it.
+func (d *drainedBody) Close() error {
+	go func() {
+		_, _ = io.Copy(io.Discard, d.endingBody)
+		_ = d.endingBody.Close()
+	}()
+	return nil
+}
+
+// upstreamRequest builds the request to the upstream.
+func (c *backendCall) upstreamRequest(ctx context.Context) *http.Request {
+	out := c.req.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme, out.URL.Host = c.b.cfg.Upstream.Scheme, c.b.cfg.Upstream.Host
+	out.GetBody = nil // nothing may replay the request
+	stripOwn(out.Header)
+	stripHop(out.Header)
+	left := time.Until(c.start.Add(c.env.Timeout)).Milliseconds()
+	out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	setIf(out.Header, HeaderTenant, c.env.Tenant)
+	if c.env.Key != "" {
+		// net/http replays any request that has this header in its canonical
+		// form; HTTP header names are case-insensitive, its map is not.
+		out.Header.Del(HeaderKey)
+		out.Header[rawKeyHeader] = []string{c.env.Key}
+	}
+	return out
+}
+
+// rawKeyHeader is HeaderKey in a form that net/http does not look for.
+const rawKeyHeader = "idempotency-key"
+
+// transport chooses how the upstream is called. net/http sends a GET, HEAD,
+// OPTIONS or TRACE again when a kept connection turns out to be closed; where
+// the table says that such a request is not idempotent, it goes over a new
+// connection, on which nothing is replayed.
+func (b *Backend) transport(env Envelope, method string) http.RoundTripper {
+	if env.Idempotent {
+		return b.pooled
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return b.fresh
+	}
+	return b.pooled
+}
+
+// fingerprint tells two requests under one key apart.
+func fingerprint(req *http.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{req.Method, req.URL.Path, req.URL.RawQuery, strconv.FormatInt(req.ContentLength, 10)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/proxy/choice.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+)
+
+// The methods here guard the router, the budget and the random numbers of the
+// frontend with its lock.
+
+func (f *Frontend) pick(req routing.Request) (routing.Candidate, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.router.Pick(time.Now(), f.rnd, req, f.members)
+}
+
+// Explain returns the verdict on every upstream of a service, as a request
+// would meet it now; false if there is no such service.
+func (f *Frontend) Explain(service string) ([]routing.Candidate, bool) {
+	snap := f.holder.Current()
+	if snap == nil || snap.Service(service) == nil {
+		return nil, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.router.Candidates(time.Now(), routing.Request{Service: snap.Service(service)}, f.members), true
+}
+
+func (f *Frontend) began(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Start(name)
+}
+
+func (f *Frontend) ended(name string, o routing.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.End(time.Now(), f.rnd, name, o)
+}
+
+func (f *Frontend) earn() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Earn()
+}
+
+func (f *Frontend) again(t retry.Try) retry.Reason {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Again(t)
+}
+
+// Prune forgets the evidence about instances that are no more.
+func (f *Frontend) Prune() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Prune(func(name string) bool {
+		_, ok := f.members(name)
+		return ok
+	})
+}
+
+// readLoad reads what an admitting node said of its load, nil if nothing.
+func readLoad(h http.Header) *routing.Told {
+	parts := strings.Split(h.Get(headerLoad), "/")
+	if len(parts) < 3 {
+		return nil
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i])
+		if err != nil || v < 0 {
+			return nil
+		}
+		n[i] = v
+	}
+	return &routing.Told{InUse: n[0], Slots: n[1], Waiting: n[2], Draining: len(parts) > 3}
+}
--- /dev/null
+++ b/internal/proxy/claim.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// headerClaim marks a request between nodes as a claim on a key.
+const headerClaim = "Walldrift-Claim"
+
+// maxClaim bounds the encoded claim and its answer.
+const maxClaim = 64 << 10
+
+type claimRequest struct {
+	Service string     `cbor:"1,keyasint"`
+	Tenant  string     `cbor:"2,keyasint"`
+	Key     string     `cbor:"3,keyasint"`
+	Home    string     `cbor:"4,keyasint"`
+	Version version.ID `cbor:"5,keyasint"`
+}
+
+type claimReply struct {
+	Decision ledger.Decision     `cbor:"1,keyasint"`
+	Ask      string              `cbor:"2,keyasint,omitempty"`
+	Status   int                 `cbor:"3,keyasint,omitempty"`
+	Header   map[string][]string `cbor:"4,keyasint,omitempty"`
+	Body     []byte              `cbor:"5,keyasint,omitempty"`
+	Kept     bool                `cbor:"6,keyasint,omitempty"`
+}
+
+// claimHandler answers claims of other nodes.
+type claimHandler struct{ b *Backend }
+
+func (c claimHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxClaim))
+	if err != nil {
+		http.Error(w, "claim", http.StatusBadRequest)
+		return
+	}
+	var q claimRequest
+	if err := cbor.Unmarshal(raw, &q); err != nil {
+		http.Error(w, "claim", http.StatusBadRequest)
+		return
+	}
+	v := c.b.Claim(ledger.Key{Service: q.Service, Tenant: q.Tenant, Value: q.Key}, ledger.Fence{Home: q.Home, Version: q.Version})
+	out := claimReply{Decision: v.Decision, Ask: v.Ask}
+	if v.Answer != nil {
+		out.Status, out.Header, out.Body, out.Kept = v.Answer.Status, v.Answer.Header, v.Answer.Body, v.Answer.Kept
+	}
+	b, err := cbor.Marshal(out)
+	if err != nil {
+		http.Error(w, "claim", http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(b)
+}
+
+// PeerClaimer asks earlier homes over the request connections.
+type PeerClaimer struct {
+	Dispatch Dispatcher
+	Members  routing.Members
+}
+
+// Claim asks the node beside home. An error means that the answer is not
+// known.
+func (p *PeerClaimer) Claim(ctx context.Context, home string, k ledger.Key, f ledger.Fence) (ledger.Verdict, error) {
+	m, ok := p.Members(home)
+	if !ok || m.Status == membership.Gone {
+		return ledger.Verdict{}, errors.Newf("earlier home %s is gone", home)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	way, err := p.Dispatch.To(ctx, m.Instance)
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	raw, err := cbor.Marshal(claimRequest{Service: k.Service, Tenant: k.Tenant, Key: k.Value, Home: f.Home, Version: f.Version})
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	resp, err := way.RoundTrip(newClaim(ctx, home, raw))
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readClaim(resp)
+}
+
+func newClaim(ctx context.Context, home string, raw []byte) *http.Request {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+home+"/", bytes.NewReader(raw))
+	req.ContentLength = int64(len(raw))
+	req.Header.Set(headerClaim, "true")
+	return req
+}
+
+func readClaim(resp *http.Response) (ledger.Verdict, error) {
+	if resp.StatusCode != http.StatusOK {
+		return ledger.Verdict{}, errors.Newf("claim answered %s", resp.Status)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxClaim))
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	var r claimReply
+	if err := cbor.Unmarshal(raw, &r); err != nil {
+		return ledger.Verdict{}, err
+	}
+	v := ledger.Verdict{Decision: r.Decision, Ask: r.Ask}
+	if r.Status != 0 {
+		v.Answer = &ledger.Answer{Status: r.Status, Header: r.Header, Body: r.Body, Kept: r.Kept}
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/proxy/envelope.go
@@ -0,0 +1,131 @@
+// Package proxy is the request path: HTTP in from callers, the hand-over to
+// the node beside the chosen upstream, and the call to the upstream itself.
+//
+// Frontend serves callers on any node and Backend admits work for the one
+// upstream beside it. Both speak http.RoundTripper, so a request to the local
+// upstream and one to another node take the same path. The invariants: a
+// refusal marked not-run was never dispatched to the upstream, a
+// non-idempotent request is dispatched at most once, and a cut answer never
+// looks complete.
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Headers between callers and nodes.
+const (
+	HeaderKey     = "Idempotency-Key"
+	HeaderTenant  = "X-Tenant"
+	HeaderTimeout = "Walldrift-Timeout-Ms" // time the caller waits; also from node to node
+	HeaderOutcome = "Walldrift-Outcome"
+	HeaderReason  = "Walldrift-Reason"
+	// HeaderRetryAfterMs is Retry-After in milliseconds.
+	HeaderRetryAfterMs = "Walldrift-Retry-After-Ms"
+	// HeaderServedBy names the upstream that answered.
+	HeaderServedBy = "Walldrift-Upstream"
+)
+
+// Headers between nodes.
+const (
+	headerPrefix     = "Walldrift-"
+	headerTarget     = "Walldrift-Target"
+	headerService    = "Walldrift-Service"
+	headerKind       = "Walldrift-Kind"
+	headerKindWeight = "Walldrift-Kind-Weight"
+	headerIdempotent = "Walldrift-Idempotent"
+	headerTenantID   = "Walldrift-Tenant"
+	headerKeyValue   = "Walldrift-Key"
+	headerAwait      = "Walldrift-Await-Admission"
+	headerLoad       = "Walldrift-Load"
+)
+
+// Envelope is what a node tells the admitting node about a request.
+type Envelope struct {
+	Target     string
+	Service    string
+	Kind       string
+	KindWeight float64
+	Idempotent bool
+	Tenant     string
+	Key        string
+	Timeout    time.Duration
+	// Await says that the sender holds the body back until the request is
+	// admitted.
+	Await bool
+}
+
+// write replaces the headers of the project in h by those of the envelope.
+func (e Envelope) write(h http.Header) {
+	stripOwn(h)
+	h.Set(headerTarget, e.Target)
+	h.Set(headerService, e.Service)
+	h.Set(headerKind, e.Kind)
+	h.Set(headerKindWeight, strconv.FormatFloat(e.KindWeight, 'g', -1, 64))
+	h.Set(headerIdempotent, strconv.FormatBool(e.Idempotent))
+	h.Set(HeaderTimeout, strconv.FormatInt(e.Timeout.Milliseconds(), 10))
+	setIf(h, headerTenantID, e.Tenant)
+	setIf(h, headerKeyValue, e.Key)
+	if e.Await {
+		h.Set(headerAwait, "true")
+	}
+}
+
+func setIf(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// readEnvelope reads the headers written by write.
+func readEnvelope(h http.Header) (Envelope, error) {
+	e := Envelope{
+		Target:     h.Get(headerTarget),
+		Service:    h.Get(headerService),
+		Kind:       h.Get(headerKind),
+		Idempotent: h.Get(headerIdempotent) == "true",
+		Tenant:     h.Get(headerTenantID),
+		Key:        h.Get(headerKeyValue),
+		Await:      h.Get(headerAwait) == "true",
+	}
+	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
+	if err != nil {
+		return e, errors.Wrap(err, "timeout")
+	}
+	e.Timeout = time.Duration(ms) * time.Millisecond
+	e.KindWeight, err = strconv.ParseFloat(h.Get(headerKindWeight), 64)
+	return e, errors.Wrap(err, "kind weight")
+}
+
+// stripOwn removes the project's headers, so that neither callers nor
+// upstreams can speak for a node.
+func stripOwn(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// hopHeaders are meant for one connection only, RFC 9110 section 7.6.1.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// stripHop removes the hop-by-hop headers, those named by Connection included.
+func stripHop(h http.Header) {
+	for _, v := range h.Values("Connection") {
+		for _, name := range strings.Split(v, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/proxy/frontend.go
@@ -0,0 +1,332 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+// Dispatcher finds the way to the node beside an upstream.
+type Dispatcher interface {
+	// To returns the way to an instance. An error means that nothing was sent.
+	To(ctx context.Context, in membership.Instance) (http.RoundTripper, error)
+}
+
+// Frontend serves callers: it routes each request on the snapshot in force
+// when the request came, and hands it to the node beside the chosen upstream.
+type Frontend struct {
+	holder   *snapshot.Holder
+	members  routing.Members
+	dispatch Dispatcher
+	metrics  *Metrics
+	ready    func() bool
+
+	mu     sync.Mutex // guards what follows
+	router *routing.Router
+	budget *retry.Budget
+	rnd    *rand.Rand
+}
+
+// FrontendConfig holds the settings of a Frontend.
+type FrontendConfig struct {
+	Self    membership.Instance
+	Routing routing.Config
+	Retry   retry.Policy
+	Seed    uint64 // of the random choices
+}
+
+// NewFrontend returns a frontend. ready says whether requests may be served.
+func NewFrontend(cfg FrontendConfig, holder *snapshot.Holder, members routing.Members, d Dispatcher, m *Metrics, ready func() bool) *Frontend {
+	return &Frontend{
+		holder:   holder,
+		members:  members,
+		dispatch: d,
+		metrics:  m,
+		ready:    ready,
+		router:   routing.NewRouter(cfg.Routing, cfg.Self),
+		budget:   retry.NewBudget(cfg.Retry),
+		rnd:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+}
+
+// unroutedKind labels requests that match no route.
+const unroutedKind = "none"
+
+// ServeHTTP answers one request of a caller.
+func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	snap := f.holder.Current()
+	if snap == nil || !f.ready() {
+		f.fail(w, r, start, notRun(http.StatusServiceUnavailable, retry.Refused, reasonNoTable, defaultRetryAfter))
+		return
+	}
+	route := snap.Route(r.Method, r.URL.Path)
+	if route == nil {
+		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
+		return
+	}
+	timeout := callerTimeout(r.Header, route.Timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), start.Add(timeout))
+	defer cancel()
+	x := &exchange{
+		f:        f,
+		route:    route,
+		req:      r,
+		start:    start,
+		deadline: start.Add(timeout),
+		env: Envelope{
+			Service:    route.Service.Name,
+			Kind:       route.Kind,
+			KindWeight: route.KindWeight,
+			Idempotent: route.Idempotent,
+			Tenant:     r.Header.Get(HeaderTenant),
+			Key:        r.Header.Get(HeaderKey),
+		},
+	}
+	x.serve(ctx, w)
+}
+
+func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
+	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
+	_ = copyResponse(w, p.response(r))
+}
+
+// callerTimeout is the route's timeout, or the caller's if that is shorter.
+func callerTimeout(h http.Header, limit time.Duration) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
+	if err != nil || ms <= 0 || ms > limit.Milliseconds() {
+		return limit
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// exchange is one request of a caller with its tries.
+type exchange struct {
+	f        *Frontend
+	route    *snapshot.Route
+	req      *http.Request
+	body     *requestBody
+	env      Envelope
+	start    time.Time
+	deadline time.Time
+	tried    []string
+	tries    int
+	// mayHaveRun is set once a try ended ambiguously; from then on nothing may
+	// be reported as not run.
+	mayHaveRun bool
+}
+
+func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
+	var err error
+	x.body, err = newRequestBody(x.req)
+	if err != nil {
+		x.finish(w, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0).response(x.req))
+		return
+	}
+	x.f.earn()
+	for {
+		resp, class := x.try(ctx)
+		x.f.metrics.tried(class)
+		x.mayHaveRun = x.mayHaveRun || class == retry.Ambiguous
+		if class == retry.Answered {
+			x.finish(w, resp)
+			return
+		}
+		reason := x.f.again(retry.Try{
+			Class:      class,
+			Idempotent: x.route.Idempotent,
+			Number:     x.tries,
+			Retries:    x.retries(),
+			Remaining:  time.Until(x.deadline),
+			Replayable: x.body.replayable(),
+		})
+		if reason != retry.Go || ctx.Err() != nil {
+			x.f.metrics.notRetried(reason)
+			x.finish(w, resp)
+			return
+		}
+		_ = resp.Body.Close()
+	}
+}
+
+// retries is the number of further tries. Where the first one is known not to
+// have run, one more is always allowed, as the budget permits.
+func (x *exchange) retries() int { return max(x.route.Retries, 1) }
+
+// finish sends the response to the caller and counts the request.
+func (x *exchange) finish(w http.ResponseWriter, resp *http.Response) {
+	outcome := resp.Header.Get(HeaderOutcome)
+	if x.mayHaveRun && Outcome(outcome) == OutcomeNotRun {
+		// The last try did not run, an earlier one may have.
+		_ = resp.Body.Close()
+		resp = unknownOutcome(resp.StatusCode, resp.Header.Get(HeaderReason)).response(x.req)
+		outcome = string(OutcomeUnknown)
+	}
+	if outcome == "" {
+		outcome = outcomeNames[0]
+	}
+	err := copyResponse(w, resp)
+	if err != nil {
+		outcome = outcomeNames[len(outcomeNames)-1]
+	}
+	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, time.Since(x.start), x.tries)
+	if err != nil {
+		// The status is out; only a broken connection tells the caller that the
+		// answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// try makes one try and returns its response, made up if there was none.
+func (x *exchange) try(ctx context.Context) (*http.Response, retry.Class) {
+	target, problem := x.choose()
+	if problem != nil {
+		return problem.response(x.req), problem.class
+	}
+	x.tries++
+	x.tried = append(x.tried, target.Name)
+	x.f.began(target.Name)
+	sent := time.Now()
+	resp, problem := x.send(ctx, target)
+	if problem != nil {
+		x.f.ended(target.Name, routing.Outcome{Failed: ctx.Err() == nil})
+		return problem.response(x.req), problem.class
+	}
+	class := classOf(resp.Header)
+	if class != retry.Answered {
+		x.f.ended(target.Name, routing.Outcome{Failed: class == retry.NeverDispatched || class == retry.Ambiguous, Told: readLoad(resp.Header)})
+		return resp, class
+	}
+	latency := time.Since(sent)
+	told := readLoad(resp.Header)
+	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
+		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told})
+	}}
+	if x.req.Method == http.MethodHead {
+		resp.Body.(*endingBody).want = -1
+	}
+	return resp, class
+}
+
+// choose picks the upstream of the next try: the key's home for a keyed
+// non-idempotent request, otherwise by the router.
+func (x *exchange) choose() (membership.Instance, *Problem) {
+	if x.env.Key != "" && !x.route.Idempotent {
+		return x.chooseHome()
+	}
+	c, ok := x.f.pick(routing.Request{Service: x.route.Service, Pinned: x.route.Pinned, Tried: x.tried})
+	if !ok {
+		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
+	}
+	return c.Instance, nil
+}
+
+func (x *exchange) chooseHome() (membership.Instance, *Problem) {
+	key := ledger.Key{Service: x.env.Service, Tenant: x.env.Tenant, Value: x.env.Key}
+	m, ok := x.f.members(ledger.Home(x.route.Service, key))
+	if !ok || m.Status == membership.Gone {
+		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonHome, defaultRetryAfter)
+	}
+	return m.Instance, nil
+}
+
+// send hands the request to the node beside the target.
+func (x *exchange) send(ctx context.Context, target membership.Instance) (*http.Response, *Problem) {
+	way, err := x.f.dispatch.To(ctx, target)
+	if err != nil {
+		return nil, notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUnreachable, defaultRetryAfter)
+	}
+	admitted := make(chan struct{})
+	out := x.request(ctx, target, admitted)
+	resp, err := way.RoundTrip(out)
+	if err != nil {
+		return nil, sendFailure(ctx, err)
+	}
+	return resp, nil
+}
+
+// request builds the request to the admitting node.
+func (x *exchange) request(ctx context.Context, target membership.Instance, admitted chan struct{}) *http.Request {
+	env := x.env
+	env.Target = target.Name
+	env.Timeout = time.Until(x.deadline)
+	env.Await = x.body.streams()
+	if env.Await {
+		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
+	}
+	out := x.req.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme = "https"
+	out.URL.Host = target.Name
+	out.Host = x.req.Host
+	out.Body = x.body.open(ctx, admitted)
+	out.ContentLength = x.body.length
+	out.GetBody = nil
+	stripHop(out.Header)
+	env.write(out.Header)
+	return out
+}
+
+// maxForwarded is the most bytes copied at once.
+const maxForwarded = 32 << 10
+
+// copyPool holds buffers for copying answers.
+var copyPool = sync.Pool{New: func() any { b := make([]byte, maxForwarded); return &b }}
+
+// copyResponse sends an answer. An error means that it was cut.
+func copyResponse(w http.ResponseWriter, resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	h := w.Header()
+	for name, values := range resp.Header {
+		if strings.HasPrefix(name, headerPrefix) && !forCallers(name) {
+			continue
+		}
+		h[name] = values
+	}
+	w.WriteHeader(resp.StatusCode)
+	return copyBody(w, resp.Body)
+}
+
+// copyBody copies an answer's body, sending each part on as it comes.
+func copyBody(w http.ResponseWriter, body io.Reader) error {
+	buf := copyPool.Get().(*[]byte)
+	defer copyPool.Put(buf)
+	flusher, _ := w.(http.Flusher)
+	for {
+		n, err := body.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if n < len(*buf) && flusher != nil {
+			flusher.Flush()
+		}
+	}
+}
+
+// forCallers reports whether a header of the project is meant for callers.
+func forCallers(name string) bool {
+	switch name {
+	case HeaderOutcome, HeaderReason, HeaderRetryAfterMs, HeaderServedBy, headerReplayed:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/keys.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/ledger"
+)
+
+// beginKey asks the ledger about a keyed request. A response or a problem
+// means that the request is answered already.
+func (c *backendCall) beginKey(ctx context.Context) (*http.Response, *Problem) {
+	b := c.b
+	c.key = ledger.Key{Service: c.env.Service, Tenant: c.env.Tenant, Value: c.env.Key}
+	snap := b.holder.Current()
+	if snap == nil || snap.Service(c.env.Service) == nil || ledger.Home(snap.Service(c.env.Service), c.key) != b.cfg.Name {
+		return nil, keyProblem(ledger.Moved)
+	}
+	now := time.Now()
+	b.mu.Lock()
+	v := b.ledger.Begin(now, c.key, fingerprint(c.req), snap.ID)
+	var earlier []string
+	if v.Decision == ledger.Run {
+		earlier = b.history.Earlier(now, c.key, b.cfg.Name)
+		if v.Ask != "" {
+			earlier = append(earlier, v.Ask)
+		}
+	}
+	b.mu.Unlock()
+	if len(earlier) > 0 {
+		v = c.askEarlier(ctx, earlier, ledger.Fence{Home: b.cfg.Name, Version: snap.ID})
+		if v.Decision != ledger.Run {
+			c.finishKey(ledger.NotRun, nil)
+		}
+	}
+	return c.resolve(v)
+}
+
+// maxClaims bounds the homes asked about one key.
+const maxClaims = 8
+
+// askEarlier asks the earlier homes of the key, which is held here as running
+// meanwhile, and those that they name. Run means that none of them ran it or
+// will.
+func (c *backendCall) askEarlier(ctx context.Context, homes []string, f ledger.Fence) ledger.Verdict {
+	asked := map[string]bool{f.Home: true}
+	for len(homes) > 0 {
+		home := homes[0]
+		homes = homes[1:]
+		if asked[home] {
+			continue
+		}
+		asked[home] = true
+		v, err := c.b.claims.Claim(ctx, home, c.key, f)
+		if err != nil || len(asked) > maxClaims {
+			return ledger.Verdict{Decision: ledger.PriorUnknown}
+		}
+		if v.Decision != ledger.Moved {
+			return v
+		}
+		if v.Ask != "" {
+			homes = append(homes, v.Ask)
+		}
+	}
+	return ledger.Verdict{Decision: ledger.Run}
+}
+
+func (c *backendCall) resolve(v ledger.Verdict) (*http.Response, *Problem) {
+	if v.Decision == ledger.Run {
+		return nil, nil
+	}
+	c.b.metrics.keyDecision(v.Decision)
+	if v.Decision == ledger.Replay && v.Answer != nil && v.Answer.Kept {
+		return c.replay(v.Answer), nil
+	}
+	return nil, keyProblem(v.Decision)
+}
+
+// headerReplayed marks an answer that was kept from an earlier attempt.
+const headerReplayed = "Walldrift-Replayed"
+
+func (c *backendCall) replay(a *ledger.Answer) *http.Response {
+	h := http.Header(a.Header).Clone()
+	c.b.stamp(h)
+	h.Set(headerReplayed, "true")
+	return &http.Response{
+		StatusCode:    a.Status,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        h,
+		Body:          io.NopCloser(bytes.NewReader(a.Body)),
+		ContentLength: int64(len(a.Body)),
+		Request:       c.req,
+	}
+}
+
+func (c *backendCall) finishKey(o ledger.Outcome, a *ledger.Answer) {
+	if !c.keyed {
+		return
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.b.ledger.Finish(time.Now(), c.key, o, a)
+}
+
+// Claim answers another home of a key.
+func (b *Backend) Claim(k ledger.Key, f ledger.Fence) ledger.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Claim(time.Now(), k, f)
+}
--- /dev/null
+++ b/internal/routing/evidence.go
@@ -0,0 +1,135 @@
+// Package routing chooses the upstream of a request.
+//
+// What requests themselves met counts more than what lists and health end
+// points say. The package is pure: time and randomness are passed in.
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Config holds the numbers of the choice.
+type Config struct {
+	// ToldLifetime is how long a told load counts; older ones fade. Default 1 s.
+	ToldLifetime time.Duration
+	// FailureSmoothing is the weight of the newest outcome in the failure
+	// rate, 0 to 1. Default 0.2.
+	FailureSmoothing float64
+	// EjectRate is the failure rate from which an upstream is left out.
+	// Default 0.5.
+	EjectRate float64
+	// EjectMin is the number of outcomes seen before it may be left out.
+	// Default 5.
+	EjectMin int
+	// EjectBase is the first time it is left out; it doubles up to EjectCap.
+	// Default 1 s and 30 s.
+	EjectBase, EjectCap time.Duration
+	// PanicShare is the share of a service's weight that may be left out; if
+	// more is, nothing is, as the evidence is more likely wrong. Default 0.5.
+	PanicShare float64
+	// SlowStart is how long a new instance's weight grows to the full.
+	// Default 10 s.
+	SlowStart time.Duration
+	// SlowStartFloor is the part of its weight that a new instance starts with.
+	// Default 0.2.
+	SlowStartFloor float64
+}
+
+// DefaultConfig returns the defaults given at the fields.
+func DefaultConfig() Config {
+	return Config{
+		ToldLifetime:     time.Second,
+		FailureSmoothing: 0.2,
+		EjectRate:        0.5,
+		EjectMin:         5,
+		EjectBase:        time.Second,
+		EjectCap:         30 * time.Second,
+		PanicShare:       0.5,
+		SlowStart:        10 * time.Second,
+		SlowStartFloor:   0.2,
+	}
+}
+
+// Told is what the node beside an upstream said of its load.
+type Told struct {
+	InUse, Slots, Waiting int
+	Draining              bool
+}
+
+// evidence is what this node has met of one upstream.
+type evidence struct {
+	generation uint64
+	firstSeen  time.Time
+	inFlight   int
+	told       Told
+	toldAt     time.Time
+	toldFlight int // own requests in flight when told
+	failure    float64
+	outcomes   int
+	ejected    time.Time // left out until then
+	ejections  int
+	latency    float64 // smoothed seconds to the answer
+}
+
+// busy estimates the requests at the upstream: what it told, fading with age
+// into what is in flight from here.
+func (e *evidence) busy(cfg Config, now time.Time) float64 {
+	own := float64(e.inFlight)
+	if e.toldAt.IsZero() {
+		return own
+	}
+	age := now.Sub(e.toldAt).Seconds() / cfg.ToldLifetime.Seconds()
+	trust := math.Exp(-max(age, 0))
+	told := float64(e.told.InUse + e.told.Waiting + e.inFlight - e.toldFlight)
+	return max(own, trust*told+(1-trust)*own)
+}
+
+// ramp is the part of its weight that a new instance gets, 0 to 1.
+func (e *evidence) ramp(cfg Config, now time.Time) float64 {
+	if e.firstSeen.IsZero() || cfg.SlowStart <= 0 {
+		return 1
+	}
+	part := now.Sub(e.firstSeen).Seconds() / cfg.SlowStart.Seconds()
+	return min(1, cfg.SlowStartFloor+(1-cfg.SlowStartFloor)*max(part, 0))
+}
+
+// drainMemory is how long an upstream that refused as draining gets no further
+// request on that word alone; by then the membership view has the news.
+const drainMemory = 10 * time.Second
+
+func (e *evidence) toldDraining(now time.Time) bool {
+	return e.told.Draining && now.Sub(e.toldAt) < drainMemory
+}
+
+func (e *evidence) isEjected(now time.Time) bool { return now.Before(e.ejected) }
+
+// observe counts an outcome and leaves the upstream out if too many fail.
+func (e *evidence) observe(cfg Config, now time.Time, rnd *rand.Rand, failed bool) {
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	e.outcomes++
+	e.failure += cfg.FailureSmoothing * (v - e.failure)
+	if !failed {
+		if e.failure < cfg.EjectRate/2 {
+			e.ejections = 0
+		}
+		return
+	}
+	if e.outcomes < cfg.EjectMin || e.failure < cfg.EjectRate || e.isEjected(now) {
+		return
+	}
+	e.eject(cfg, now, rnd)
+}
+
+func (e *evidence) eject(cfg Config, now time.Time, rnd *rand.Rand) {
+	d := min(cfg.EjectBase<<min(e.ejections, 16), cfg.EjectCap)
+	// Half fixed, half random, so that nodes do not return all at once.
+	e.ejected = now.Add(d/2 + time.Duration(rnd.Int64N(int64(d)/2+1)))
+	e.ejections++
+	// One more failure after the return ejects again; one success helps.
+	e.failure = cfg.EjectRate
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,265 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+// Exclusion says why an upstream gets no request now.
+type Exclusion string
+
+// The exclusions. Soft ones are given up when nothing else is left.
+const (
+	Eligible        Exclusion = ""
+	NotListed       Exclusion = "not in the instance list"
+	InstanceGone    Exclusion = "instance is gone"
+	InstanceLeaving Exclusion = "instance is leaving"
+	ZeroWeight      Exclusion = "weight is 0"
+	AlreadyTried    Exclusion = "tried for this request"
+	NotPinned       Exclusion = "route is pinned to another upstream"
+	Ejected         Exclusion = "left out after failures"                 // soft
+	SuspectInstance Exclusion = "instance does not answer its neighbours" // soft
+)
+
+func (x Exclusion) soft() bool { return x == Ejected || x == SuspectInstance }
+
+// Candidate is one upstream of a service with the verdict on it.
+type Candidate struct {
+	Upstream *snapshot.Upstream
+	Instance membership.Instance
+	Excluded Exclusion
+	// Weight is the table's weight times slow start and distance.
+	Weight float64
+	// Cost is the estimated load over the slots; the lesser is chosen.
+	Cost float64
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service *snapshot.Service
+	Pinned  *snapshot.Upstream
+	Tried   []string // upstreams already tried for this request
+}
+
+// Members looks up the instance behind an upstream name.
+type Members func(name string) (membership.Member, bool)
+
+// Router keeps the evidence of one node. It is not safe for concurrent use.
+type Router struct {
+	cfg      Config
+	self     membership.Instance
+	evidence map[string]*evidence
+}
+
+// NewRouter returns a router of the instance self without evidence.
+func NewRouter(cfg Config, self membership.Instance) *Router {
+	return &Router{cfg: cfg, self: self, evidence: make(map[string]*evidence)}
+}
+
+// distance factors on the weight: another data centre of the region costs
+// little, another region much.
+const (
+	nearFactor   = 1.0
+	regionFactor = 0.9
+	farFactor    = 0.02
+)
+
+func (r *Router) distance(in membership.Instance) float64 {
+	switch {
+	case in.DataCentre == r.self.DataCentre:
+		return nearFactor
+	case in.Region == r.self.Region:
+		return regionFactor
+	}
+	return farFactor
+}
+
+// Candidates returns every upstream of the service with the reason it is left
+// out, if it is.
+func (r *Router) Candidates(now time.Time, req Request, members Members) []Candidate {
+	out := make([]Candidate, 0, len(req.Service.Upstreams))
+	for _, u := range req.Service.Upstreams {
+		out = append(out, r.candidate(now, u, req, members))
+	}
+	r.relent(out)
+	return out
+}
+
+func (r *Router) candidate(now time.Time, u *snapshot.Upstream, req Request, members Members) Candidate {
+	c := Candidate{Upstream: u}
+	m, ok := members(u.Name)
+	if !ok {
+		c.Excluded = NotListed
+		return c
+	}
+	c.Instance = m.Instance
+	e := r.of(now, m.Instance)
+	c.Weight = u.Weight * e.ramp(r.cfg, now) * r.distance(m.Instance)
+	slots := max(u.Concurrency, e.told.Slots, 1)
+	c.Cost = (e.busy(r.cfg, now) + 1) / float64(slots)
+	c.Excluded = r.exclusion(now, u, m, e, req)
+	return c
+}
+
+func (r *Router) exclusion(now time.Time, u *snapshot.Upstream, m membership.Member, e *evidence, req Request) Exclusion {
+	switch {
+	case req.Pinned != nil && req.Pinned.Name != u.Name:
+		return NotPinned
+	case u.Weight <= 0 && req.Pinned == nil:
+		return ZeroWeight
+	case m.Status == membership.Gone:
+		return InstanceGone
+	case m.Status == membership.Departing || e.toldDraining(now):
+		return InstanceLeaving
+	case contains(req.Tried, u.Name):
+		return AlreadyTried
+	case m.Status == membership.Suspect:
+		return SuspectInstance
+	case e.isEjected(now):
+		return Ejected
+	}
+	return Eligible
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// relent gives up the soft exclusions when they cover more than PanicShare of
+// the weight: then the evidence is more likely wrong than all the upstreams.
+func (r *Router) relent(all []Candidate) {
+	eligible, soft := 0.0, 0.0
+	for _, c := range all {
+		switch {
+		case c.Excluded == Eligible:
+			eligible += c.Weight
+		case c.Excluded.soft():
+			soft += c.Weight
+		}
+	}
+	if soft == 0 || soft < r.cfg.PanicShare*(eligible+soft) {
+		return
+	}
+	for i := range all {
+		if all[i].Excluded.soft() {
+			all[i].Excluded = Eligible
+		}
+	}
+}
+
+// Pick chooses an upstream: two are drawn by weight, the one with the lesser
+// cost wins. It returns false if none may be used.
+func (r *Router) Pick(now time.Time, rnd *rand.Rand, req Request, members Members) (Candidate, bool) {
+	all := r.Candidates(now, req, members)
+	total := 0.0
+	usable := all[:0]
+	for _, c := range all {
+		if c.Excluded == Eligible && c.Weight > 0 {
+			usable = append(usable, c)
+			total += c.Weight
+		}
+	}
+	switch len(usable) {
+	case 0:
+		return Candidate{}, false
+	case 1:
+		return usable[0], true
+	}
+	a := draw(rnd, usable, total, -1)
+	b := draw(rnd, usable, total-usable[a].Weight, a)
+	if usable[b].Cost < usable[a].Cost {
+		a = b
+	}
+	return usable[a], true
+}
+
+// draw returns an index by weight, leaving out skip.
+func draw(rnd *rand.Rand, cs []Candidate, total float64, skip int) int {
+	at := rnd.Float64() * total
+	last := 0
+	for i, c := range cs {
+		if i == skip {
+			continue
+		}
+		last = i
+		if at < c.Weight {
+			return i
+		}
+		at -= c.Weight
+	}
+	return last
+}
+
+// of returns the evidence about an instance. A later process under the same
+// name starts anew.
+func (r *Router) of(now time.Time, in membership.Instance) *evidence {
+	e, ok := r.evidence[in.Name]
+	if ok && e.generation >= in.Generation {
+		return e
+	}
+	next := &evidence{generation: in.Generation}
+	if ok {
+		// Requests to the earlier process still count until they end.
+		next.inFlight = e.inFlight
+		next.firstSeen = now
+	}
+	// An instance met for the first time by this node is not taken for a cold
+	// one unless it started a short while ago.
+	if started := time.UnixMilli(int64(in.Generation)); !ok && now.Sub(started) < r.cfg.SlowStart {
+		next.firstSeen = started
+	}
+	r.evidence[in.Name] = next
+	return next
+}
+
+// Start counts a request sent to an upstream.
+func (r *Router) Start(name string) {
+	if e, ok := r.evidence[name]; ok {
+		e.inFlight++
+	}
+}
+
+// Outcome is how a request to an upstream ended, as evidence.
+type Outcome struct {
+	// Failed says that the upstream or the way to it failed; a refusal for
+	// want of a slot is no failure.
+	Failed  bool
+	Latency time.Duration // time to the answer; 0 if there was none
+	Told    *Told         // what its node said with the answer; nil if nothing
+}
+
+// latencySmoothing is the weight of the newest latency.
+const latencySmoothing = 0.1
+
+// End counts the end of a request that Start counted.
+func (r *Router) End(now time.Time, rnd *rand.Rand, name string, o Outcome) {
+	e, ok := r.evidence[name]
+	if !ok {
+		return
+	}
+	e.inFlight = max(0, e.inFlight-1)
+	e.observe(r.cfg, now, rnd, o.Failed)
+	if o.Told != nil {
+		e.told, e.toldAt, e.toldFlight = *o.Told, now, e.inFlight
+	}
+	if o.Latency > 0 {
+		e.latency += latencySmoothing * (o.Latency.Seconds() - e.latency)
+	}
+}
+
+// Prune forgets the evidence about upstreams that keep says are no more.
+func (r *Router) Prune(keep func(name string) bool) {
+	for name, e := range r.evidence {
+		if e.inFlight == 0 && !keep(name) {
+			delete(r.evidence, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,56 @@
+// Package settings reads the INI file of a node, with overrides from the
+// environment and from flags. All findings are collected with file, line and
+// key and reported together.
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/distribution"
+)
+
+// Node holds the checked settings of one node.
+type Node struct {
+	Name       string
+	Service    string
+	DataCentre string
+	Region     string
+
+	Callers netip.AddrPort // TCP, HTTP from callers
+	Peers   netip.AddrPort // UDP, other nodes
+	Admin   netip.AddrPort // TCP, status, metrics and health
+
+	Upstream     *url.URL
+	HealthPath   string
+	HealthPeriod time.Duration
+	Slots        int
+	Queue        int
+
+	Platform     *url.URL
+	Seeds        []distribution.Seed
+	ReadSpread   time.Duration
+	WatchWait    time.Duration
+	StartTimeout time.Duration
+
+	Certificate string
+	Key         string
+	Authority   string
+
+	DigestInterval   time.Duration
+	SuspicionTimeout time.Duration
+
+	MaxConnections int
+	ConnectionIdle time.Duration
+	RetryRatio     float64
+
+	LedgerWindow time.Duration
+	LedgerSkew   time.Duration
+
+	DrainAnnounce time.Duration
+	DrainTimeout  time.Duration
+
+	LogLevel  string
+	LogFormat string
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,183 @@
+// Package snapshot builds the immutable, indexed form of one table version
+// that all readers hold.
+//
+// A snapshot is closed: every service and upstream that a route names is in
+// it. Build checks that anew, so that a defect in the acceptance check cannot
+// put a dangling route into a proxy. Holder swaps snapshots with one pointer
+// store and never moves back.
+package snapshot
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// ErrNotClosed reports a route to a service or upstream that is not in the
+// table.
+var ErrNotClosed = errors.New("table is not closed")
+
+// Upstream is one target with its share of its service.
+type Upstream struct {
+	table.Upstream
+	// Share is the upstream's weight over the sum of its service's weights, 0 to 1.
+	Share float64
+}
+
+// Service is a service with its upstreams, sorted by name.
+type Service struct {
+	table.Service
+	Upstreams []*Upstream
+}
+
+// Route is a route with the service and, where pinned, the upstream it names.
+type Route struct {
+	table.Route
+	Service *Service
+	Pinned  *Upstream // nil means any upstream of the service
+}
+
+// Snapshot is one version of the table, indexed. It must not be changed.
+type Snapshot struct {
+	ID        version.ID
+	Raw       []byte
+	Table     *table.Table
+	services  map[string]*Service
+	upstreams map[string]*Upstream
+	routes    []*Route // longest prefix first
+}
+
+// Build checks the raw table and returns its snapshot. A refused table gives
+// table.Findings as the error.
+func Build(raw []byte) (*Snapshot, error) {
+	t, findings := table.Parse(raw)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	s := &Snapshot{
+		ID:        version.Of(t.Edition, raw),
+		Raw:       raw,
+		Table:     t,
+		services:  make(map[string]*Service, len(t.Services)),
+		upstreams: make(map[string]*Upstream, len(t.Upstreams)),
+	}
+	for _, svc := range t.Services {
+		s.services[svc.Name] = &Service{Service: svc}
+	}
+	if err := s.addUpstreams(t.Upstreams); err != nil {
+		return nil, err
+	}
+	if err := s.addRoutes(t.Routes); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Snapshot) addUpstreams(rows []table.Upstream) error {
+	sums := make(map[string]float64, len(s.services))
+	for _, row := range rows {
+		sums[row.Service] += row.Weight
+	}
+	for _, row := range rows {
+		svc, ok := s.services[row.Service]
+		if !ok {
+			return errors.Wrapf(ErrNotClosed, "upstream %q names service %q", row.Name, row.Service)
+		}
+		u := &Upstream{Upstream: row, Share: row.Weight / sums[row.Service]}
+		s.upstreams[row.Name] = u
+		svc.Upstreams = append(svc.Upstreams, u)
+	}
+	for _, svc := range s.services {
+		slices.SortFunc(svc.Upstreams, func(a, b *Upstream) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return nil
+}
+
+func (s *Snapshot) addRoutes(rows []table.Route) error {
+	for _, row := range rows {
+		svc, ok := s.services[row.Service]
+		if !ok {
+			return errors.Wrapf(ErrNotClosed, "route %q names service %q", row.Name, row.Service)
+		}
+		r := &Route{Route: row, Service: svc}
+		if row.Upstream != "" {
+			if r.Pinned, ok = s.upstreams[row.Upstream]; !ok {
+				return errors.Wrapf(ErrNotClosed, "route %q names upstream %q", row.Name, row.Upstream)
+			}
+		}
+		s.routes = append(s.routes, r)
+	}
+	slices.SortStableFunc(s.routes, func(a, b *Route) int {
+		if d := len(b.Prefix) - len(a.Prefix); d != 0 {
+			return d
+		}
+		// A route that names its methods is more specific than one for all.
+		return len(b.Methods) - len(a.Methods)
+	})
+	return nil
+}
+
+// Service returns the named service, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Upstream returns the named upstream, or nil.
+func (s *Snapshot) Upstream(name string) *Upstream { return s.upstreams[name] }
+
+// Routes returns all routes, longest prefix first.
+func (s *Snapshot) Routes() []*Route { return s.routes }
+
+// Route returns the route for a request, or nil. A prefix matches whole path
+// segments only.
+func (s *Snapshot) Route(method, path string) *Route {
+	for _, r := range s.routes {
+		if !matchPrefix(r.Prefix, path) {
+			continue
+		}
+		if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+			return r
+		}
+	}
+	return nil
+}
+
+func matchPrefix(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// Holder keeps the snapshot in force. Reads are one atomic load.
+type Holder struct {
+	mu  sync.Mutex // serialises Advance
+	cur atomic.Pointer[Snapshot]
+}
+
+// Current returns the snapshot in force, or nil before the first one.
+func (h *Holder) Current() *Snapshot { return h.cur.Load() }
+
+// ID returns the version in force; the zero ID before the first one.
+func (h *Holder) ID() version.ID {
+	if s := h.cur.Load(); s != nil {
+		return s.ID
+	}
+	return version.ID{}
+}
+
+// Advance puts s in force if it is newer than the held one and reports
+// whether it did. The held version never goes back.
+func (h *Holder) Advance(s *Snapshot) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !s.ID.Newer(h.ID()) {
+		return false
+	}
+	h.cur.Store(s)
+	return true
+}
--- /dev/null
+++ b/internal/table/columns.go
@@ -0,0 +1,48 @@
+package table
+
+// Column is the header of one CSV column.
+type Column string
+
+// The columns of the table, in the order that Header gives.
+const (
+	ColRow         Column = "row"
+	ColName        Column = "name"
+	ColService     Column = "service"
+	ColUpstream    Column = "upstream"
+	ColWeight      Column = "weight"
+	ColRate        Column = "rate"
+	ColConcurrency Column = "concurrency"
+	ColPrefix      Column = "prefix"
+	ColMethods     Column = "methods"
+	ColKind        Column = "kind"
+	ColKindWeight  Column = "kind_weight"
+	ColTimeout     Column = "timeout_ms"
+	ColRetries     Column = "retries"
+	ColIdempotent  Column = "idempotent"
+)
+
+// Header lists the columns in the order in which they are written.
+var Header = []Column{
+	ColRow, ColName, ColService, ColUpstream, ColWeight, ColRate, ColConcurrency,
+	ColPrefix, ColMethods, ColKind, ColKindWeight, ColTimeout, ColRetries, ColIdempotent,
+}
+
+// RowType is the value of the first column.
+type RowType string
+
+// The row types. Exactly one RowTable row gives the edition in its name column.
+const (
+	RowTable    RowType = "table"
+	RowService  RowType = "service"
+	RowUpstream RowType = "upstream"
+	RowRoute    RowType = "route"
+)
+
+// columnsOf lists the columns that a row of each type may fill.
+var columnsOf = map[RowType][]Column{
+	RowTable:    {ColRow, ColName},
+	RowService:  {ColRow, ColName, ColRate, ColConcurrency},
+	RowUpstream: {ColRow, ColName, ColService, ColWeight, ColRate, ColConcurrency},
+	RowRoute: {ColRow, ColName, ColService, ColUpstream, ColPrefix, ColMethods,
+		ColKind, ColKindWeight, ColTimeout, ColRetries, ColIdempotent},
+}
--- /dev/null
+++ b/internal/table/finding.go
@@ -0,0 +1,71 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Rule names the check that a finding comes from.
+type Rule string
+
+// The rules of the acceptance check.
+const (
+	RuleEncoding    Rule = "encoding"
+	RuleSize        Rule = "size"
+	RuleHeader      Rule = "header"
+	RuleRowType     Rule = "row-type"
+	RuleEdition     Rule = "edition"
+	RuleMissing     Rule = "missing"
+	RuleUnused      Rule = "unused-column"
+	RuleNumber      Rule = "number"
+	RuleRange       Rule = "range"
+	RuleDuplicate   Rule = "duplicate"
+	RuleReference   Rule = "reference"
+	RuleAllZero     Rule = "all-weights-zero"
+	RuleNoUpstream  Rule = "no-upstream"
+	RulePrefix      Rule = "prefix"
+	RuleIdempotency Rule = "idempotency"
+)
+
+// Finding is one defect of a table, with its place.
+type Finding struct {
+	Row     int    `json:"row"` // line of the file from 1; 0 means the whole file
+	Column  Column `json:"column,omitempty"`
+	Rule    Rule   `json:"rule"`
+	Message string `json:"message"`
+}
+
+// String formats the finding as place, rule and message.
+func (f Finding) String() string {
+	place := "table"
+	if f.Row > 0 {
+		place = fmt.Sprintf("row %d", f.Row)
+	}
+	if f.Column != "" {
+		place += ", column " + string(f.Column)
+	}
+	return fmt.Sprintf("%s: %s: %s", place, f.Rule, f.Message)
+}
+
+// Findings collects all defects of one table. It is an error when not empty.
+type Findings []Finding
+
+// Error lists all findings, one a line.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// findingLimit bounds the findings kept for one table, so that a hostile file
+// cannot use up memory.
+const findingLimit = 200
+
+func (fs *Findings) add(row int, col Column, rule Rule, format string, args ...any) {
+	if len(*fs) >= findingLimit {
+		return
+	}
+	*fs = append(*fs, Finding{Row: row, Column: col, Rule: rule, Message: fmt.Sprintf(format, args...)})
+}
--- /dev/null
+++ b/internal/table/parse.go
@@ -0,0 +1,253 @@
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxNumber bounds weights, rates and counts; larger values are typing errors.
+const maxNumber = 1e9
+
+// Parse reads and checks a table. On success findings is empty; otherwise the
+// table must not be used and findings holds every defect found.
+func Parse(raw []byte) (*Table, Findings) {
+	var fs Findings
+	if len(raw) > MaxBytes {
+		fs.add(0, "", RuleSize, "%d bytes, the limit is %d", len(raw), MaxBytes)
+		return nil, fs
+	}
+	if !utf8.Valid(raw) || bytes.IndexByte(raw, 0) >= 0 {
+		fs.add(0, "", RuleEncoding, "the file is not UTF-8 text")
+		return nil, fs
+	}
+	t, fs := decode(raw)
+	if t == nil {
+		return nil, fs
+	}
+	fs = append(fs, check(t)...)
+	if len(fs) > 0 {
+		return nil, fs
+	}
+	return t, nil
+}
+
+// decode turns CSV into typed rows and collects the defects of single cells.
+func decode(raw []byte) (*Table, Findings) {
+	var fs Findings
+	r := csv.NewReader(bytes.NewReader(raw))
+	r.FieldsPerRecord = -1
+	r.ReuseRecord = true
+	head, err := r.Read()
+	if err != nil {
+		fs.add(1, "", RuleHeader, "no header: %v", err)
+		return nil, fs
+	}
+	index, ok := headerIndex(head, &fs)
+	if !ok {
+		return nil, fs
+	}
+	t := &Table{}
+	editions := 0
+	for {
+		rec, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		line, _ := r.FieldPos(0)
+		if err != nil {
+			fs.add(line, "", RuleEncoding, "not CSV: %v", err)
+			return nil, fs
+		}
+		c := &cells{row: line, rec: rec, index: index, fs: &fs}
+		if c.rowType() == RowTable {
+			editions++
+		}
+		c.appendTo(t)
+	}
+	if editions != 1 {
+		fs.add(0, ColRow, RuleEdition, "want exactly one %q row, found %d", RowTable, editions)
+	}
+	return t, fs
+}
+
+func headerIndex(head []string, fs *Findings) (map[Column]int, bool) {
+	index := make(map[Column]int, len(head))
+	good := true
+	for i, h := range head {
+		col := Column(strings.TrimSpace(h))
+		if !slices.Contains(Header, col) {
+			fs.add(1, col, RuleHeader, "unknown column")
+			good = false
+		}
+		if _, twice := index[col]; twice {
+			fs.add(1, col, RuleHeader, "column stands twice")
+			good = false
+		}
+		index[col] = i
+	}
+	for _, col := range Header {
+		if _, ok := index[col]; !ok {
+			fs.add(1, col, RuleHeader, "column is missing")
+			good = false
+		}
+	}
+	return index, good
+}
+
+// cells reads the typed cells of one record and collects findings.
+type cells struct {
+	row   int
+	rec   []string
+	index map[Column]int
+	fs    *Findings
+}
+
+func (c *cells) rowType() RowType { return RowType(c.text(ColRow)) }
+
+func (c *cells) text(col Column) string {
+	i := c.index[col]
+	if i >= len(c.rec) {
+		return ""
+	}
+	return strings.TrimSpace(c.rec[i])
+}
+
+func (c *cells) required(col Column) string {
+	s := c.text(col)
+	if s == "" {
+		c.fs.add(c.row, col, RuleMissing, "a value is needed")
+	}
+	return strings.Clone(s)
+}
+
+// number reads a finite value from 0 to maxNumber; an empty cell gives def.
+func (c *cells) number(col Column, def float64) float64 {
+	s := c.text(col)
+	if s == "" {
+		return def
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		c.fs.add(c.row, col, RuleNumber, "%q is not a number", s)
+		return def
+	}
+	if v < 0 || v > maxNumber {
+		c.fs.add(c.row, col, RuleRange, "%s is outside 0 to %g", s, maxNumber)
+		return def
+	}
+	return v
+}
+
+func (c *cells) integer(col Column, def int) int {
+	v := c.number(col, float64(def))
+	if v != math.Trunc(v) {
+		c.fs.add(c.row, col, RuleNumber, "%v is not a whole number", v)
+		return def
+	}
+	return int(v)
+}
+
+func (c *cells) yesNo(col Column) bool {
+	switch s := c.text(col); s {
+	case "yes":
+		return true
+	case "no":
+		return false
+	default:
+		c.fs.add(c.row, col, RuleIdempotency, "%q is neither yes nor no", s)
+		return false
+	}
+}
+
+// appendTo adds the record to the table as its row type says.
+func (c *cells) appendTo(t *Table) {
+	kind := c.rowType()
+	allowed, ok := columnsOf[kind]
+	if !ok {
+		c.fs.add(c.row, ColRow, RuleRowType, "%q is none of table, service, upstream, route", kind)
+		return
+	}
+	if len(c.rec) > len(c.index) {
+		c.fs.add(c.row, "", RuleHeader, "%d cells under %d columns", len(c.rec), len(c.index))
+	}
+	for _, col := range Header {
+		if !slices.Contains(allowed, col) && c.text(col) != "" {
+			c.fs.add(c.row, col, RuleUnused, "has no meaning in a %s row", kind)
+		}
+	}
+	switch kind {
+	case RowTable:
+		t.Edition = c.edition()
+	case RowService:
+		t.Services = append(t.Services, c.service())
+	case RowUpstream:
+		t.Upstreams = append(t.Upstreams, c.upstream())
+	case RowRoute:
+		t.Routes = append(t.Routes, c.route())
+	}
+}
+
+func (c *cells) edition() uint64 {
+	s := c.required(ColName)
+	v, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || v == 0 || v > MaxEdition {
+		c.fs.add(c.row, ColName, RuleEdition, "%q is not an edition from 1 to %d", s, uint64(MaxEdition))
+		return 0
+	}
+	return v
+}
+
+func (c *cells) service() Service {
+	return Service{
+		Row:         c.row,
+		Name:        c.required(ColName),
+		Rate:        c.number(ColRate, 0),
+		Concurrency: c.integer(ColConcurrency, 0),
+	}
+}
+
+func (c *cells) upstream() Upstream {
+	return Upstream{
+		Row:         c.row,
+		Name:        c.required(ColName),
+		Service:     c.required(ColService),
+		Weight:      c.number(ColWeight, 1),
+		Rate:        c.number(ColRate, 0),
+		Concurrency: c.integer(ColConcurrency, 0),
+	}
+}
+
+func (c *cells) route() Route {
+	return Route{
+		Row:        c.row,
+		Name:       c.required(ColName),
+		Service:    c.required(ColService),
+		Upstream:   strings.Clone(c.text(ColUpstream)),
+		Prefix:     c.required(ColPrefix),
+		Methods:    strings.Fields(strings.ToUpper(c.text(ColMethods))),
+		Kind:       c.required(ColKind),
+		KindWeight: c.number(ColKindWeight, 1),
+		Timeout:    time.Duration(c.integer(ColTimeout, int(DefaultTimeout/time.Millisecond))) * time.Millisecond,
+		Retries:    c.integer(ColRetries, 0),
+		Idempotent: c.yesNo(ColIdempotent),
+	}
+}
+
+// EditionOf returns the edition of a raw table that need not be acceptable, so
+// that a refused version can be named; 0 if it shows none.
+func EditionOf(raw []byte) uint64 {
+	t, _ := decode(raw[:min(len(raw), MaxBytes)])
+	if t == nil {
+		return 0
+	}
+	return t.Edition
+}
