Run and measure the path as separate processes

Found while doing so: every node that had just learned the list took itself for a reader, as its rank was still zero; the rank is now computed when the list comes, before the next read is decided on.

--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -1,15 +1,175 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"github.com/walldrift/walldrift/internal/bench"
+	"github.com/walldrift/walldrift/internal/standin"
 )
 
 func benchCommand(out IO) *ff.Command {
 	return &ff.Command{
-		Name:        "bench",
-		Usage:       "walldrift bench ...",
-		ShortHelp:   "measure a running fleet",
-		Flags:       ff.NewFlagSet("bench"),
-		Subcommands: nil,
+		Name:      "bench",
+		Usage:     "walldrift bench plan|upstreams|control|latency ...",
+		ShortHelp: "plan and measure a fleet of separate processes (see scripts/fleet)",
+		Flags:     ff.NewFlagSet("bench"),
+		Subcommands: []*ff.Command{
+			benchPlan(out), benchUpstreams(out), benchControl(out), benchLatency(out),
+		},
+	}
+}
+
+const dirHelp = "directory of the plan"
+
+func benchPlan(out IO) *ff.Command {
+	fs := ff.NewFlagSet("plan")
+	dir := fs.StringLong("dir", "", dirHelp)
+	layout := fs.StringEnumLong("layout", "kerbline, kestrel or synthetic", "kerbline", "kestrel", "synthetic")
+	targets := fs.IntLong("targets", 32, "targets of a synthetic layout")
+	services := fs.IntLong("services", 4, "services of a synthetic layout")
+	centres := fs.IntLong("centres", 4, "data centres of a synthetic layout")
+	regions := fs.IntLong("regions", 2, "regions of a synthetic layout")
+	rows := fs.IntLong("rows", 0, "rows of upstreams in the table, if more than targets")
+	port := fs.IntLong("port", 20000, "first port")
+	extra := fs.StringListLong("set", "added to every node's settings: section.key=value (repeatable)")
+	return &ff.Command{
+		Name:      "plan",
+		Usage:     "walldrift bench plan --dir DIR [--layout L] [--targets N] ...",
+		ShortHelp: "write table, list, keys and settings of a fleet",
+		Flags:     fs,
+		Exec: func(context.Context, []string) error {
+			if *dir == "" {
+				return usagef("plan needs --dir")
+			}
+			abs, err := filepath.Abs(*dir)
+			if err != nil {
+				return err
+			}
+			cfg := bench.PlanConfig{Dir: abs, BasePort: *port, Extra: iniOf(*extra)}
+			switch *layout {
+			case "kerbline":
+				cfg.Placements, cfg.Table = standin.Kerbline().Placements(), standin.Kerbline().Table()
+			case "kestrel":
+				cfg.Placements, cfg.Table = standin.KestrelBrook().Placements(), standin.KestrelBrook().Table()
+			default:
+				cfg.Placements = standin.Synthetic(*targets, *services, *centres, *regions)
+				cfg.Table = standin.SyntheticTable(standin.Synthetic(max(*targets, *rows), *services, *centres, *regions))
+			}
+			plan, err := bench.WritePlan(cfg)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(out.Out, "planned %d nodes in %s, table of %d bytes\n", len(plan.Nodes), abs, len(cfg.Table))
+			return err
+		},
+	}
+}
+
+// iniOf turns section.key=value pairs into INI text.
+func iniOf(pairs []string) string {
+	var b strings.Builder
+	for _, p := range pairs {
+		name, value, _ := strings.Cut(p, "=")
+		section, key, _ := strings.Cut(name, ".")
+		fmt.Fprintf(&b, "[%s]\n%s = %s\n", section, key, value)
+	}
+	return b.String()
+}
+
+func benchUpstreams(out IO) *ff.Command {
+	fs := ff.NewFlagSet("upstreams")
+	dir := fs.StringLong("dir", "", dirHelp)
+	return &ff.Command{
+		Name:      "upstreams",
+		Usage:     "walldrift bench upstreams --dir DIR",
+		ShortHelp: "serve all upstreams of a plan from one process",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			plan, err := bench.ReadPlan(*dir)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			errs := make(chan error, len(plan.Nodes))
+			var group sync.WaitGroup
+			for _, n := range plan.Nodes {
+				u := standin.NewUpstream(standin.UpstreamConfig{Name: n.Name, Slots: n.Slots, Work: n.Work})
+				group.Go(func() {
+					if err := standin.Serve(ctx, n.Upstream, u, func(string) {}); err != nil {
+						errs <- err
+						cancel()
+					}
+				})
+			}
+			_, _ = fmt.Fprintf(out.Out, "serving %d upstreams\n", len(plan.Nodes))
+			group.Wait()
+			select {
+			case err := <-errs:
+				return err
+			default:
+				return nil
+			}
+		},
+	}
+}
+
+func benchControl(out IO) *ff.Command {
+	fs := ff.NewFlagSet("control")
+	dir := fs.StringLong("dir", "", dirHelp)
+	edits := fs.IntLong("edits", 100, "edits to publish; 0 measures at rest")
+	interval := fs.DurationLong("interval", 200*time.Millisecond, "time between edits")
+	rest := fs.DurationLong("rest", 30*time.Second, "length of a measurement at rest")
+	settle := fs.DurationLong("settle", 16*time.Second, "longest wait for an edit")
+	return &ff.Command{
+		Name:      "control",
+		Usage:     "walldrift bench control --dir DIR [--edits N] [--interval D]",
+		ShortHelp: "measure convergence time, control bytes, CPU, memory and platform reads",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			r, err := bench.MeasureControl(ctx, bench.ControlConfig{Dir: *dir, Edits: *edits, Interval: *interval, Rest: *rest, Settle: *settle})
+			if err != nil {
+				return err
+			}
+			return printResult(out, r)
+		},
 	}
 }
+
+func benchLatency(out IO) *ff.Command {
+	fs := ff.NewFlagSet("latency")
+	dir := fs.StringLong("dir", "", dirHelp)
+	service := fs.StringLong("service", "tariff", "service called")
+	path := fs.StringLong("path", "/tariff/x", "path called")
+	part := fs.Float64Long("part", 0.05, "part of the service's slots kept busy, 0 to 1")
+	rounds := fs.IntLong("rounds", 6, "pairs of slices")
+	slice := fs.DurationLong("slice", 3*time.Second, "length of one slice")
+	return &ff.Command{
+		Name:      "latency",
+		Usage:     "walldrift bench latency --dir DIR [--part P]",
+		ShortHelp: "compare calls through the fleet with direct ones, in turn",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			r, err := bench.MeasureLatency(ctx, bench.LatencyConfig{Dir: *dir, Service: *service, Path: *path, Part: *part, Rounds: *rounds, Slice: *slice})
+			if err != nil {
+				return err
+			}
+			return printResult(out, r)
+		},
+	}
+}
+
+func printResult(out IO, r any) error {
+	enc := json.NewEncoder(out.Out)
+	enc.SetIndent("", " ")
+	return errors.Wrap(enc.Encode(r), "result")
+}
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -108,6 +108,7 @@
 		links:   make(map[string]bool),
 		started: now,
 		told:    make(map[string]bool),
+		rank:    membership.ReaderCount(), // no reader before the list is known
 	}
 	e.docs[DocTable] = newReplica(DocTable, checkTable)
 	e.docs[DocList] = newReplica(DocList, e.checkList)
@@ -277,6 +278,9 @@
 	fx.Advanced = append(fx.Advanced, d)
 	if d == DocList {
 		e.View.SetList(e.list, now)
+		// Before the next read is decided on, or every node that just learned
+		// the list would take itself for a reader.
+		e.Rank(e.View.Members(now))
 		fx.MembersChanged = true
 	}
 	for _, peer := range e.neighbours() {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -24,12 +24,14 @@
 
 // SelfStatus is the answer of PathSelf.
 type SelfStatus struct {
-	Node        distribution.NodeStatus `json:"node"`
-	Ready       bool                    `json:"ready"`
-	Load        admission.Load          `json:"load"`
-	Wire        distribution.Wire       `json:"control_wire_bytes"`
-	Connections int                     `json:"request_connections"`
-	Goroutines  int                     `json:"goroutines"`
+	Node  distribution.NodeStatus `json:"node"`
+	Ready bool                    `json:"ready"`
+	// SinceMicros is when the table came into force, in microseconds since 1970.
+	SinceMicros int64             `json:"in_force_since_us"`
+	Load        admission.Load    `json:"load"`
+	Wire        distribution.Wire `json:"control_wire_bytes"`
+	Connections int               `json:"request_connections"`
+	Goroutines  int               `json:"goroutines"`
 	// Findings of the newest refused table.
 	Findings string `json:"findings,omitempty"`
 }
@@ -77,6 +79,7 @@
 	st := SelfStatus{
 		Node:        n.service.Status(),
 		Ready:       n.Ready(),
+		SinceMicros: n.since.Load(),
 		Load:        n.backend.Load(),
 		Wire:        n.service.WireBytes(c.Request().Context()),
 		Connections: n.pool.Len(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	callersListener net.Listener
 	adminListener   net.Listener
 	leaving         atomic.Bool
+	since           atomic.Int64 // when the table came into force, Unix microseconds
 	started         time.Time
 }
 
@@ -157,6 +158,7 @@
 	return distribution.Checked{ID: snap.ID, Commit: func() {
 		if n.holder.Advance(snap) {
 			n.backend.Apply(snap)
+			n.since.Store(time.Now().UnixMicro())
 		}
 	}}, nil
 }
