--- /dev/null
+++ b/internal/distribution/engine_test.go
@@ -0,0 +1,329 @@
+package distribution
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// A test document is "EDITION\nbody"; a body with "bad" in it is refused.
+func document(edition int, body string) []byte { return []byte(fmt.Sprintf("%d\n%s", edition, body)) }
+
+func checkDocument(raw []byte) (version.ID, error) {
+	var edition uint64
+	_, err := fmt.Sscanf(string(raw), "%d\n", &edition)
+	id := version.Of(edition, raw)
+	if err != nil || strings.Contains(string(raw), "bad") {
+		return id, errors.New("refused")
+	}
+	return id, nil
+}
+
+// node is one engine with what the oracle needs.
+type simNode struct {
+	*Engine
+	held version.ID // highest seen in force since the start
+}
+
+// sim is a fleet in one thread: engines, and a queue for each directed link.
+type sim struct {
+	now       time.Time
+	names     []string
+	nodes     map[string]*simNode
+	queues    map[[2]string][]*Message
+	up        map[[2]string]bool // by ordered pair
+	published [][]byte           // every value the platform ever held
+	faults    int
+	accepted  version.ID // highest version put in force anywhere
+}
+
+func newSim(n int) *sim {
+	s := &sim{
+		now: time.Unix(1000, 0), nodes: make(map[string]*simNode),
+		queues: make(map[[2]string][]*Message), up: make(map[[2]string]bool),
+	}
+	for i := range n {
+		s.names = append(s.names, fmt.Sprintf("n%d", i))
+	}
+	for _, name := range s.names {
+		s.start(name)
+	}
+	for i := range s.names {
+		s.link(s.names[i], s.names[(i+1)%n])
+	}
+	return s
+}
+
+func (s *sim) start(name string) {
+	n := &simNode{}
+	self := membership.Instance{Name: name, DataCentre: "dc", Region: "r", State: membership.Live, Generation: uint64(s.now.UnixMilli())}
+	n.Engine = NewEngine(DefaultEngineConfig(), self, func(raw []byte) (Checked, error) {
+		id, err := checkDocument(raw)
+		return Checked{ID: id, Commit: func() { n.held = id }}, err
+	}, s.now)
+	s.nodes[name] = n
+}
+
+// sortedPairs makes the order of a map the same in every run.
+func sortedPairs[V any](m map[[2]string]V) [][2]string {
+	return slices.SortedFunc(maps.Keys(m), func(a, b [2]string) int { return slices.Compare(a[:], b[:]) })
+}
+
+func ordered(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (s *sim) link(a, b string) {
+	if a == b || s.up[ordered(a, b)] {
+		return
+	}
+	s.up[ordered(a, b)] = true
+	s.carry(a, s.nodes[a].LinkUp(s.now, b))
+	s.carry(b, s.nodes[b].LinkUp(s.now, a))
+}
+
+func (s *sim) cut(a, b string) {
+	if !s.up[ordered(a, b)] {
+		return
+	}
+	delete(s.up, ordered(a, b))
+	delete(s.queues, [2]string{a, b})
+	delete(s.queues, [2]string{b, a})
+	s.carry(a, s.nodes[a].LinkDown(s.now, b, true))
+	s.carry(b, s.nodes[b].LinkDown(s.now, a, true))
+}
+
+// carry queues the messages of effects, through the codec.
+func (s *sim) carry(from string, fx Effects) {
+	for _, send := range fx.Sends {
+		if !s.up[ordered(from, send.To)] {
+			continue
+		}
+		b, err := Encode(send.Msg)
+		if err != nil {
+			panic(err)
+		}
+		m, err := Decode(b)
+		if err != nil {
+			panic(err)
+		}
+		key := [2]string{from, send.To}
+		s.queues[key] = append(s.queues[key], m)
+	}
+	if held := s.nodes[from].held; held.Newer(s.accepted) {
+		s.accepted = held
+	}
+}
+
+func (s *sim) deliver(key [2]string) {
+	q := s.queues[key]
+	if len(q) == 0 {
+		return
+	}
+	s.queues[key] = q[1:]
+	s.carry(key[1], s.nodes[key[1]].Receive(s.now, key[0], q[0]))
+}
+
+// settle exchanges digests on all links until nothing moves.
+func (s *sim) settle() {
+	for range 6 {
+		s.now = s.now.Add(wantTimeout)
+		for _, pair := range sortedPairs(s.up) {
+			s.carry(pair[0], s.nodes[pair[0]].DigestTo(s.now, pair[1]))
+			s.carry(pair[1], s.nodes[pair[1]].DigestTo(s.now, pair[0]))
+		}
+		for moved := true; moved; {
+			moved = false
+			for _, key := range sortedPairs(s.queues) {
+				if len(s.queues[key]) > 0 {
+					s.deliver(key)
+					moved = true
+				}
+			}
+		}
+	}
+}
+
+// TestVersionsUnderFaults drives a fleet of engines with racing operators,
+// stale platform reads, cuts, restarts and pauses, all overlapping. Oracle: a
+// node's version never goes back, a refused document is never in force, and
+// once links are whole all nodes hold the highest version that was ever in
+// force on a node still alive, or higher.
+func TestVersionsUnderFaults(t *testing.T) {
+	moves, faults := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.IntRange(2, 6).Draw(t, "nodes"))
+		s.published = [][]byte{document(1, "first")}
+		name := rapid.SampledFrom(s.names)
+		before := make(map[string]version.ID)
+		t.Repeat(map[string]func(*rapid.T){
+			"edit": func(t *rapid.T) {
+				// Operators race: editions repeat, fall behind and jump.
+				edition := rapid.IntRange(1, 12).Draw(t, "edition")
+				body := rapid.SampledFrom([]string{"x", "y\nz", "w\nw\nw", "bad", strings.Repeat("long line\n", 1200)}).Draw(t, "body")
+				s.published = append(s.published, document(edition, body))
+			},
+			"read": func(t *rapid.T) {
+				// A stale replica answers with any value ever published.
+				raw := rapid.SampledFrom(s.published).Draw(t, "value")
+				n := name.Draw(t, "node")
+				s.carry(n, s.nodes[n].Publish(s.now, DocTable, raw))
+			},
+			"deliver": func(t *rapid.T) {
+				from, to := name.Draw(t, "from"), name.Draw(t, "to")
+				s.deliver([2]string{from, to})
+			},
+			"digest": func(t *rapid.T) {
+				a, b := name.Draw(t, "from"), name.Draw(t, "to")
+				if s.up[ordered(a, b)] {
+					s.carry(a, s.nodes[a].DigestTo(s.now, b))
+				}
+			},
+			"cut":  func(t *rapid.T) { faults++; s.cut(name.Draw(t, "a"), name.Draw(t, "b")) },
+			"link": func(t *rapid.T) { s.link(name.Draw(t, "a"), name.Draw(t, "b")) },
+			"restart": func(t *rapid.T) {
+				faults++
+				n := name.Draw(t, "node")
+				for _, other := range s.names {
+					s.cut(n, other)
+				}
+				s.start(n)
+				delete(before, n)
+			},
+			"pause": func(t *rapid.T) {
+				faults++
+				s.now = s.now.Add(time.Duration(rapid.IntRange(1, 10000).Draw(t, "ms")) * time.Millisecond)
+				n := name.Draw(t, "node")
+				s.carry(n, s.nodes[n].Awake(s.now))
+			},
+			"": func(t *rapid.T) {
+				moves++
+				for _, n := range s.names {
+					node := s.nodes[n]
+					assert.Equal(t, node.held, node.Held(DocTable))
+					assert.Assert(t, !before[n].Newer(node.held), "%s went back from %v to %v", n, before[n], node.held)
+					if !node.held.IsZero() {
+						id, err := checkDocument(node.docs[DocTable].raw)
+						assert.NilError(t, err)
+						assert.Equal(t, id, node.held)
+					}
+					before[n] = node.held
+				}
+			},
+		})
+		var highest version.ID
+		for _, n := range s.names {
+			if h := s.nodes[n].held; h.Newer(highest) {
+				highest = h
+			}
+		}
+		for i := range s.names {
+			s.link(s.names[i], s.names[(i+1)%len(s.names)])
+		}
+		s.settle()
+		for _, n := range s.names {
+			assert.Equal(t, s.nodes[n].held, highest, n)
+		}
+	})
+	t.Logf("%d moves, %d faults", moves, faults)
+}
+
+func TestGapIsFilledByKeptSteps(t *testing.T) {
+	s := newSim(2)
+	a, b := s.names[0], s.names[1]
+	s.carry(a, s.nodes[a].Publish(s.now, DocTable, document(1, "one")))
+	s.settle()
+	s.cut(a, b)
+	for e := 2; e <= 5; e++ {
+		s.carry(a, s.nodes[a].Publish(s.now, DocTable, document(e, strings.Repeat("row\n", e))))
+	}
+	updates := s.nodes[a].docs[DocTable].answer(s.nodes[b].held)
+	assert.Equal(t, len(updates), 4, "want the four missed steps, not the whole document")
+	s.link(a, b)
+	s.settle()
+	assert.Equal(t, s.nodes[b].held.Edition, uint64(5))
+}
+
+func TestNewNodeGetsWholeDocumentFromPeer(t *testing.T) {
+	s := newSim(2)
+	a, b := s.names[0], s.names[1]
+	s.carry(a, s.nodes[a].Publish(s.now, DocTable, document(3, strings.Repeat("row\n", 4000))))
+	s.settle()
+	assert.Equal(t, s.nodes[b].held, s.nodes[a].held)
+	assert.Equal(t, s.nodes[b].Status(s.now).From, a)
+}
+
+func TestRefusedVersionIsShownAndNotAskedForAgain(t *testing.T) {
+	s := newSim(1)
+	n := s.nodes[s.names[0]]
+	n.Publish(s.now, DocTable, document(1, "good"))
+	fx := n.Publish(s.now, DocTable, document(2, "bad"))
+	assert.Equal(t, len(fx.Errors), 1)
+	assert.Equal(t, n.held.Edition, uint64(1))
+	assert.Assert(t, strings.HasPrefix(n.Status(s.now).Refused, "2-"))
+	n.Publish(s.now, DocTable, document(3, "good again"))
+	assert.Equal(t, n.Status(s.now).Refused, "")
+}
+
+func TestSurveyReachesEveryNodeOnce(t *testing.T) {
+	s := newSim(6)
+	s.link(s.names[0], s.names[3]) // a second way
+	s.settle()
+	s.carry(s.names[0], s.nodes[s.names[0]].Ask(s.now, 42))
+	var got []NodeStatus
+	for range 100 {
+		for _, key := range sortedPairs(s.queues) {
+			q := s.queues[key]
+			if len(q) == 0 {
+				continue
+			}
+			s.queues[key] = q[1:]
+			fx := s.nodes[key[1]].Receive(s.now, key[0], q[0])
+			for _, sv := range fx.Surveys {
+				got = sv.Nodes
+			}
+			s.carry(key[1], fx)
+		}
+	}
+	assert.Equal(t, len(got), 6)
+}
+
+func TestTakeoverOfReading(t *testing.T) {
+	s := newSim(1)
+	n := s.nodes[s.names[0]]
+	n.rank = 5
+	n.SourceAnswered(s.now)
+	assert.Assert(t, !n.ShouldRead(s.now))
+	assert.Assert(t, !n.ShouldRead(s.now.Add(n.cfg.TakeoverAge)))
+	assert.Assert(t, n.ShouldRead(s.now.Add(n.cfg.TakeoverAge+4*n.cfg.TakeoverStep)))
+}
+
+// FuzzDecode shows that no bytes of a peer make a node panic.
+func FuzzDecode(f *testing.F) {
+	b, _ := Encode(&Message{Digest: &Digest{}, Wants: []Want{{Doc: 9}}})
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		s := newSim(2)
+		n := s.nodes[s.names[0]]
+		n.Publish(s.now, DocTable, document(1, "x"))
+		n.Receive(s.now, s.names[1], m)
+		assert.Assert(t, !n.held.IsZero())
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,301 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+var testConfig = Config{Window: 10 * time.Second, Skew: time.Second, MaxEntries: 64, MaxAnswer: 8, MaxAnswers: 64}
+
+// timedKey makes a version 7 UUID that was born at the given time.
+func timedKey(at time.Time, n int) Key {
+	var id uuid.UUID
+	ms := uint64(at.UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	id[6], id[8], id[15] = 0x70, 0x80, byte(n)
+	return Key{Service: "s", Value: id.String()}
+}
+
+func TestBirthOfTimedKey(t *testing.T) {
+	at := time.UnixMilli(1_700_000_000_123)
+	birth, ok := timedKey(at, 1).Birth()
+	assert.Assert(t, ok)
+	assert.Equal(t, birth.UnixMilli(), at.UnixMilli())
+	_, ok = Key{Value: "order-77"}.Birth()
+	assert.Assert(t, !ok)
+}
+
+// testHome is a node that may be the home of keys.
+type testHome struct {
+	name    string
+	ledger  *Ledger
+	history *History
+	snap    *snapshot.Snapshot
+}
+
+// weightsTable makes the table of one service with the given weights.
+func weightsTable(edition int, weights []int) *snapshot.Snapshot {
+	raw := ""
+	for i, c := range table.Header {
+		if i > 0 {
+			raw += ","
+		}
+		raw += string(c)
+	}
+	raw += fmt.Sprintf("\ntable,%d,,,,,,,,,,,,\nservice,s,,,,,,,,,,,,\n", edition)
+	for i, w := range weights {
+		raw += fmt.Sprintf("upstream,h%d,s,,%d,,,,,,,,,\n", i, w)
+	}
+	s, err := snapshot.Build([]byte(raw))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// begin does what the proxy does: it asks the ledger, then the earlier homes,
+// and those that they name. cut tells which homes cannot be reached.
+func (h *testHome) begin(now time.Time, k Key, homes map[string]*testHome, cut func(string) bool) Decision {
+	v := h.ledger.Begin(now, k, 1, h.snap.ID)
+	if v.Decision != Run {
+		return v.Decision
+	}
+	ask := h.history.Earlier(now, k, h.name)
+	if v.Ask != "" {
+		ask = append(ask, v.Ask)
+	}
+	asked := map[string]bool{h.name: true}
+	for len(ask) > 0 {
+		name := ask[0]
+		ask = ask[1:]
+		if asked[name] {
+			continue
+		}
+		asked[name] = true
+		if cut(name) {
+			h.ledger.Finish(now, k, NotRun, nil)
+			return PriorUnknown
+		}
+		c := homes[name].ledger.Claim(now, k, Fence{Home: h.name, Version: h.snap.ID})
+		if c.Decision != Moved {
+			h.ledger.Finish(now, k, NotRun, nil)
+			return c.Decision
+		}
+		if c.Ask != "" {
+			ask = append(ask, c.Ask)
+		}
+	}
+	return Run
+}
+
+// TestAtMostOnceAcrossHomes lets callers repeat keys through any node while
+// homes restart, tables with other homes come into force node by node, and
+// nodes cannot reach each other. Oracle: a count of runs for each key, never
+// above one.
+//
+// Two limits of the design are kept: a node is never behind by more than the
+// window, and opaque keys are repeated only within the window of their use.
+func TestAtMostOnceAcrossHomes(t *testing.T) {
+	runs, refusals, faults := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(10_000, 0)
+		versions := []*snapshot.Snapshot{weightsTable(1, []int{1, 1, 1})}
+		homes := make(map[string]*testHome)
+		var names []string
+		start := func(name string, snap *snapshot.Snapshot) {
+			h := &testHome{name: name, ledger: New(testConfig, now), history: NewHistory(testConfig.Window), snap: snap}
+			h.history.Add(now, snap)
+			homes[name] = h
+		}
+		for i := range 3 {
+			names = append(names, fmt.Sprintf("h%d", i))
+			start(names[i], versions[0])
+		}
+		now = now.Add(testConfig.Window + testConfig.Skew)
+		count := make(map[Key]int)
+		running := make(map[Key][]string)
+		var keys []Key
+		name := rapid.SampledFrom(names)
+		catchUp := func(h *testHome, to *snapshot.Snapshot) {
+			if to.ID.Newer(h.snap.ID) {
+				h.snap = to
+				h.history.Add(now, to)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"new key": func(t *rapid.T) {
+				n := len(keys)
+				if rapid.Bool().Draw(t, "timed") {
+					skew := time.Duration(rapid.IntRange(-900, 900).Draw(t, "skew ms")) * time.Millisecond
+					keys = append(keys, timedKey(now.Add(skew), n))
+				} else {
+					keys = append(keys, Key{Service: "s", Value: fmt.Sprintf("opaque-%d", n)})
+				}
+			},
+			"request": func(t *rapid.T) {
+				if len(keys) == 0 {
+					t.Skip("no keys")
+				}
+				k := rapid.SampledFrom(keys).Draw(t, "key")
+				h := homes[name.Draw(t, "home")]
+				if Home(h.snap.Service("s"), k) != h.name {
+					return // refused as moved before the ledger is asked
+				}
+				cutOff := name.Draw(t, "unreachable")
+				isCut := rapid.IntRange(0, 3).Draw(t, "cut") == 0
+				d := h.begin(now, k, homes, func(n string) bool { return isCut && n == cutOff })
+				if d != Run {
+					refusals++
+					return
+				}
+				count[k]++
+				runs++
+				running[k] = append(running[k], h.name)
+				assert.Assert(t, count[k] <= 1, "%v ran %d times", k, count[k])
+			},
+			"end": func(t *rapid.T) {
+				for _, k := range keys {
+					for _, n := range running[k] {
+						o := rapid.SampledFrom([]Outcome{Done, Lost, NotRun}).Draw(t, "outcome")
+						if o == NotRun {
+							count[k]--
+						}
+						homes[n].ledger.Finish(now, k, o, &Answer{Status: 200, Kept: true})
+					}
+					delete(running, k)
+				}
+			},
+			"restart": func(t *rapid.T) {
+				faults++
+				n := name.Draw(t, "home")
+				for _, k := range keys {
+					running[k] = remove(running[k], n)
+				}
+				// A started node takes the newest table that a peer holds.
+				start(n, versions[len(versions)-1])
+			},
+			"edit": func(t *rapid.T) {
+				faults++
+				w := rapid.SliceOfN(rapid.IntRange(0, 3), 3, 3).Draw(t, "weights")
+				if w[0]+w[1]+w[2] == 0 {
+					w[0] = 1
+				}
+				versions = append(versions, weightsTable(len(versions)+1, w))
+			},
+			"follow": func(t *rapid.T) {
+				catchUp(homes[name.Draw(t, "home")], rapid.SampledFrom(versions).Draw(t, "version"))
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
+				// All nodes hold every version within seconds; opaque keys are
+				// not repeated after the window.
+				for _, n := range names {
+					catchUp(homes[n], versions[len(versions)-1])
+				}
+				kept := keys[:0]
+				for _, k := range keys {
+					if _, timed := k.Birth(); timed || len(keys) < 4 {
+						kept = append(kept, k)
+					}
+				}
+				if now.Sub(time.Unix(10_000, 0))%(testConfig.Window) < 2500*time.Millisecond {
+					keys = onlyTimed(keys)
+				} else {
+					keys = kept
+				}
+			},
+		})
+	})
+	t.Logf("%d runs, %d refusals, %d faults", runs, refusals, faults)
+}
+
+func onlyTimed(keys []Key) []Key {
+	var out []Key
+	for _, k := range keys {
+		if _, timed := k.Birth(); timed {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func remove(names []string, name string) []string {
+	var out []string
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func TestRepeatGetsKeptAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(testConfig, now)
+	now = now.Add(testConfig.Window)
+	k := Key{Service: "s", Value: "opaque"}
+	assert.Equal(t, l.Begin(now, k, 7, version.ID{}).Decision, Run)
+	assert.Equal(t, l.Begin(now, k, 7, version.ID{}).Decision, InProgress)
+	l.Finish(now, k, Done, &Answer{Status: 201, Body: []byte("ok"), Kept: true})
+	v := l.Begin(now, k, 7, version.ID{})
+	assert.Equal(t, v.Decision, Replay)
+	assert.Equal(t, string(v.Answer.Body), "ok")
+	assert.Equal(t, l.Begin(now, k, 8, version.ID{}).Decision, Conflict)
+}
+
+func TestStartedNodeRefusesWhatItCannotKnow(t *testing.T) {
+	start := time.Unix(1000, 0)
+	l := New(testConfig, start)
+	opaque := Key{Service: "s", Value: "opaque"}
+	assert.Equal(t, l.Begin(start.Add(time.Second), opaque, 1, version.ID{}).Decision, PriorUnknown)
+	assert.Equal(t, l.Begin(start.Add(testConfig.Window), opaque, 1, version.ID{}).Decision, Run)
+	assert.Equal(t, l.Begin(start.Add(2*time.Second), timedKey(start.Add(-time.Second), 1), 1, version.ID{}).Decision, PriorUnknown)
+	assert.Equal(t, l.Begin(start.Add(3*time.Second), timedKey(start.Add(2*time.Second), 2), 1, version.ID{}).Decision, Run)
+	assert.Equal(t, l.Begin(start.Add(3*time.Second), timedKey(start.Add(time.Hour), 3), 1, version.ID{}).Decision, Future)
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(testConfig, now.Add(-time.Hour))
+	for i := range testConfig.MaxEntries {
+		k := Key{Value: fmt.Sprint(i)}
+		assert.Equal(t, l.Begin(now, k, 1, version.ID{}).Decision, Run)
+		l.Finish(now, k, Done, &Answer{Status: 200, Body: []byte("12345678"), Kept: true})
+	}
+	assert.Equal(t, l.Begin(now, Key{Value: "more"}, 1, version.ID{}).Decision, Full)
+	assert.Assert(t, l.answers <= testConfig.MaxAnswers)
+	now = now.Add(testConfig.Window + 1)
+	assert.Equal(t, l.Begin(now, Key{Value: "more"}, 1, version.ID{}).Decision, Run)
+	assert.Equal(t, l.Len(), 1)
+	assert.Equal(t, l.answers, 0)
+}
+
+func TestHomeMovesOnlyTheChangedShare(t *testing.T) {
+	before := weightsTable(1, []int{4, 4, 4}).Service("s")
+	after := weightsTable(2, []int{4, 4, 5}).Service("s")
+	moved, to := 0, 0
+	const n = 10_000
+	for i := range n {
+		k := Key{Service: "s", Value: fmt.Sprint(i)}
+		if Home(before, k) != Home(after, k) {
+			moved++
+			if Home(after, k) == "h2" {
+				to++
+			}
+		}
+	}
+	assert.Equal(t, moved, to, "keys move only to the upstream whose weight grew")
+	// h2 goes from 4/12 to 5/13 of the keys: 5.1 in a hundred.
+	assert.Assert(t, moved > n*4/100 && moved < n*6/100, "%d", moved)
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,248 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var testAddr = netip.MustParseAddrPort("127.0.0.1:1")
+
+func instance(name string, generation uint64) Instance {
+	return Instance{Name: name, DataCentre: "dc", Region: "r", Peer: testAddr, State: Live, Generation: generation}
+}
+
+// fleet makes members spread over data centres and regions.
+func fleet(n, centres, regions int) []Member {
+	out := make([]Member, n)
+	for i := range out {
+		dc := i % centres
+		out[i] = Member{Instance: Instance{
+			Name: fmt.Sprintf("n%04d", i), DataCentre: fmt.Sprintf("dc%02d", dc), Region: fmt.Sprintf("r%d", dc%regions), Peer: testAddr, State: Live,
+		}}
+	}
+	return out
+}
+
+// graph computes the links of all members, dialled to the first candidate.
+func graph(members []Member) map[string]map[string]bool {
+	g := make(map[string]map[string]bool)
+	add := func(a, b string) {
+		if g[a] == nil {
+			g[a] = make(map[string]bool)
+		}
+		g[a][b] = true
+	}
+	for _, m := range members {
+		if m.Status == Gone {
+			continue
+		}
+		for _, s := range Overlay(m.Instance, members) {
+			add(m.Name, s.Candidates[0])
+			add(s.Candidates[0], m.Name)
+		}
+	}
+	return g
+}
+
+// depth returns the greatest distance from a node and the nodes reached.
+func depth(g map[string]map[string]bool, from string) (far, reached int) {
+	dist := map[string]int{from: 0}
+	queue := []string{from}
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		far = max(far, dist[at])
+		for next := range g[at] {
+			if _, ok := dist[next]; !ok {
+				dist[next] = dist[at] + 1
+				queue = append(queue, next)
+			}
+		}
+	}
+	return far, len(dist)
+}
+
+func TestOverlayAtTargetSize(t *testing.T) {
+	members := fleet(2300, 26, 7)
+	g := graph(members)
+	most, sum := 0, 0
+	for _, links := range g {
+		most, sum = max(most, len(links)), sum+len(links)
+	}
+	far, reached := depth(g, "n0000")
+	t.Logf("links per node: mean %.2f, most %d; hops from n0000: at most %d", float64(sum)/float64(len(g)), most, far)
+	assert.Equal(t, reached, 2300)
+	assert.Assert(t, most <= 16, "%d links", most)
+	// Four hops inside each of three data centres and two between them.
+	assert.Assert(t, far <= 14, "%d hops", far)
+}
+
+// The overlay connects whoever is there, also after any members are gone.
+func TestOverlayConnectsTheLiving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		centres := rapid.IntRange(1, 6).Draw(t, "centres")
+		members := fleet(rapid.IntRange(1, 60).Draw(t, "nodes"), centres, rapid.IntRange(1, centres).Draw(t, "regions"))
+		alive, first := 0, ""
+		for i := range members {
+			if rapid.IntRange(0, 3).Draw(t, "fate") == 0 {
+				members[i].Status = Gone
+				continue
+			}
+			alive++
+			first = members[i].Name
+		}
+		if alive == 0 {
+			t.Skip("nobody")
+		}
+		_, reached := depth(graph(members), first)
+		assert.Equal(t, reached, alive)
+	})
+}
+
+// One instance's end changes few links of the others.
+func TestOverlayIsStable(t *testing.T) {
+	members := fleet(260, 13, 4)
+	before := graph(members)
+	gone := members[100].Name
+	members[100].Status = Gone
+	after := graph(members)
+	changed := 0
+	for name, links := range before {
+		for to := range links {
+			if name != gone && to != gone && !after[name][to] {
+				changed++
+			}
+		}
+	}
+	assert.Assert(t, changed <= 8, "%d links were dropped", changed)
+}
+
+func TestReadersFollowOneAnother(t *testing.T) {
+	members := fleet(100, 4, 2)
+	var readers []int
+	for i, m := range members {
+		if ReaderRank(m.Instance, members) < ReaderCount() {
+			readers = append(readers, i)
+		}
+	}
+	assert.Equal(t, len(readers), 4*ReaderCount())
+	members[readers[0]].Status = Gone
+	count := 0
+	for _, m := range members {
+		if m.Status != Gone && ReaderRank(m.Instance, members) < ReaderCount() {
+			count++
+		}
+	}
+	assert.Equal(t, count, 4*ReaderCount(), "another node takes over")
+}
+
+// TestViewsAgree floods rumors among views in any order, doubled and delayed,
+// while instances doubt, leave and restart. Oracle: once all rumors have been
+// exchanged, every view says the same of everybody, and nobody who is there
+// and unsuspected at the end is gone.
+func TestViewsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		names := []string{"a", "b", "c", "d"}
+		list := &List{Revision: 1}
+		for _, n := range names {
+			list.Instances = append(list.Instances, instance(n, 0))
+		}
+		views := make(map[string]*View)
+		generation := uint64(1)
+		start := func(n string) Rumor {
+			generation += 10
+			views[n] = NewView(DefaultConfig(), instance(n, generation))
+			views[n].SetList(list, now)
+			return views[n].Own()
+		}
+		var sent []Rumor
+		for _, n := range names {
+			sent = append(sent, start(n))
+		}
+		hear := func(n string, r Rumor) {
+			if _, refute := views[n].Hear(r, now); refute != nil {
+				sent = append(sent, *refute)
+			}
+		}
+		name := rapid.SampledFrom(names)
+		t.Repeat(map[string]func(*rapid.T){
+			"hear": func(t *rapid.T) { hear(name.Draw(t, "who"), rapid.SampledFrom(sent).Draw(t, "rumor")) },
+			"doubt": func(t *rapid.T) {
+				if r, ok := views[name.Draw(t, "who")].Doubt(name.Draw(t, "whom"), now); ok {
+					sent = append(sent, r)
+				}
+			},
+			"restart": func(t *rapid.T) { sent = append(sent, start(name.Draw(t, "who"))) },
+			"leave":   func(t *rapid.T) { sent = append(sent, views[name.Draw(t, "who")].Leave(rapid.Bool().Draw(t, "on"))) },
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+		for before := -1; before != len(sent); {
+			before = len(sent)
+			for _, r := range sent {
+				for _, n := range names {
+					hear(n, r)
+				}
+			}
+		}
+		now = now.Add(time.Minute)
+		for _, of := range names {
+			for _, n := range names {
+				assert.Equal(t, views[n].Status(of, now), views[of].Own().Status, "%s about %s", n, of)
+			}
+		}
+	})
+}
+
+func TestSuspectIsGoneAfterTimeoutUnlessItRefutes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := NewView(DefaultConfig(), instance("a", 5)), NewView(DefaultConfig(), instance("b", 6))
+	a.SetList(&List{Revision: 1, Instances: []Instance{instance("b", 0)}}, now)
+	a.Hear(b.Own(), now)
+	r, ok := a.Doubt("b", now)
+	assert.Assert(t, ok)
+	assert.Equal(t, a.Status("b", now), Suspect)
+	assert.Equal(t, a.Status("b", now.Add(DefaultConfig().SuspicionTimeout)), Gone)
+	_, refute := b.Hear(r, now)
+	assert.Assert(t, refute != nil)
+	news, _ := a.Hear(*refute, now)
+	assert.Assert(t, news)
+	assert.Equal(t, a.Status("b", now.Add(time.Hour)), Alive)
+}
+
+func TestJoinWithoutListEntryEndsAfterGrace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := NewView(DefaultConfig(), instance("a", 5)), NewView(DefaultConfig(), instance("b", 6))
+	a.Hear(b.Own(), now)
+	assert.Equal(t, a.Status("b", now.Add(DefaultConfig().JoinGrace)), Alive)
+	assert.Equal(t, a.Status("b", now.Add(DefaultConfig().JoinGrace+1)), Gone)
+}
+
+func TestJoinOvertakesLaggingList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewView(DefaultConfig(), instance("a", 1))
+	old := instance("b", 5)
+	old.State = Leaving
+	v.SetList(&List{Revision: 1, Instances: []Instance{old}}, now)
+	assert.Equal(t, v.Status("b", now), Departing)
+	fresh := instance("b", 9)
+	v.Hear(Rumor{Name: "b", Incarnation: 9, Instance: &fresh}, now)
+	assert.Equal(t, v.Status("b", now), Alive)
+	v.SetList(&List{Revision: 2, Instances: []Instance{old}}, now)
+	assert.Equal(t, v.Status("b", now), Alive, "the list still speaks of the earlier process")
+}
+
+func FuzzParseList(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"instances":[{"name":"a","dc":"d","peer":"127.0.0.1:1","state":"live"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, _, err := ParseList(raw)
+		assert.Equal(t, l == nil, err != nil)
+	})
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,214 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// bed is a router with the members and service that it sees.
+type bed struct {
+	router  *Router
+	service *snapshot.Service
+	members map[string]membership.Member
+	rnd     *rand.Rand
+	now     time.Time
+}
+
+func newBed(n int) *bed {
+	b := &bed{
+		router:  NewRouter(DefaultConfig(), membership.Instance{Name: "self", DataCentre: "dc0", Region: "r0"}),
+		service: &snapshot.Service{Service: table.Service{Name: "s"}},
+		members: make(map[string]membership.Member),
+		rnd:     rand.New(rand.NewPCG(1, 2)),
+		now:     epoch,
+	}
+	for i := range n {
+		name := fmt.Sprintf("u%d", i)
+		b.service.Upstreams = append(b.service.Upstreams, &snapshot.Upstream{
+			Upstream: table.Upstream{Name: name, Service: "s", Weight: 1, Concurrency: 4}, Share: 1 / float64(n)})
+		b.members[name] = membership.Member{Instance: membership.Instance{Name: name, DataCentre: "dc0", Region: "r0"}}
+	}
+	return b
+}
+
+func (b *bed) lookup(name string) (membership.Member, bool) {
+	m, ok := b.members[name]
+	return m, ok
+}
+
+func (b *bed) pick(tried ...string) (Candidate, bool) {
+	return b.router.Pick(b.now, b.rnd, Request{Service: b.service, Tried: tried}, b.lookup)
+}
+
+func (b *bed) setStatus(name string, st membership.Status) {
+	m := b.members[name]
+	m.Status = st
+	b.members[name] = m
+}
+
+// share counts picks of each upstream over n requests that end at once.
+func (b *bed) share(n int) map[string]int {
+	got := make(map[string]int)
+	for range n {
+		c, ok := b.pick()
+		if !ok {
+			continue
+		}
+		got[c.Upstream.Name]++
+	}
+	return got
+}
+
+// TestRouterAgainstOracle drives a router at random. Oracle: the
+// hard exclusions, written out once more; and as long as one upstream may be
+// used, one is found, however bad the evidence.
+func TestRouterAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBed(rapid.IntRange(1, 5).Draw(t, "upstreams"))
+		name := rapid.Map(rapid.IntRange(0, len(b.service.Upstreams)-1), func(i int) string { return fmt.Sprintf("u%d", i) })
+		draining := make(map[string]time.Time)
+		flight := make(map[string]int)
+		forbidden := func(n string) bool {
+			m, ok := b.members[n]
+			at, told := draining[n]
+			return !ok || m.Status == membership.Gone || m.Status == membership.Departing ||
+				(told && b.now.Sub(at) < drainMemory) || weight(b, n) == 0
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				c, ok := b.pick()
+				usable := false
+				for _, u := range b.service.Upstreams {
+					usable = usable || !forbidden(u.Name)
+				}
+				assert.Equal(t, ok, usable)
+				if ok {
+					assert.Assert(t, !forbidden(c.Upstream.Name), c.Upstream.Name)
+					b.router.Start(c.Upstream.Name)
+					flight[c.Upstream.Name]++
+				}
+			},
+			"end": func(t *rapid.T) {
+				n := name.Draw(t, "upstream")
+				if flight[n] == 0 {
+					t.Skip("none in flight")
+				}
+				flight[n]--
+				told := &Told{InUse: rapid.IntRange(0, 9).Draw(t, "in use"), Slots: 4, Draining: rapid.IntRange(0, 9).Draw(t, "drains") == 0}
+				b.router.End(b.now, b.rnd, n, Outcome{Failed: rapid.Bool().Draw(t, "failed"), Told: told})
+				delete(draining, n)
+				if told.Draining {
+					draining[n] = b.now
+				}
+			},
+			"status": func(t *rapid.T) {
+				b.setStatus(name.Draw(t, "upstream"), membership.Status(rapid.IntRange(0, 3).Draw(t, "status")))
+			},
+			"weight": func(t *rapid.T) {
+				n := name.Draw(t, "upstream")
+				for _, u := range b.service.Upstreams {
+					if u.Name == n {
+						u.Weight = rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "weight")
+					}
+				}
+			},
+			"time": func(t *rapid.T) {
+				b.now = b.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+func weight(b *bed, name string) float64 {
+	for _, u := range b.service.Upstreams {
+		if u.Name == name {
+			return u.Weight
+		}
+	}
+	return 0
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	b := newBed(3)
+	b.service.Upstreams[0].Weight = 2
+	got := b.share(8000)
+	// Equal costs: the first drawn wins, so shares follow the weights.
+	assert.Assert(t, got["u0"] > 3700 && got["u0"] < 4300, "%v", got)
+}
+
+func TestFailingUpstreamIsLeftOutAndComesBack(t *testing.T) {
+	b := newBed(4)
+	for range 10 {
+		b.pick()
+		b.router.Start("u1")
+		b.router.End(b.now, b.rnd, "u1", Outcome{Failed: true})
+	}
+	assert.Equal(t, b.share(100)["u1"], 0)
+	b.now = b.now.Add(DefaultConfig().EjectCap)
+	assert.Assert(t, b.share(100)["u1"] > 0)
+}
+
+func TestPanicServesWhenAllLookBad(t *testing.T) {
+	b := newBed(3)
+	for _, n := range []string{"u0", "u1", "u2"} {
+		b.pick()
+		for range 10 {
+			b.router.Start(n)
+			b.router.End(b.now, b.rnd, n, Outcome{Failed: true})
+		}
+	}
+	got := b.share(300)
+	assert.Equal(t, len(got), 3, "%v", got)
+}
+
+// One that looks idle does not draw the whole load.
+func TestNoHerdToTheIdleOne(t *testing.T) {
+	b := newBed(6)
+	for i := range 6 {
+		n := fmt.Sprintf("u%d", i)
+		b.pick()
+		b.router.Start(n)
+		told := &Told{InUse: 4, Slots: 4, Waiting: 4}
+		if i == 0 {
+			told = &Told{Slots: 4}
+		}
+		b.router.End(b.now, b.rnd, n, Outcome{Told: told})
+	}
+	got := b.share(6000)["u0"]
+	// Two of six are drawn: at most a third of the picks can go there.
+	assert.Assert(t, got < 2300, "%d of 6000", got)
+}
+
+func TestColdInstanceStartsSlowly(t *testing.T) {
+	b := newBed(2)
+	b.pick()
+	m := b.members["u1"]
+	m.Generation = uint64(b.now.UnixMilli())
+	b.members["u1"] = m
+	cold := b.share(5000)["u1"]
+	b.now = b.now.Add(DefaultConfig().SlowStart)
+	warm := b.share(5000)["u1"]
+	assert.Assert(t, cold < 1200 && warm > 2300, "cold %d, warm %d", cold, warm)
+}
+
+func TestOtherRegionsGetLittleWhileNearOnesServe(t *testing.T) {
+	b := newBed(2)
+	m := b.members["u1"]
+	m.DataCentre, m.Region = "far", "far"
+	b.members["u1"] = m
+	far := b.share(5000)["u1"]
+	assert.Assert(t, far < 250, "%d", far)
+	b.setStatus("u0", membership.Gone)
+	assert.Equal(t, b.share(100)["u1"], 100)
+}
--- /dev/null
+++ b/internal/table/table_test.go
@@ -0,0 +1,143 @@
+package table
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const goodTable = `row,name,service,upstream,weight,rate,concurrency,prefix,methods,kind,kind_weight,timeout_ms,retries,idempotent
+table,7,,,,,,,,,,,,
+service,tariff,,,,100,,,,,,,,
+upstream,tariff-1,tariff,,1,,12,,,,,,,
+upstream,tariff-2,tariff,,2.5,,,,,,,,,
+route,lookup,tariff,,,,,/tariff,GET HEAD,lookup,1,2000,1,yes
+`
+
+func TestParseGood(t *testing.T) {
+	tbl, fs := Parse([]byte(goodTable))
+	assert.Equal(t, len(fs), 0, "%v", fs)
+	assert.Equal(t, tbl.Edition, uint64(7))
+	assert.Equal(t, tbl.Upstreams[1].Weight, 2.5)
+	assert.DeepEqual(t, tbl.Routes[0].Methods, []string{"GET", "HEAD"})
+}
+
+func TestParseFindings(t *testing.T) {
+	cases := []struct {
+		name, old, new string
+		want           Finding
+	}{
+		{"dangling service", "route,lookup,tariff", "route,lookup,toll", Finding{6, ColService, RuleReference, `dangling route: no service "toll"`}},
+		{"dangling upstream", "lookup,tariff,,", "lookup,tariff,tariff-9,", Finding{6, ColUpstream, RuleReference, `dangling route: no upstream "tariff-9"`}},
+		{"unknown service", "tariff-2,tariff", "tariff-2,toll", Finding{5, ColService, RuleReference, `no service "toll"`}},
+		{"duplicate", "upstream,tariff-2", "upstream,tariff-1", Finding{5, ColName, RuleDuplicate, `"tariff-1" already stands in row 4`}},
+		{"negative", "tariff,,2.5", "tariff,,-2.5", Finding{5, ColWeight, RuleRange, "-2.5 is outside 0 to 1e+09"}},
+		{"not a number", "tariff,,2.5", "tariff,,NaN", Finding{5, ColWeight, RuleNumber, `"NaN" is not a number`}},
+		{"text", "2000", "soon", Finding{6, ColTimeout, RuleNumber, `"soon" is not a number`}},
+		{"row type", "service,tariff", "sevice,tariff", Finding{3, ColRow, RuleRowType, `"sevice" is none of table, service, upstream, route`}},
+		{"unused", "service,tariff,,,,", "service,tariff,,,3,", Finding{3, ColWeight, RuleUnused, "has no meaning in a service row"}},
+		{"edition", "table,7", "table,0", Finding{2, ColName, RuleEdition, `"0" is not an edition from 1 to 1000000000000`}},
+		{"no edition", "table,7,,,,,,,,,,,,\n", "", Finding{0, ColRow, RuleEdition, `want exactly one "table" row, found 0`}},
+		{"idempotent", ",yes", ",", Finding{6, ColIdempotent, RuleIdempotency, `"" is neither yes nor no`}},
+		{"prefix", "/tariff", "tariff", Finding{6, ColPrefix, RulePrefix, `"tariff" does not start with a slash`}},
+		{"header", "kind_weight", "kindweight", Finding{1, "kindweight", RuleHeader, "unknown column"}},
+		{"encoding", "lookup", "\xff", Finding{0, "", RuleEncoding, "the file is not UTF-8 text"}},
+		{"retries", "2000,1", "2000,9", Finding{6, ColRetries, RuleRange, "9 is more than 5"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw := strings.Replace(goodTable, c.old, c.new, 1)
+			assert.Assert(t, raw != goodTable)
+			tbl, fs := Parse([]byte(raw))
+			assert.Assert(t, tbl == nil)
+			assert.Assert(t, len(fs) > 0)
+			found := false
+			for _, f := range fs {
+				found = found || f == c.want
+			}
+			assert.Assert(t, found, "want %v, got %v", c.want, fs)
+		})
+	}
+}
+
+func TestParseGathersAllFindings(t *testing.T) {
+	raw := strings.NewReplacer("2.5", "x", "yes", "maybe", "/tariff", "tariff").Replace(goodTable)
+	_, fs := Parse([]byte(raw))
+	assert.Equal(t, len(fs), 3, "%v", fs)
+}
+
+func TestParseAllWeightsZero(t *testing.T) {
+	raw := strings.NewReplacer(",,1,,12", ",,0,,12", "2.5", "0").Replace(goodTable)
+	_, fs := Parse([]byte(raw))
+	assert.Equal(t, len(fs), 1)
+	assert.Equal(t, fs[0].Rule, RuleAllZero)
+}
+
+func TestParseOversize(t *testing.T) {
+	_, fs := Parse(bytes.Repeat([]byte("a"), MaxBytes+1))
+	assert.Equal(t, fs[0].Rule, RuleSize)
+}
+
+func TestSetRaisesEditionAndOneCell(t *testing.T) {
+	next, err := Set([]byte(goodTable), Edit{RowUpstream, "tariff-1", ColWeight, "4"})
+	assert.NilError(t, err)
+	changes, err := Diff([]byte(goodTable), next)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, changes, []Change{
+		{RowTable, "edition", ColName, "7", "8"},
+		{RowUpstream, "tariff-1", ColWeight, "1", "4"},
+	})
+	_, err = Set([]byte(goodTable), Edit{RowUpstream, "tariff-9", ColWeight, "4"})
+	assert.ErrorIs(t, err, ErrNoCell)
+}
+
+// drawLines draws a raw text of a few lines, so that runs repeat.
+func drawLines(t *rapid.T, label string) []byte {
+	lines := rapid.SliceOfN(rapid.SampledFrom([]string{"a\n", "bb\n", "ccc\n", "\n", "d"}), 0, 12).Draw(t, label)
+	return []byte(strings.Join(lines, ""))
+}
+
+func TestSplicesRestoreAnyChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawLines(t, "from"), drawLines(t, "to")
+		got, err := Apply(from, Between(from, to))
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), string(to))
+	})
+}
+
+func TestSpliceOfOneCellIsSmall(t *testing.T) {
+	var b strings.Builder
+	for i := range 2300 {
+		fmt.Fprintf(&b, "upstream,s-%d,s,,1,,12,,,,,,,\n", i)
+	}
+	from := []byte(b.String())
+	to := bytes.Replace(from, []byte("s-1000,s,,1,"), []byte("s-1000,s,,7,"), 1)
+	splices := Between(from, to)
+	assert.Equal(t, len(splices), 1)
+	assert.Assert(t, len(splices[0].Insert) < 64)
+}
+
+func TestApplyRefusesWhatDoesNotFit(t *testing.T) {
+	_, err := Apply([]byte("abc"), []Splice{{Prefix: 2, Delete: 5}})
+	assert.ErrorIs(t, err, ErrSplice)
+}
+
+// FuzzParse shows that no bytes make the check panic, and that it decides
+// alike every time.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodTable))
+	f.Add([]byte("row,name\n\"x"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a, fa := Parse(raw)
+		b, fb := Parse(raw)
+		assert.Equal(t, a == nil, len(fa) > 0)
+		assert.DeepEqual(t, a, b)
+		assert.DeepEqual(t, fa, fb)
+		EditionOf(raw)
+	})
+}
