Ask all upstreams of a service about a key after its homes changed

A node that starts on the newest table, or skips a version, has never seen the earlier homes of a key; one of those may still be in force on a node that is behind, and both ran it. Asking only the homes that the node's own versions gave cannot see that.

Ruled out: a fault of the harness (one was found before it and mended: key names repeated), and a longer quarantine alone (a node that starts on a version others skip still runs beside them).

Change: for a settle time after the homes changed here (16 s for keys that carry their birth, the window for opaque ones) a home asks all upstreams of the service; unreachable ones make it refuse with 'prior-unknown'.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -36,6 +36,7 @@
 			fates[tk] = to
 		}
 		settleAll := func(start, late []*Ticket) {
+			assert.Assert(t, len(start) == 0 || q.Load().InUse <= cfg.Slots, "started more than there are slots")
 			for _, tk := range start {
 				assert.Assert(t, tk.Deadline.IsZero() || !now.After(tk.Deadline), "started past its deadline")
 				settle(tk, started)
@@ -84,6 +85,7 @@
 				switch {
 				case v.Started:
 					settle(tk, started)
+					assert.Assert(t, q.Load().InUse <= cfg.Slots, "started more than there are slots")
 				case !v.Waiting:
 					settle(tk, refused)
 					assert.Assert(t, v.RetryAfter >= minRetryAfter && v.RetryAfter <= maxRetryAfter)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,8 @@
 	LogLevel   string
 	// Settings changes the settings of each node before it starts; nil for none.
 	Settings func(*settings.Node)
+	// Upstream wraps the handler of each upstream stand-in; nil for none.
+	Upstream func(name string, h http.Handler) http.Handler
 }
 
 // Fleet is a running fleet.
@@ -101,7 +103,11 @@
 func (f *Fleet) addUpstream(p standin.Placement) error {
 	u := standin.NewUpstream(standin.UpstreamConfig{Name: p.Name, Slots: max(p.Group.Slots, 1), Work: p.Group.Work})
 	f.Upstreams[p.Name] = u
-	f.backends[p.Name] = httptest.NewServer(u)
+	var handler http.Handler = u
+	if f.cfg.Upstream != nil {
+		handler = f.cfg.Upstream(p.Name, u)
+	}
+	f.backends[p.Name] = httptest.NewServer(handler)
 	id, err := f.authority.Issue(p.Name)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,372 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/distribution"
+	"github.com/walldrift/walldrift/internal/platform"
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/standin"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// smallLayout has two targets that take payments and one that looks up.
+func smallLayout() standin.Layout {
+	return standin.Layout{
+		Name: "small", Region: "r", Centres: []string{"dc-1", "dc-2"},
+		Groups: []standin.Group{
+			{Service: "pay", Targets: 2, Slots: 2, Work: time.Millisecond, Kind: "payment", KindWeight: 5, Prefix: "/pay"},
+			{Service: "look", Targets: 2, Slots: 2, Work: time.Millisecond, Kind: "lookup", KindWeight: 1, Prefix: "/look", Idempotent: true},
+		},
+	}
+}
+
+func quickKeys(n *settings.Node) {
+	n.LedgerSkew = time.Millisecond
+	n.DrainAnnounce = 50 * time.Millisecond
+}
+
+// startSmall runs the small fleet and waits until it is ready.
+func startSmall(t *testing.T, cfg Config) *Fleet {
+	t.Helper()
+	layout := smallLayout()
+	cfg.Placements, cfg.Table = layout.Placements(), layout.Table()
+	if cfg.Settings == nil {
+		cfg.Settings = quickKeys
+	}
+	f, err := Start(cfg)
+	assert.NilError(t, err)
+	t.Cleanup(f.Close)
+	await(t, f, cfg.Table)
+	return f
+}
+
+func await(t *testing.T, f *Fleet, raw []byte) {
+	t.Helper()
+	s, err := snapshot.Build(raw)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	_, err = f.AwaitVersion(ctx, s.ID)
+	assert.NilError(t, err)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error // of reading the body, or of the whole exchange
+}
+
+func (r reply) echo(t *testing.T) standin.Echo {
+	t.Helper()
+	var e standin.Echo
+	assert.NilError(t, json.Unmarshal(r.body, &e), "%s", r.body)
+	return e
+}
+
+func send(t *testing.T, f *Fleet, node, method, path string, header map[string]string, body io.Reader) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, CallerURL(f.Node(node))+path, body)
+	assert.NilError(t, err)
+	for k, v := range header {
+		req.Header[k] = []string{v}
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: b, err: err}
+}
+
+// lowerKey is the key header in a form that the client's net/http does not
+// take for leave to repeat the request.
+const lowerKey = "idempotency-key"
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func TestEditReachesEveryNodeAndBadOneNone(t *testing.T) {
+	f := startSmall(t, Config{})
+	raw := smallLayout().Table()
+	next, err := table.Set(raw, table.Edit{Row: table.RowUpstream, Name: "pay-1", Column: table.ColWeight, Value: "3"})
+	assert.NilError(t, err)
+	f.Platform.Put(platform.KeyTable, next)
+	await(t, f, next)
+	bad, err := table.Set(next, table.Edit{Row: table.RowRoute, Name: "pay", Column: table.ColService, Value: "nowhere"})
+	assert.NilError(t, err)
+	f.Platform.Put(platform.KeyTable, bad)
+	good, err := table.Set(bad, table.Edit{Row: table.RowRoute, Name: "pay", Column: table.ColService, Value: "pay"})
+	assert.NilError(t, err)
+	f.Platform.Put(platform.KeyTable, good)
+	await(t, f, good)
+	// An operator's older copy comes back, as from a backup.
+	f.Platform.Put(platform.KeyTable, raw)
+	last, err := table.Set(good, table.Edit{Row: table.RowUpstream, Name: "pay-2", Column: table.ColWeight, Value: "2"})
+	assert.NilError(t, err)
+	for _, n := range f.Nodes() {
+		assert.Equal(t, n.Table().Edition, uint64(4))
+	}
+	f.Platform.Put(platform.KeyTable, last)
+	await(t, f, last)
+}
+
+func TestOwnWholeAnswerThroughAnyNode(t *testing.T) {
+	f := startSmall(t, Config{})
+	photo := bytes.Repeat([]byte("photo "), 1<<19) // 3 MB
+	sum := sha256.Sum256(photo)
+	for _, n := range []string{"pay-1", "look-2"} {
+		id := newKey()
+		r := send(t, f, n, http.MethodPost, "/pay/x", map[string]string{standin.HeaderRequestID: id, standin.HeaderAnswer: "2000000"}, bytes.NewReader(photo))
+		assert.NilError(t, r.err)
+		e := r.echo(t)
+		assert.Equal(t, e.RequestID, id)
+		assert.Equal(t, e.SHA256, hex.EncodeToString(sum[:]))
+		assert.Equal(t, len(e.Padding), 2000000)
+	}
+}
+
+// countingUpstream counts the requests that reach it before the wrapped
+// handler runs.
+func countingUpstream(count *atomic.Int64, h http.HandlerFunc) func(string, http.Handler) http.Handler {
+	return func(_ string, base http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/health" || r.URL.Path == "/load" {
+				base.ServeHTTP(w, r)
+				return
+			}
+			count.Add(1)
+			h(w, r)
+		})
+	}
+}
+
+// net/http repeats a request on a kept connection that turns out closed, if it
+// takes it for replayable: a GET, or anything with an Idempotency-Key. None of
+// that may happen on a non-idempotent route.
+func TestNothingReplaysNonIdempotentRequest(t *testing.T) {
+	var count, good atomic.Int64
+	f := startSmall(t, Config{Upstream: countingUpstream(&count, func(w http.ResponseWriter, r *http.Request) {
+		if good.Add(-1) >= 0 {
+			_, _ = io.WriteString(w, "warm")
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close() // the request was read; the answer never comes
+		}
+	})})
+	for _, c := range []struct{ method, key string }{{"POST", ""}, {"POST", "key"}, {"GET", ""}, {"PUT", "key"}, {"GET", "key"}, {"EMPTY", "key"}} {
+		good.Store(8)
+		for range 8 { // leave kept connections to both upstreams
+			send(t, f, "look-1", "POST", "/pay/warm", nil, nil)
+		}
+		count.Store(0)
+		header := map[string]string{}
+		if c.key != "" {
+			header[lowerKey] = newKey()
+		}
+		var body io.Reader
+		method := c.method
+		if method == "EMPTY" {
+			method = "POST" // without a body
+		} else if method != "GET" {
+			body = strings.NewReader("x")
+		}
+		r := send(t, f, "look-1", method, "/pay/x", header, body)
+		assert.Equal(t, count.Load(), int64(1), "%s with key %q", c.method, c.key)
+		assert.Equal(t, r.header.Get(proxy.HeaderOutcome), string(proxy.OutcomeUnknown))
+		assert.Equal(t, r.status, http.StatusBadGateway)
+	}
+}
+
+// An answer that is cut on its way never looks whole to the caller.
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	var count atomic.Int64
+	f := startSmall(t, Config{Upstream: countingUpstream(&count, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/look/length" {
+			w.Header().Set("Content-Length", "100000")
+		}
+		_, _ = w.Write(bytes.Repeat([]byte("y"), 50000))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})})
+	for _, path := range []string{"/look/length", "/look/chunked"} {
+		for _, n := range []string{"look-1", "pay-1", "pay-2"} {
+			r := send(t, f, n, "GET", path, nil, nil)
+			assert.Assert(t, r.err != nil, "%s through %s looks whole", path, n)
+		}
+	}
+}
+
+func TestUpstreamCannotSpeakForANode(t *testing.T) {
+	f := startSmall(t, Config{})
+	r := send(t, f, "pay-1", "GET", "/look/x", map[string]string{"X-Test-Outcome": string(proxy.OutcomeNotRun)}, nil)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.header.Get(proxy.HeaderOutcome), "")
+}
+
+// A key repeated through another node gets the first answer, and runs once.
+func TestRepeatedKeyRunsOnce(t *testing.T) {
+	f := startSmall(t, Config{})
+	id, key := "first", newKey()
+	var first []byte
+	for i, n := range []string{"pay-1", "pay-2", "look-1", "look-2"} {
+		r := send(t, f, n, "POST", "/pay/x", map[string]string{standin.HeaderRequestID: id, lowerKey: key}, strings.NewReader("draw"))
+		assert.Equal(t, r.status, http.StatusOK, "%s", r.body)
+		if i == 0 {
+			first = r.body
+		}
+		assert.Equal(t, string(r.body), string(first))
+	}
+	runs := 0
+	for _, u := range f.Upstreams {
+		runs += u.Runs()[id]
+	}
+	assert.Equal(t, runs, 1)
+}
+
+// The same under a race of repeats through all nodes, with the home's node
+// restarted in the middle: never twice, and every refusal says so truly.
+func TestRepeatedKeyRunsAtMostOnceOverRestart(t *testing.T) {
+	f := startSmall(t, Config{})
+	var keys []string
+	for range 8 {
+		keys = append(keys, newKey())
+	}
+	var group sync.WaitGroup
+	for round := range 6 {
+		for i, key := range keys {
+			n := []string{"look-1", "look-2"}[(i+round)%2]
+			group.Go(func() {
+				send(t, f, n, "POST", "/pay/x", map[string]string{standin.HeaderRequestID: key, lowerKey: key}, strings.NewReader("draw"))
+			})
+		}
+		group.Wait()
+		if round == 2 {
+			assert.NilError(t, f.StopNode("pay-1"))
+			assert.NilError(t, f.StartNode("pay-1"))
+			await(t, f, smallLayout().Table())
+		}
+	}
+	ran := 0
+	for _, key := range keys {
+		runs := 0
+		for _, u := range f.Upstreams {
+			runs += u.Runs()[key]
+		}
+		assert.Assert(t, runs <= 1, "%s ran %d times", key, runs)
+		ran += runs
+	}
+	assert.Assert(t, ran > 0)
+}
+
+// A request whose body streams is refused before its body is touched, so it
+// can go to another upstream whole.
+func TestRefusedUploadGoesElsewhereWhole(t *testing.T) {
+	f := startSmall(t, Config{})
+	f.Node("pay-1").SetDraining(true)
+	photo := bytes.Repeat([]byte("p"), 1<<20)
+	sum := sha256.Sum256(photo)
+	for range 10 {
+		r := send(t, f, "look-1", "POST", "/pay/x", nil, bytes.NewReader(photo))
+		assert.Equal(t, r.status, http.StatusOK, "%s", r.body)
+		e := r.echo(t)
+		assert.Equal(t, e.Upstream, "pay-2")
+		assert.Equal(t, e.SHA256, hex.EncodeToString(sum[:]))
+	}
+}
+
+// A refusal is immediate, says that it was not run, says when to come back,
+// and is true.
+func TestOverloadRefusalIsTrue(t *testing.T) {
+	f := startSmall(t, Config{Settings: func(n *settings.Node) { quickKeys(n); n.Queue = 1 }})
+	var mu sync.Mutex
+	refused := make(map[string]bool)
+	var group sync.WaitGroup
+	for range 60 {
+		group.Go(func() {
+			id := newKey()
+			r := send(t, f, "look-1", "POST", "/pay/x", map[string]string{standin.HeaderRequestID: id, standin.HeaderWork: "200"}, strings.NewReader("x"))
+			if r.header.Get(proxy.HeaderOutcome) == string(proxy.OutcomeNotRun) {
+				mu.Lock()
+				defer mu.Unlock()
+				refused[id] = true
+				assert.Check(t, r.header.Get("Retry-After") != "")
+			}
+		})
+	}
+	group.Wait()
+	assert.Assert(t, len(refused) > 0)
+	for _, u := range f.Upstreams {
+		for id := range u.Runs() {
+			assert.Assert(t, !refused[id], "%s was refused as not run and ran", id)
+		}
+	}
+}
+
+// A graceful shutdown lets an upload and a slow answer in progress end.
+func TestShutdownCutsNothingInFlight(t *testing.T) {
+	f := startSmall(t, Config{})
+	photo := bytes.Repeat([]byte("p"), 1<<20)
+	results := make(chan reply, 4)
+	for _, via := range []string{"look-1", "pay-1"} { // through a peer and through the leaving node itself
+		go func() {
+			slow := io.MultiReader(bytes.NewReader(photo[:1000]), &pausedReader{wait: 300 * time.Millisecond}, bytes.NewReader(photo))
+			results <- send(t, f, via, "POST", "/pay/x", map[string]string{standin.HeaderWork: "300"}, slow)
+		}()
+		go func() {
+			results <- send(t, f, via, "GET", "/look/x", map[string]string{standin.HeaderWork: "500"}, nil)
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	assert.NilError(t, f.StopNode("pay-1"))
+	for range 4 {
+		r := <-results
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusOK, "%s", r.body)
+	}
+}
+
+// pausedReader waits once and gives nothing.
+type pausedReader struct{ wait time.Duration }
+
+func (p *pausedReader) Read([]byte) (int, error) {
+	time.Sleep(p.wait)
+	return 0, io.EOF
+}
+
+func TestPlatformAwayNewNodeStartsFromPeers(t *testing.T) {
+	f := startSmall(t, Config{})
+	f.Platform.SetDown(true)
+	assert.NilError(t, f.StopNode("look-2"))
+	seeds := f.Node("look-1").Instance()
+	f.cfg.Settings = func(n *settings.Node) { quickKeys(n); seed(n, seeds.Name, seeds.Peer) }
+	assert.NilError(t, f.StartNode("look-2"))
+	await(t, f, smallLayout().Table())
+	r := send(t, f, "look-2", "GET", "/look/x", nil, nil)
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
+func seed(n *settings.Node, name string, addr netip.AddrPort) {
+	n.Seeds = []distribution.Seed{{Name: name, Addr: addr}}
+}
--- a/internal/ledger/home.go
+++ b/internal/ledger/home.go
@@ -49,63 +49,80 @@
 	return name
 }
 
-// maxMappings bounds the mappings kept for one service. If more were in force
-// within the window, the oldest stands for all before it.
-const maxMappings = 32
+// maxNames bounds the earlier upstreams of a service that are remembered.
+const maxNames = 256
 
+// mapping is what this node knows of the homes of one service.
 type mapping struct {
-	since  time.Time
+	since  time.Time // when the present shares came into force here
 	shares []share
+	// names holds every upstream of the service that the table has shown
+	// within the window, and when it last did.
+	names map[string]time.Time
 }
 
-// History remembers which homes the table gave within the window, so that a
-// new home can ask the earlier ones before it runs a key. Not safe for
-// concurrent use.
+// History remembers when the homes of each service last changed here. While
+// other nodes may still hold earlier homes, or have already held later ones,
+// a home asks all upstreams of the service before it runs a key. It must ask
+// all, not only the homes that its own versions gave: a node that starts, or
+// that skips a version, never saw the others. Not safe for concurrent use.
 type History struct {
-	window   time.Duration
-	services map[string][]mapping // oldest first; the last is in force
+	cfg      Config
+	services map[string]*mapping
 }
 
 // NewHistory returns an empty history.
-func NewHistory(window time.Duration) *History {
-	return &History{window: window, services: make(map[string][]mapping)}
+func NewHistory(cfg Config) *History {
+	return &History{cfg: cfg, services: make(map[string]*mapping)}
 }
 
 // Add takes over the snapshot that came into force at the given time.
 func (h *History) Add(now time.Time, snap *snapshot.Snapshot) {
 	for _, row := range snap.Table.Services {
-		next := sharesOf(snap.Service(row.Name))
-		old := h.services[row.Name]
-		if len(old) > 0 && slices.Equal(old[len(old)-1].shares, next) {
-			continue
+		svc := snap.Service(row.Name)
+		next := sharesOf(svc)
+		m := h.services[row.Name]
+		if m == nil {
+			m = &mapping{since: now, shares: next, names: make(map[string]time.Time)}
+			h.services[row.Name] = m
+		}
+		if !slices.Equal(m.shares, next) {
+			m.since, m.shares = now, next
+		}
+		for name, last := range m.names {
+			if now.Sub(last) > h.cfg.Window || len(m.names) > maxNames {
+				delete(m.names, name)
+			}
+		}
+		for _, u := range svc.Upstreams {
+			m.names[u.Name] = now
 		}
-		old = append(old, mapping{since: now, shares: next})
-		h.services[row.Name] = h.prune(now, old)
 	}
 }
 
-// prune drops the mappings that were replaced before the window began.
-func (h *History) prune(now time.Time, all []mapping) []mapping {
-	for len(all) > 1 && now.Sub(all[1].since) > h.window {
-		all = all[1:]
+// Ask returns the upstreams to ask before the key is run at self, sorted; none
+// once every node must hold these homes.
+func (h *History) Ask(now time.Time, k Key, self string) []string {
+	m := h.services[k.Service]
+	if m == nil || h.settled(now, k, m.since) {
+		return nil
 	}
-	for len(all) > maxMappings {
-		all = all[1:]
-	}
-	return all
-}
-
-// Earlier returns the homes of the key within the window other than self, most
-// recent first.
-func (h *History) Earlier(now time.Time, k Key, self string) []string {
-	all := h.prune(now, h.services[k.Service])
-	h.services[k.Service] = all
 	var out []string
-	for _, m := range slices.Backward(all) {
-		name := home(m.shares, k)
-		if name != self && name != "" && !slices.Contains(out, name) {
+	for name := range m.names {
+		if name != self {
 			out = append(out, name)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
+
+// settled reports whether the key cannot have been run under other homes than
+// those in force here since the given time: it was born after all nodes had
+// them, or, for a key without a time, its repeats have ended.
+func (h *History) settled(now time.Time, k Key, since time.Time) bool {
+	if birth, timed := k.Birth(); timed {
+		return birth.After(since.Add(h.cfg.Settle + h.cfg.Skew))
+	}
+	return now.After(since.Add(h.cfg.Window))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,6 +30,9 @@
 	// Skew is the largest difference of clocks between callers and nodes that
 	// is allowed for in keys that carry their time. Default 2 s.
 	Skew time.Duration
+	// Settle is the time within which every node that is not cut off holds a
+	// version that one node holds. Default 16 s, the bound on convergence.
+	Settle time.Duration
 	// MaxEntries bounds the keys kept; when all are in use, new keys are
 	// refused. Default 32768.
 	MaxEntries int
@@ -44,6 +47,7 @@
 	return Config{
 		Window:     2 * time.Minute,
 		Skew:       2 * time.Second,
+		Settle:     16 * time.Second,
 		MaxEntries: 32768,
 		MaxAnswer:  4 << 10,
 		MaxAnswers: 4 << 20,
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 	"github.com/walldrift/walldrift/internal/version"
 )
 
-var testConfig = Config{Window: 10 * time.Second, Skew: time.Second, MaxEntries: 64, MaxAnswer: 8, MaxAnswers: 64}
+var testConfig = Config{Window: 10 * time.Second, Skew: time.Second, Settle: 8 * time.Second, MaxEntries: 64, MaxAnswer: 8, MaxAnswers: 64}
 
 // timedKey makes a version 7 UUID that was born at the given time.
 func timedKey(at time.Time, n int) Key {
@@ -71,7 +71,7 @@
 	if v.Decision != Run {
 		return v.Decision
 	}
-	ask := h.history.Earlier(now, k, h.name)
+	ask := h.history.Ask(now, k, h.name)
 	if v.Ask != "" {
 		ask = append(ask, v.Ask)
 	}
@@ -114,7 +114,7 @@
 		homes := make(map[string]*testHome)
 		var names []string
 		start := func(name string, snap *snapshot.Snapshot) {
-			h := &testHome{name: name, ledger: New(testConfig, now), history: NewHistory(testConfig.Window), snap: snap}
+			h := &testHome{name: name, ledger: New(testConfig, now), history: NewHistory(testConfig), snap: snap}
 			h.history.Add(now, snap)
 			homes[name] = h
 		}
@@ -123,9 +123,11 @@
 			start(names[i], versions[0])
 		}
 		now = now.Add(testConfig.Window + testConfig.Skew)
+		quiet := now
+		serial := 0
 		count := make(map[Key]int)
 		running := make(map[Key][]string)
-		var keys []Key
+		keys := []Key{timedKey(now, 100), timedKey(now, 101), {Service: "s", Value: "opaque-first"}}
 		name := rapid.SampledFrom(names)
 		catchUp := func(h *testHome, to *snapshot.Snapshot) {
 			if to.ID.Newer(h.snap.ID) {
@@ -133,9 +135,33 @@
 				h.history.Add(now, to)
 			}
 		}
+		request := func(t *rapid.T) {
+			if len(keys) == 0 {
+				t.Skip("no keys")
+			}
+			k := rapid.SampledFrom(keys).Draw(t, "key")
+			// The caller's node may be behind or ahead of the home.
+			view := versions[rapid.IntRange(0, len(versions)-1).Draw(t, "view")]
+			h := homes[Home(view.Service("s"), k)]
+			if Home(h.snap.Service("s"), k) != h.name {
+				return // refused as moved before the ledger is asked
+			}
+			cutOff := name.Draw(t, "unreachable")
+			isCut := rapid.IntRange(0, 3).Draw(t, "cut") == 0
+			d := h.begin(now, k, homes, func(n string) bool { return isCut && n == cutOff })
+			if d != Run {
+				refusals++
+				return
+			}
+			count[k]++
+			runs++
+			running[k] = append(running[k], h.name)
+			assert.Assert(t, count[k] <= 1, "%v ran %d times", k, count[k])
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"new key": func(t *rapid.T) {
-				n := len(keys)
+				serial++
+				n := serial
 				if rapid.Bool().Draw(t, "timed") {
 					skew := time.Duration(rapid.IntRange(-900, 900).Draw(t, "skew ms")) * time.Millisecond
 					keys = append(keys, timedKey(now.Add(skew), n))
@@ -143,27 +169,9 @@
 					keys = append(keys, Key{Service: "s", Value: fmt.Sprintf("opaque-%d", n)})
 				}
 			},
-			"request": func(t *rapid.T) {
-				if len(keys) == 0 {
-					t.Skip("no keys")
-				}
-				k := rapid.SampledFrom(keys).Draw(t, "key")
-				h := homes[name.Draw(t, "home")]
-				if Home(h.snap.Service("s"), k) != h.name {
-					return // refused as moved before the ledger is asked
-				}
-				cutOff := name.Draw(t, "unreachable")
-				isCut := rapid.IntRange(0, 3).Draw(t, "cut") == 0
-				d := h.begin(now, k, homes, func(n string) bool { return isCut && n == cutOff })
-				if d != Run {
-					refusals++
-					return
-				}
-				count[k]++
-				runs++
-				running[k] = append(running[k], h.name)
-				assert.Assert(t, count[k] <= 1, "%v ran %d times", k, count[k])
-			},
+			"request": request,
+			"repeat":  request,
+			"again":   request,
 			"end": func(t *rapid.T) {
 				for _, k := range keys {
 					for _, n := range running[k] {
@@ -194,25 +202,25 @@
 				versions = append(versions, weightsTable(len(versions)+1, w))
 			},
 			"follow": func(t *rapid.T) {
-				catchUp(homes[name.Draw(t, "home")], rapid.SampledFrom(versions).Draw(t, "version"))
+				catchUp(homes[name.Draw(t, "home")], versions[rapid.IntRange(0, len(versions)-1).Draw(t, "version")])
 			},
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 2500).Draw(t, "ms")) * time.Millisecond)
-				// All nodes hold every version within seconds; opaque keys are
-				// not repeated after the window.
-				for _, n := range names {
-					catchUp(homes[n], versions[len(versions)-1])
-				}
-				kept := keys[:0]
-				for _, k := range keys {
-					if _, timed := k.Birth(); timed || len(keys) < 4 {
-						kept = append(kept, k)
+				if now.Sub(quiet) > testConfig.Window/2 {
+					// Opaque keys are not repeated after the window, and all nodes
+					// hold every version within seconds.
+					keys = onlyTimed(keys)
+					quiet = now
+					for _, n := range names {
+						catchUp(homes[n], versions[len(versions)-1])
 					}
 				}
-				if now.Sub(time.Unix(10_000, 0))%(testConfig.Window) < 2500*time.Millisecond {
-					keys = onlyTimed(keys)
-				} else {
-					keys = kept
+			},
+			"long time": func(t *rapid.T) {
+				now = now.Add(testConfig.Window + time.Second)
+				keys = onlyTimed(keys)
+				for _, n := range names {
+					catchUp(homes[n], versions[len(versions)-1])
 				}
 			},
 		})
@@ -240,6 +248,20 @@
 	return out
 }
 
+// A node that starts on the newest version has never seen the earlier homes,
+// one of which may still be in force elsewhere: it asks all the others.
+func TestStartedHomeAsksHomesItNeverSaw(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	old, next := weightsTable(1, []int{1, 0, 0}), weightsTable(2, []int{0, 1, 0})
+	behind, started := New(testConfig, now.Add(-time.Hour)), NewHistory(testConfig)
+	k := timedKey(now.Add(2*time.Second), 1)
+	assert.Equal(t, behind.Begin(now.Add(2*time.Second), k, 1, old.ID).Decision, Run)
+	started.Add(now, next)
+	assert.DeepEqual(t, started.Ask(now.Add(3*time.Second), k, "h1"), []string{"h0", "h2"})
+	later := timedKey(now.Add(testConfig.Settle+2*time.Second), 2)
+	assert.Equal(t, len(started.Ask(now.Add(testConfig.Settle+3*time.Second), later, "h1")), 0)
+}
+
 func TestRepeatGetsKeptAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(testConfig, now)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -184,7 +184,8 @@
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
 		})
-		for before := -1; before != len(sent); {
+		for before, rounds := -1, 0; before != len(sent); rounds++ {
+			assert.Assert(t, rounds < 20, "rumors do not come to rest")
 			before = len(sent)
 			for _, r := range sent {
 				for _, n := range names {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,7 +121,7 @@
 	n.pool = proxy.NewPool(pool, n.endpoint, self.Name)
 
 	keys := ledger.DefaultConfig()
-	keys.Window, keys.Skew = n.cfg.LedgerWindow, n.cfg.LedgerSkew
+	keys.Window, keys.Skew, keys.Settle = n.cfg.LedgerWindow, n.cfg.LedgerSkew, n.cfg.LedgerSettle
 	n.backend = proxy.NewBackend(proxy.BackendConfig{
 		Name:       self.Name,
 		Upstream:   n.cfg.Upstream,
@@ -180,6 +180,10 @@
 // Table returns the version in force.
 func (n *Node) Table() version.ID { return n.holder.ID() }
 
+// SetDraining makes the node refuse work for its upstream, or take it again,
+// without telling the others.
+func (n *Node) SetDraining(on bool) { n.backend.SetDraining(on) }
+
 // Survey asks all nodes for their status.
 func (n *Node) Survey(ctx context.Context) ([]distribution.NodeStatus, error) {
 	return n.service.Survey(ctx)
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -85,7 +85,7 @@
 		claims:  claims,
 		limits:  admission.NewLimits(),
 		ledger:  ledger.New(cfg.Ledger, now),
-		history: ledger.NewHistory(cfg.Ledger.Window),
+		history: ledger.NewHistory(cfg.Ledger),
 	}
 	return b
 }
--- a/internal/proxy/keys.go
+++ b/internal/proxy/keys.go
@@ -22,16 +22,16 @@
 	now := time.Now()
 	b.mu.Lock()
 	v := b.ledger.Begin(now, c.key, fingerprint(c.req), snap.ID)
-	var earlier []string
+	var ask []string
 	if v.Decision == ledger.Run {
-		earlier = b.history.Earlier(now, c.key, b.cfg.Name)
+		ask = b.history.Ask(now, c.key, b.cfg.Name)
 		if v.Ask != "" {
-			earlier = append(earlier, v.Ask)
+			ask = append(ask, v.Ask)
 		}
 	}
 	b.mu.Unlock()
-	if len(earlier) > 0 {
-		v = c.askEarlier(ctx, earlier, ledger.Fence{Home: b.cfg.Name, Version: snap.ID})
+	if len(ask) > 0 {
+		v = c.askOthers(ctx, ask, ledger.Fence{Home: b.cfg.Name, Version: snap.ID})
 		if v.Decision != ledger.Run {
 			c.finishKey(ledger.NotRun, nil)
 		}
@@ -40,12 +40,12 @@
 }
 
 // maxClaims bounds the homes asked about one key.
-const maxClaims = 8
+const maxClaims = 64
 
-// askEarlier asks the earlier homes of the key, which is held here as running
+// askOthers asks other possible homes of the key, which is held here as running
 // meanwhile, and those that they name. Run means that none of them ran it or
 // will.
-func (c *backendCall) askEarlier(ctx context.Context, homes []string, f ledger.Fence) ledger.Verdict {
+func (c *backendCall) askOthers(ctx context.Context, homes []string, f ledger.Fence) ledger.Verdict {
 	asked := map[string]bool{f.Home: true}
 	for len(homes) > 0 {
 		home := homes[0]
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -63,6 +63,7 @@
 
 	duration("ledger", "window", "2m", "time for which a key is remembered, and for which a started node refuses keys that carry no time", func(n *Node) *time.Duration { return &n.LedgerWindow }),
 	duration("ledger", "skew", "2s", "clock difference allowed for in keys that carry their time", func(n *Node) *time.Duration { return &n.LedgerSkew }),
+	duration("ledger", "settle", "16s", "time within which every node holds a version that one holds; keys born within it of a change of homes are asked about", func(n *Node) *time.Duration { return &n.LedgerSettle }),
 
 	duration("shutdown", "announce", "1s", "time between announcing the leave and refusing new work", func(n *Node) *time.Duration { return &n.DrainAnnounce }),
 	duration("shutdown", "timeout", "30s", "longest wait for requests in progress; what it cuts is reported", func(n *Node) *time.Duration { return &n.DrainTimeout }),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,7 @@
 
 	LedgerWindow time.Duration
 	LedgerSkew   time.Duration
+	LedgerSettle time.Duration
 
 	DrainAnnounce time.Duration
 	DrainTimeout  time.Duration
