Tell the admitting node that a request has no body

Cause: scripts/mutants let the fresh connections for non-idempotent GETs be taken out without a test failing. HTTP/3 leaves the length of an empty body open, so such a GET went to the upstream in chunks, which net/http happens not to repeat. Right by accident, and wrong on the wire.

Change: the envelope says that the body is empty.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -359,9 +359,9 @@
 	out.RequestURI = ""
 	out.URL.Scheme, out.URL.Host = c.b.cfg.Upstream.Scheme, c.b.cfg.Upstream.Host
 	out.GetBody = nil // nothing may replay the request
-	if out.ContentLength == 0 {
+	if c.env.Empty {
 		// A body of unknown length would be sent in chunks, even if empty.
-		out.Body = http.NoBody
+		out.Body, out.ContentLength = http.NoBody, 0
 	}
 	stripOwn(out.Header)
 	stripHop(out.Header)
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -42,6 +42,7 @@
 	headerTenantID   = "Walldrift-Tenant"
 	headerKeyValue   = "Walldrift-Key"
 	headerAwait      = "Walldrift-Await-Admission"
+	headerEmpty      = "Walldrift-Empty"
 	headerLoad       = "Walldrift-Load"
 )
 
@@ -58,6 +59,8 @@
 	// Await says that the sender holds the body back until the request is
 	// admitted.
 	Await bool
+	// Empty says that the request has no body, which HTTP/3 leaves open.
+	Empty bool
 }
 
 // write replaces the headers of the project in h by those of the envelope.
@@ -74,6 +77,9 @@
 	if e.Await {
 		h.Set(headerAwait, "true")
 	}
+	if e.Empty {
+		h.Set(headerEmpty, "true")
+	}
 }
 
 func setIf(h http.Header, name, value string) {
@@ -92,6 +98,7 @@
 		Tenant:     h.Get(headerTenantID),
 		Key:        h.Get(headerKeyValue),
 		Await:      h.Get(headerAwait) == "true",
+		Empty:      h.Get(headerEmpty) == "true",
 	}
 	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
 	if err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -262,6 +262,7 @@
 	env.Target = target.Name
 	env.Timeout = time.Until(x.deadline)
 	env.Await = x.body.streams()
+	env.Empty = x.body.length == 0
 	if env.Await {
 		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
 	}
