--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -28,11 +28,15 @@
 	IdleTimeout time.Duration
 	// DialTimeout bounds one handshake. Default 1 s.
 	DialTimeout time.Duration
+	// FailureMemory is how long a failed handshake answers for the instance, so
+	// that requests to a dead node are refused at once in place of one after
+	// another waiting for it. Default 500 ms.
+	FailureMemory time.Duration
 }
 
 // DefaultPoolConfig returns the defaults given at the fields.
 func DefaultPoolConfig() PoolConfig {
-	return PoolConfig{MaxConns: 128, IdleTimeout: 30 * time.Second, DialTimeout: time.Second}
+	return PoolConfig{MaxConns: 128, IdleTimeout: 30 * time.Second, DialTimeout: time.Second, FailureMemory: 500 * time.Millisecond}
 }
 
 // Pool keeps the request connections of a node, opened on demand. It
@@ -55,6 +59,8 @@
 	err   error
 	used  time.Time
 	busy  int
+	// failed is when the handshake failed, set before ready is closed.
+	failed time.Time
 }
 
 // NewPool returns an empty pool of the instance self.
@@ -89,7 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if c, ok := p.conns[in.Name]; ok && c.addr == in.Peer && !c.broken() {
+	if c, ok := p.conns[in.Name]; ok && c.addr == in.Peer && (!c.broken() || c.failedLately(now, p.cfg.FailureMemory)) {
 		c.used = now
 		return c
 	}
@@ -104,13 +110,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.DialTimeout)
 	defer cancel()
 	c.conn, c.err = p.dialer.DialRequests(ctx, in.Name, in.Peer)
+	c.failed = time.Now()
 	close(c.ready)
-	if c.err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.conns[in.Name] == c {
-			delete(p.conns, in.Name)
-		}
+}
+
+// failedLately reports whether the handshake failed within memory.
+func (c *pooledConn) failedLately(now time.Time, memory time.Duration) bool {
+	select {
+	case <-c.ready:
+		return c.err != nil && now.Sub(c.failed) < memory
+	default:
+		return false
 	}
 }
 
@@ -161,7 +171,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, c := range p.conns {
-		if c.broken() {
+		if c.broken() && !c.failedLately(now, p.cfg.FailureMemory) {
 			delete(p.conns, name)
 			continue
 		}
