Write the docs, check the settings page, add the goodput bench

The settings page is made by the program and checked by a test.

'bench goodput' compares the product with two baselines written here, in one process; no figures yet.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -41,6 +41,8 @@
 	For     time.Duration
 	Timeout time.Duration
 	Seed    uint64
+	// KeepIDs keeps the IDs of requests for a later count of runs.
+	KeepIDs bool
 	// MaxInFlight bounds the requests in progress; one more is counted as
 	// skipped. Default 4096.
 	MaxInFlight int
@@ -59,6 +61,7 @@
 	Latency   *hdrhistogram.Histogram
 	Refusal   *hdrhistogram.Histogram // time to a refusal
 	NotRunIDs []string                // of requests refused as not run
+	IDs       []string                // of all requests
 }
 
 // histogram bounds: one microsecond to two minutes, in microseconds.
@@ -198,6 +201,9 @@
 	defer l.mu.Unlock()
 	t := l.tallies[kind]
 	t.Sent++
+	if l.cfg.KeepIDs {
+		t.IDs = append(t.IDs, id)
+	}
 	us := max(took.Microseconds(), 1)
 	switch e {
 	case endGood:
@@ -206,7 +212,9 @@
 	case endNotRun:
 		t.NotRun++
 		_ = t.Refusal.RecordValue(us)
-		t.NotRunIDs = append(t.NotRunIDs, id)
+		if l.cfg.KeepIDs {
+			t.NotRunIDs = append(t.NotRunIDs, id)
+		}
 	case endUnknown:
 		t.Unknown++
 	case endWrong:
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -19,11 +19,11 @@
 func benchCommand(out IO) *ff.Command {
 	return &ff.Command{
 		Name:      "bench",
-		Usage:     "walldrift bench plan|upstreams|control|latency ...",
+		Usage:     "walldrift bench plan|upstreams|control|latency|goodput ...",
 		ShortHelp: "plan and measure a fleet of separate processes (see scripts/fleet)",
 		Flags:     ff.NewFlagSet("bench"),
 		Subcommands: []*ff.Command{
-			benchPlan(out), benchUpstreams(out), benchControl(out), benchLatency(out),
+			benchPlan(out), benchUpstreams(out), benchControl(out), benchLatency(out), benchGoodput(out),
 		},
 	}
 }
@@ -168,6 +168,32 @@
 	}
 }
 
+func benchGoodput(out IO) *ff.Command {
+	fs := ff.NewFlagSet("goodput")
+	policy := fs.StringEnumLong("policy", "walldrift, round-robin or least-conns-retry", "walldrift", "round-robin", "least-conns-retry")
+	scenario := fs.StringEnumLong("scenario", "plain, one-slow, one-lying, third-killed or rolling", "plain", "one-slow", "one-lying", "third-killed", "rolling")
+	load := fs.Float64Long("load", 0.9, "offered rate over capacity")
+	length := fs.DurationLong("for", 10*time.Second, "length of the run")
+	stretch := fs.Float64Long("stretch", 5, "factor on the work of a request, to fit one machine")
+	seed := fs.Uint64Long("seed", 1, "seed of the arrivals")
+	return &ff.Command{
+		Name:      "goodput",
+		Usage:     "walldrift bench goodput [--policy P] [--scenario S] [--load L]",
+		ShortHelp: "measure weighted goodput of a whole fleet in this process, against baselines",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			r, err := bench.MeasureGoodput(ctx, bench.GoodputConfig{
+				Policy: bench.Policy(*policy), Scenario: bench.Scenario(*scenario),
+				Load: *load, For: *length, Stretch: *stretch, Seed: *seed,
+			})
+			if err != nil {
+				return err
+			}
+			return printResult(out, r)
+		},
+	}
+}
+
 func printResult(out IO, r any) error {
 	enc := json.NewEncoder(out.Out)
 	enc.SetIndent("", " ")
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -66,18 +66,31 @@
 		return errors.Wrap(err, "status")
 	}
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tFROM\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED")
+	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tWHY\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED")
 	for _, r := range rows {
 		age := "never"
 		if r.SourceAge < unknownAge {
 			age = (time.Duration(r.SourceAge) * time.Millisecond).String() + " ago"
 		}
 		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\n", r.Name, r.DataCentre, r.Table,
-			time.Duration(r.HeldMs)*time.Millisecond, r.From, r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused))
+			time.Duration(r.HeldMs)*time.Millisecond, why(r), r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused))
 	}
 	return tw.Flush()
 }
 
+// why says in words why a node holds the version it holds.
+func why(r fleetRow) string {
+	switch {
+	case r.From == "":
+		return "has none yet"
+	case r.Refused != "":
+		return "newest it accepts, from " + r.From
+	case r.Waiting != "":
+		return "newest it has got, from " + r.From
+	}
+	return "newest, from " + r.From
+}
+
 func dash(s string) string {
 	if s == "" {
 		return "-"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -129,6 +129,10 @@
 
 // StartNode starts the node of a placement, again if it was stopped.
 func (f *Fleet) StartNode(name string) error {
+	return f.startNode(name, netip.MustParseAddrPort("127.0.0.1:0"))
+}
+
+func (f *Fleet) startNode(name string, callers netip.AddrPort) error {
 	at := slices.IndexFunc(f.cfg.Placements, func(p standin.Placement) bool { return p.Name == name })
 	if at < 0 {
 		return errors.Newf("no placement %q", name)
@@ -137,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.Callers = callers
 	out := f.cfg.Log
 	if out == nil {
 		out = io.Discard
@@ -160,9 +165,8 @@
 	if err != nil {
 		return nil, err
 	}
-	any := netip.MustParseAddrPort("127.0.0.1:0")
 	cfg.Name, cfg.Service, cfg.DataCentre, cfg.Region = p.Name, p.Service, p.DataCentre, p.Region
-	cfg.Callers, cfg.Admin, cfg.Peers = any, any, f.peers[p.Name]
+	cfg.Admin, cfg.Peers = netip.MustParseAddrPort("127.0.0.1:0"), f.peers[p.Name]
 	if cfg.Upstream, err = url.Parse(f.backends[p.Name].URL); err != nil {
 		return nil, err
 	}
@@ -213,6 +217,42 @@
 	return <-m.done
 }
 
+// RestartBackend shuts a node down gracefully and starts it again on the same
+// addresses.
+func (f *Fleet) RestartBackend(name string) error {
+	old := f.Node(name)
+	if old == nil {
+		return errors.Newf("node %q does not run", name)
+	}
+	callers, err := netip.ParseAddrPort(old.Callers())
+	if err != nil {
+		return err
+	}
+	if err := f.StopNode(name); err != nil {
+		return err
+	}
+	return f.startNode(name, callers)
+}
+
+// Kill ends a node and its upstream without warning.
+func (f *Fleet) Kill(name string) {
+	f.mu.Lock()
+	m := f.nodes[name]
+	delete(f.nodes, name)
+	f.mu.Unlock()
+	b := f.backends[name]
+	_ = b.Config.Close()
+	if m == nil {
+		return
+	}
+	m.node.Abort()
+	m.stop()
+	<-m.done
+}
+
+// UpstreamURL returns the address of an upstream stand-in.
+func (f *Fleet) UpstreamURL(name string) string { return f.backends[name].URL }
+
 // AwaitVersion waits until every node has id in force and is ready, and
 // returns the time that took.
 func (f *Fleet) AwaitVersion(ctx context.Context, id version.ID) (time.Duration, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	callersListener net.Listener
 	adminListener   net.Listener
 	leaving         atomic.Bool
+	aborted         atomic.Bool
 	since           atomic.Int64 // when the table came into force, Unix microseconds
 	started         time.Time
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -40,7 +40,7 @@
 	group.Go(func() { serve(n.callers.Serve(n.callersListener), failed) })
 	n.log.Info("node started", "callers", n.Callers(), "peers", n.endpoint.Addr(), "admin", n.Admin())
 	err := n.awaitEnd(ctx, failed)
-	if err == nil {
+	if err == nil && !n.aborted.Load() {
 		n.drain()
 	}
 	_ = n.callers.Close()
@@ -53,6 +53,14 @@
 	return err
 }
 
+// Abort makes the end of Run immediate, as if the process were killed: sockets
+// are closed without a word to anybody.
+func (n *Node) Abort() {
+	n.aborted.Store(true)
+	_ = n.callers.Close()
+	n.endpoint.Abort()
+}
+
 func serve(err error, failed chan<- error) {
 	if !errors.Is(err, http.ErrServerClosed) {
 		failed <- err
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -197,6 +197,9 @@
 // Shutdown stops taking requests and waits for those in progress until ctx ends.
 func (e *Endpoint) Shutdown(ctx context.Context) error { return e.requests.Shutdown(ctx) }
 
+// Abort closes the socket without telling any peer, as a killed process would.
+func (e *Endpoint) Abort() { _ = e.socket.Close() }
+
 // Close ends all connections and frees the socket.
 func (e *Endpoint) Close() error {
 	e.cancel()
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -105,8 +105,11 @@
 func address(section, key, def, doc string, at func(*Node) *netip.AddrPort) Field {
 	return newField(section, key, "ip:port", def, doc, func(n *Node, v string) error {
 		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return errors.Newf("%q is not ip:port", v)
+		}
 		*at(n) = a
-		return errors.Wrapf(err, "%q is not ip:port", v)
+		return nil
 	})
 }
 
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+const goodFile = `[instance]
+name = pay-1
+service = pay
+data_centre = dc-1
+region = r
+[listen]
+callers = 127.0.0.1:8080
+peers = 127.0.0.1:7000
+admin = 127.0.0.1:9000
+[upstream]
+address = http://127.0.0.1:8600
+slots = 18
+[platform]
+address = http://127.0.0.1:8500
+seeds = pay-2@127.0.0.1:7001, pay-3@127.0.0.1:7002
+[tls]
+certificate = c.pem
+key = k.pem
+authority = ca.pem
+`
+
+func TestParseGoodFile(t *testing.T) {
+	n, err := Parse("node.ini", []byte(goodFile))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Slots, 18)
+	assert.Equal(t, n.DrainTimeout, 30*time.Second)
+	assert.Equal(t, len(n.Seeds), 2)
+	assert.Equal(t, n.Seeds[1].Name, "pay-3")
+}
+
+func TestLaterOverridesWin(t *testing.T) {
+	n, err := Parse("node.ini", []byte(goodFile), Overrides{"upstream.slots": "3", "log.level": "warn"}, Overrides{"upstream.slots": "4"})
+	assert.NilError(t, err)
+	assert.Equal(t, n.Slots, 4)
+	assert.Equal(t, n.LogLevel, "warn")
+}
+
+func TestEnvironmentOverrides(t *testing.T) {
+	t.Setenv("WALLDRIFT_UPSTREAM_SLOTS", "7")
+	n, err := Parse("node.ini", []byte(goodFile), Environment())
+	assert.NilError(t, err)
+	assert.Equal(t, n.Slots, 7)
+}
+
+// All findings come together, each with its place.
+func TestFindingsComeTogether(t *testing.T) {
+	raw := strings.NewReplacer("slots = 18", "slots = many\ncolour = red", "service = pay", "", "127.0.0.1:7000", "here").Replace(goodFile)
+	_, err := Parse("node.ini", []byte(raw), Overrides{"log.loudness": "11", "requests.retry_ratio": "NaN"})
+	var fs Findings
+	assert.Assert(t, errors.As(err, &fs))
+	var got []string
+	for _, f := range fs {
+		got = append(got, f.String())
+	}
+	assert.DeepEqual(t, got, []string{
+		"node.ini:13: upstream.colour: unknown setting",
+		"node.ini: instance.service: a value is needed",
+		`node.ini:8: listen.peers: "here" is not ip:port`,
+		`node.ini:12: upstream.slots: "many" is not a positive whole number`,
+		`node.ini: requests.retry_ratio: "NaN" is not a number from 0 to 1`,
+		"node.ini: log.loudness: unknown setting in an override",
+	})
+}
+
+func TestReferencePageNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	assert.NilError(t, err)
+	for _, f := range Fields() {
+		assert.Assert(t, strings.Contains(string(page), "| `"+f.Section+"."+f.Key+"` | "+f.Unit+" |"), "docs/SETTINGS.md lacks %s.%s", f.Section, f.Key)
+		assert.Assert(t, strings.Contains(string(page), f.Doc))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodFile))
+	f.Add([]byte("[a\nb=\n%(x)s"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		n, err := Parse("node.ini", raw)
+		assert.Equal(t, n == nil, err != nil)
+	})
+}
