Make network faults at the sockets of a fleet

Cause: cuts and loss were moves of the machines only.

Seen: with two data centres cut and only one reaching the platform both sides served and agreed after the cut; five edits reached all four nodes with one datagram in five lost.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -47,7 +47,7 @@
 				_, err = fmt.Fprintf(out.Out, "%s: no findings\n", *file)
 				return err
 			}
-			n, err := node.New(cfg, id, telemetry.NewLogger(out.Err, cfg.LogLevel, cfg.LogFormat, cfg.Name))
+			n, err := node.New(cfg, id, telemetry.NewLogger(out.Err, cfg.LogLevel, cfg.LogFormat, cfg.Name), nil)
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,6 +41,7 @@
 // Fleet is a running fleet.
 type Fleet struct {
 	Platform  *standin.Platform
+	Network   *Network // between the nodes
 	Upstreams map[string]*standin.Upstream
 
 	cfg        Config
@@ -69,6 +70,7 @@
 	}
 	f := &Fleet{
 		Platform:   standin.NewPlatform(),
+		Network:    newNetwork(),
 		Upstreams:  make(map[string]*standin.Upstream),
 		cfg:        cfg,
 		authority:  authority,
@@ -114,6 +116,7 @@
 	}
 	f.identities[p.Name] = id
 	f.peers[p.Name], err = freeUDP()
+	f.Network.place(f.peers[p.Name], p.DataCentre)
 	return err
 }
 
@@ -146,7 +149,7 @@
 	if out == nil {
 		out = io.Discard
 	}
-	n, err := node.New(cfg, f.identities[name], telemetry.NewLogger(out, f.cfg.LogLevel, "text", name))
+	n, err := node.New(cfg, f.identities[name], telemetry.NewLogger(out, f.cfg.LogLevel, "text", name), f.Network.wrap(f.cfg.Placements[at].DataCentre))
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,9 +6,11 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -220,7 +222,7 @@
 
 func TestUpstreamCannotSpeakForANode(t *testing.T) {
 	f := startSmall(t, Config{})
-	r := send(t, f, "pay-1", "GET", "/look/x", map[string]string{"X-Test-Outcome": string(proxy.OutcomeNotRun)}, nil)
+	r := send(t, f, "pay-1", "GET", "/look/x", map[string]string{standin.HeaderPretend: string(proxy.OutcomeNotRun)}, nil)
 	assert.Equal(t, r.status, http.StatusOK)
 	assert.Equal(t, r.header.Get(proxy.HeaderOutcome), "")
 }
@@ -370,3 +372,49 @@
 func seed(n *settings.Node, name string, addr netip.AddrPort) {
 	n.Seeds = []distribution.Seed{{Name: name, Addr: addr}}
 }
+
+// Two data centres are cut from each other, and only one still reaches the
+// platform. Both go on serving; the other follows once the cut ends.
+func TestPartitionBothSidesServeAndAgree(t *testing.T) {
+	f := startSmall(t, Config{Settings: func(n *settings.Node) {
+		quickKeys(n)
+		if n.DataCentre == "dc-2" {
+			n.Platform = &url.URL{Scheme: "http", Host: "127.0.0.1:9"} // nobody answers there
+			n.StartTimeout = time.Minute
+			n.Seeds = []distribution.Seed{{Name: n.Name, Addr: n.Peers}}
+		}
+	}})
+	f.Network.Cut("dc-1", "dc-2", true)
+	next, err := table.Set(smallLayout().Table(), table.Edit{Row: table.RowUpstream, Name: "pay-1", Column: table.ColWeight, Value: "3"})
+	assert.NilError(t, err)
+	f.Platform.Put(platform.KeyTable, next)
+	served := map[string]int{}
+	for range 6 {
+		for _, n := range []string{"pay-1", "pay-2"} { // one on each side
+			r := send(t, f, n, "GET", "/look/x", nil, nil)
+			if r.status == http.StatusOK {
+				served[n]++
+			}
+		}
+	}
+	assert.Assert(t, served["pay-1"] > 0 && served["pay-2"] > 0, "%v", served)
+	assert.Equal(t, f.Node("pay-2").Table().Edition, uint64(1))
+	f.Network.Cut("dc-1", "dc-2", false)
+	await(t, f, next)
+	assert.Assert(t, f.Network.Dropped() > 0)
+}
+
+// One datagram in five is lost; every edit still reaches every node.
+func TestEditsReachAllUnderLoss(t *testing.T) {
+	f := startSmall(t, Config{})
+	f.Network.SetLoss(0.2)
+	raw := smallLayout().Table()
+	for i := range 5 {
+		var err error
+		raw, err = table.Set(raw, table.Edit{Row: table.RowUpstream, Name: "pay-1", Column: table.ColWeight, Value: fmt.Sprint(2 + i)})
+		assert.NilError(t, err)
+		f.Platform.Put(platform.KeyTable, raw)
+		await(t, f, raw)
+	}
+	assert.Assert(t, f.Network.Dropped() > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,8 +51,9 @@
 }
 
 // New binds all addresses of the node and prepares it; Run starts it. On an
-// error nothing stays open.
-func New(cfg *settings.Node, id *peer.Identity, logger *log.Logger) (*Node, error) {
+// error nothing stays open. wrap stands between the node and its peer socket;
+// nil but in fault trials.
+func New(cfg *settings.Node, id *peer.Identity, logger *log.Logger, wrap peer.Wrap) (*Node, error) {
 	n := &Node{
 		cfg:     cfg,
 		log:     logger,
@@ -60,7 +61,7 @@
 		holder:  &snapshot.Holder{},
 		started: time.Now(),
 	}
-	if err := n.bind(id); err != nil {
+	if err := n.bind(id, wrap); err != nil {
 		n.closeListeners()
 		return nil, err
 	}
@@ -68,7 +69,7 @@
 }
 
 // bind opens the sockets and builds the parts from the inside out.
-func (n *Node) bind(id *peer.Identity) error {
+func (n *Node) bind(id *peer.Identity, wrap peer.Wrap) error {
 	var err error
 	if n.callersListener, err = net.Listen("tcp", n.cfg.Callers.String()); err != nil {
 		return errors.Wrap(err, "callers address")
@@ -77,7 +78,7 @@
 		return errors.Wrap(err, "admin address")
 	}
 	handler := &lateHandler{}
-	if n.endpoint, err = peer.Listen(n.cfg.Peers, id, handler); err != nil {
+	if n.endpoint, err = peer.Listen(n.cfg.Peers, id, handler, wrap); err != nil {
 		return err
 	}
 	n.build(n.instance())
--- a/internal/peer/endpoint.go
+++ b/internal/peer/endpoint.go
@@ -80,17 +80,25 @@
 	done     chan struct{}
 }
 
+// Wrap stands between an endpoint and its socket, to make faults happen. A nil
+// Wrap leaves the socket as it is.
+type Wrap func(net.PacketConn) net.PacketConn
+
 // Listen binds addr and accepts connections. handler serves the requests of
 // other nodes.
-func Listen(addr netip.AddrPort, id *Identity, handler http.Handler) (*Endpoint, error) {
+func Listen(addr netip.AddrPort, id *Identity, handler http.Handler, wrap Wrap) (*Endpoint, error) {
 	key, err := id.resetKey()
 	if err != nil {
 		return nil, err
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer address %s", addr)
 	}
+	var socket net.PacketConn = udp
+	if wrap != nil {
+		socket = wrap(udp)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Endpoint{
 		identity: id,
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -10,8 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/walldrift/walldrift/internal/proxy"
 )
 
 // Headers of the upstream stand-in.
@@ -21,6 +19,9 @@
 	HeaderWork = "X-Work-Ms"
 	// HeaderAnswer sets the size of the answer's padding in bytes.
 	HeaderAnswer = "X-Answer-Bytes"
+	// HeaderPretend makes the answer carry a header that only nodes write.
+	HeaderPretend = "X-Pretend-Outcome"
+	nodeOutcome   = "Walldrift-Outcome"
 )
 
 // maxPadding bounds the padding of an answer.
@@ -191,8 +192,8 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	// A careless upstream that copies headers of its own calls must not be
 	// able to speak for a node.
-	if v := r.Header.Get("X-Test-Outcome"); v != "" {
-		w.Header().Set(proxy.HeaderOutcome, v)
+	if v := r.Header.Get(HeaderPretend); v != "" {
+		w.Header().Set(nodeOutcome, v)
 	}
 	_, _ = w.Write(b)
 }
