--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -43,8 +43,7 @@
 	queues    map[[2]string][]*Message
 	up        map[[2]string]bool // by ordered pair
 	published [][]byte           // every value the platform ever held
-	faults    int
-	accepted  version.ID // highest version put in force anywhere
+	accepted  version.ID         // highest version put in force anywhere
 }
 
 func newSim(n int) *sim {
--- a/internal/distribution/service.go
+++ b/internal/distribution/service.go
@@ -47,6 +47,7 @@
 	source    platform.Source
 	log       *log.Logger
 	metrics   tally.Scope
+	bytes     [len(causeNames)]tally.Counter // by cause
 	rnd       *rand.Rand
 
 	events  chan func(now time.Time) Effects
@@ -59,9 +60,9 @@
 	index   atomic.Pointer[map[string]membership.Member]
 	// synced says that this node holds a table at least as new as a
 	// neighbour's, or has had nobody to ask for isolationGrace.
-	synced   atomic.Bool
-	unsynced time.Time // since when it is not
-	members0 time.Time // when the members were last published
+	synced    atomic.Bool
+	unsynced  time.Time // since when it is not
+	membersAt time.Time // when the members were last published
 }
 
 // Timing of the loop.
@@ -89,6 +90,9 @@
 		surveys:   make(map[uint64]chan<- Survey),
 		unsynced:  time.Now(),
 	}
+	for c, name := range causeNames {
+		s.bytes[c] = metrics.Tagged(map[string]string{"cause": name}).Counter("control_bytes")
+	}
 	s.links = newLinkSet(s)
 	s.publishState(time.Now())
 	return s
@@ -164,7 +168,7 @@
 		s.links.overlayStale = true
 	}
 	if len(fx.Advanced) > 0 || fx.MembersChanged {
-		s.members0 = time.Time{}
+		s.membersAt = time.Time{}
 		s.publishState(time.Now())
 	}
 }
@@ -179,8 +183,8 @@
 
 // publishState stores what other goroutines read.
 func (s *Service) publishState(now time.Time) {
-	if now.Sub(s.members0) >= memberRefresh {
-		s.members0 = now
+	if now.Sub(s.membersAt) >= memberRefresh {
+		s.membersAt = now
 		s.publishMembers(now)
 	}
 	st := s.engine.Status(now)
--- a/internal/distribution/traffic.go
+++ b/internal/distribution/traffic.go
@@ -19,7 +19,7 @@
 
 // countSent is called from the writers of the links.
 func (s *Service) countSent(c Cause, n int) {
-	s.metrics.Tagged(map[string]string{"cause": causeNames[c]}).Counter("control_bytes").Inc(int64(n))
+	s.bytes[c].Inc(int64(n))
 	s.post(func(time.Time) Effects {
 		s.engine.CountSent(c, n)
 		return Effects{}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"github.com/walldrift/walldrift/internal/finding"
 )
 
 // Finding is one defect of the settings, with its place.
@@ -30,16 +32,7 @@
 }
 
 // Findings collects all defects. It is an error when not empty.
-type Findings []Finding
-
-// Error lists all findings, one a line.
-func (fs Findings) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Findings = finding.List[Finding]
 
 // Overrides replaces values of the file: section.key to value.
 type Overrides map[string]string
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -20,7 +20,7 @@
 	counts := make(map[string]int, len(t.Services))
 	for _, u := range t.Upstreams {
 		if _, ok := services[u.Service]; !ok && u.Service != "" {
-			fs.add(u.Row, ColService, RuleReference, "no service %q", u.Service)
+			add(&fs, u.Row, ColService, RuleReference, "no service %q", u.Service)
 		}
 		weights[u.Service] += u.Weight
 		counts[u.Service]++
@@ -28,9 +28,9 @@
 	for _, s := range t.Services {
 		switch {
 		case counts[s.Name] == 0:
-			fs.add(s.Row, ColName, RuleNoUpstream, "service %q has no upstream", s.Name)
+			add(&fs, s.Row, ColName, RuleNoUpstream, "service %q has no upstream", s.Name)
 		case weights[s.Name] == 0:
-			fs.add(s.Row, ColName, RuleAllZero, "every upstream of %q has weight 0", s.Name)
+			add(&fs, s.Row, ColName, RuleAllZero, "every upstream of %q has weight 0", s.Name)
 		}
 	}
 	checkRoutes(&fs, t, services, upstreams)
@@ -43,7 +43,7 @@
 		row, name := key(r)
 		if prev, twice := seen[name]; twice && name != "" {
 			at, _ := key(prev)
-			fs.add(row, ColName, RuleDuplicate, "%q already stands in row %d", name, at)
+			add(fs, row, ColName, RuleDuplicate, "%q already stands in row %d", name, at)
 			continue
 		}
 		seen[name] = r
@@ -55,28 +55,28 @@
 	matches := make(map[string]int, len(t.Routes))
 	for _, r := range t.Routes {
 		if _, ok := services[r.Service]; !ok && r.Service != "" {
-			fs.add(r.Row, ColService, RuleReference, "dangling route: no service %q", r.Service)
+			add(fs, r.Row, ColService, RuleReference, "dangling route: no service %q", r.Service)
 		}
 		if r.Upstream != "" {
 			u, ok := upstreams[r.Upstream]
 			if !ok {
-				fs.add(r.Row, ColUpstream, RuleReference, "dangling route: no upstream %q", r.Upstream)
+				add(fs, r.Row, ColUpstream, RuleReference, "dangling route: no upstream %q", r.Upstream)
 			} else if u.Service != r.Service {
-				fs.add(r.Row, ColUpstream, RuleReference, "upstream %q belongs to service %q", r.Upstream, u.Service)
+				add(fs, r.Row, ColUpstream, RuleReference, "upstream %q belongs to service %q", r.Upstream, u.Service)
 			}
 		}
 		if r.Prefix != "" && !strings.HasPrefix(r.Prefix, "/") {
-			fs.add(r.Row, ColPrefix, RulePrefix, "%q does not start with a slash", r.Prefix)
+			add(fs, r.Row, ColPrefix, RulePrefix, "%q does not start with a slash", r.Prefix)
 		}
 		if r.Retries > maxRetries {
-			fs.add(r.Row, ColRetries, RuleRange, "%d is more than %d", r.Retries, maxRetries)
+			add(fs, r.Row, ColRetries, RuleRange, "%d is more than %d", r.Retries, maxRetries)
 		}
 		if ms := r.Timeout.Milliseconds(); ms < 1 || ms > maxTimeoutMS {
-			fs.add(r.Row, ColTimeout, RuleRange, "%d is outside 1 to %d", ms, maxTimeoutMS)
+			add(fs, r.Row, ColTimeout, RuleRange, "%d is outside 1 to %d", ms, maxTimeoutMS)
 		}
 		key := strings.Join(r.Methods, " ") + " " + r.Prefix
 		if at, twice := matches[key]; twice && r.Prefix != "" {
-			fs.add(r.Row, ColPrefix, RuleDuplicate, "row %d already matches %q", at, strings.TrimSpace(key))
+			add(fs, r.Row, ColPrefix, RuleDuplicate, "row %d already matches %q", at, strings.TrimSpace(key))
 		}
 		matches[key] = r.Row
 	}
--- a/internal/table/finding.go
+++ b/internal/table/finding.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"strings"
+
+	"github.com/walldrift/walldrift/internal/finding"
 )
 
 // Rule names the check that a finding comes from.
@@ -48,22 +49,14 @@
 }
 
 // Findings collects all defects of one table. It is an error when not empty.
-type Findings []Finding
-
-// Error lists all findings, one a line.
-func (fs Findings) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Findings = finding.List[Finding]
 
 // findingLimit bounds the findings kept for one table, so that a hostile file
 // cannot use up memory.
 const findingLimit = 200
 
-func (fs *Findings) add(row int, col Column, rule Rule, format string, args ...any) {
+// add appends a finding, up to findingLimit.
+func add(fs *Findings, row int, col Column, rule Rule, format string, args ...any) {
 	if len(*fs) >= findingLimit {
 		return
 	}
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -22,11 +22,11 @@
 func Parse(raw []byte) (*Table, Findings) {
 	var fs Findings
 	if len(raw) > MaxBytes {
-		fs.add(0, "", RuleSize, "%d bytes, the limit is %d", len(raw), MaxBytes)
+		add(&fs, 0, "", RuleSize, "%d bytes, the limit is %d", len(raw), MaxBytes)
 		return nil, fs
 	}
 	if !utf8.Valid(raw) || bytes.IndexByte(raw, 0) >= 0 {
-		fs.add(0, "", RuleEncoding, "the file is not UTF-8 text")
+		add(&fs, 0, "", RuleEncoding, "the file is not UTF-8 text")
 		return nil, fs
 	}
 	t, fs := decode(raw)
@@ -48,7 +48,7 @@
 	r.ReuseRecord = true
 	head, err := r.Read()
 	if err != nil {
-		fs.add(1, "", RuleHeader, "no header: %v", err)
+		add(&fs, 1, "", RuleHeader, "no header: %v", err)
 		return nil, fs
 	}
 	index, ok := headerIndex(head, &fs)
@@ -64,7 +64,7 @@
 		}
 		line, _ := r.FieldPos(0)
 		if err != nil {
-			fs.add(line, "", RuleEncoding, "not CSV: %v", err)
+			add(&fs, line, "", RuleEncoding, "not CSV: %v", err)
 			return nil, fs
 		}
 		c := &cells{row: line, rec: rec, index: index, fs: &fs}
@@ -74,7 +74,7 @@
 		c.appendTo(t)
 	}
 	if editions != 1 {
-		fs.add(0, ColRow, RuleEdition, "want exactly one %q row, found %d", RowTable, editions)
+		add(&fs, 0, ColRow, RuleEdition, "want exactly one %q row, found %d", RowTable, editions)
 	}
 	return t, fs
 }
@@ -85,18 +85,18 @@
 	for i, h := range head {
 		col := Column(strings.TrimSpace(h))
 		if !slices.Contains(Header, col) {
-			fs.add(1, col, RuleHeader, "unknown column")
+			add(fs, 1, col, RuleHeader, "unknown column")
 			good = false
 		}
 		if _, twice := index[col]; twice {
-			fs.add(1, col, RuleHeader, "column stands twice")
+			add(fs, 1, col, RuleHeader, "column stands twice")
 			good = false
 		}
 		index[col] = i
 	}
 	for _, col := range Header {
 		if _, ok := index[col]; !ok {
-			fs.add(1, col, RuleHeader, "column is missing")
+			add(fs, 1, col, RuleHeader, "column is missing")
 			good = false
 		}
 	}
@@ -124,7 +124,7 @@
 func (c *cells) required(col Column) string {
 	s := c.text(col)
 	if s == "" {
-		c.fs.add(c.row, col, RuleMissing, "a value is needed")
+		add(c.fs, c.row, col, RuleMissing, "a value is needed")
 	}
 	return strings.Clone(s)
 }
@@ -137,11 +137,11 @@
 	}
 	v, err := strconv.ParseFloat(s, 64)
 	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-		c.fs.add(c.row, col, RuleNumber, "%q is not a number", s)
+		add(c.fs, c.row, col, RuleNumber, "%q is not a number", s)
 		return def
 	}
 	if v < 0 || v > maxNumber {
-		c.fs.add(c.row, col, RuleRange, "%s is outside 0 to %g", s, maxNumber)
+		add(c.fs, c.row, col, RuleRange, "%s is outside 0 to %g", s, maxNumber)
 		return def
 	}
 	return v
@@ -150,7 +150,7 @@
 func (c *cells) integer(col Column, def int) int {
 	v := c.number(col, float64(def))
 	if v != math.Trunc(v) {
-		c.fs.add(c.row, col, RuleNumber, "%v is not a whole number", v)
+		add(c.fs, c.row, col, RuleNumber, "%v is not a whole number", v)
 		return def
 	}
 	return int(v)
@@ -163,7 +163,7 @@
 	case "no":
 		return false
 	default:
-		c.fs.add(c.row, col, RuleIdempotency, "%q is neither yes nor no", s)
+		add(c.fs, c.row, col, RuleIdempotency, "%q is neither yes nor no", s)
 		return false
 	}
 }
@@ -173,15 +173,15 @@
 	kind := c.rowType()
 	allowed, ok := columnsOf[kind]
 	if !ok {
-		c.fs.add(c.row, ColRow, RuleRowType, "%q is none of table, service, upstream, route", kind)
+		add(c.fs, c.row, ColRow, RuleRowType, "%q is none of table, service, upstream, route", kind)
 		return
 	}
 	if len(c.rec) > len(c.index) {
-		c.fs.add(c.row, "", RuleHeader, "%d cells under %d columns", len(c.rec), len(c.index))
+		add(c.fs, c.row, "", RuleHeader, "%d cells under %d columns", len(c.rec), len(c.index))
 	}
 	for _, col := range Header {
 		if !slices.Contains(allowed, col) && c.text(col) != "" {
-			c.fs.add(c.row, col, RuleUnused, "has no meaning in a %s row", kind)
+			add(c.fs, c.row, col, RuleUnused, "has no meaning in a %s row", kind)
 		}
 	}
 	switch kind {
@@ -200,7 +200,7 @@
 	s := c.required(ColName)
 	v, err := strconv.ParseUint(s, 10, 64)
 	if err != nil || v == 0 || v > MaxEdition {
-		c.fs.add(c.row, ColName, RuleEdition, "%q is not an edition from 1 to %d", s, uint64(MaxEdition))
+		add(c.fs, c.row, ColName, RuleEdition, "%q is not an edition from 1 to %d", s, uint64(MaxEdition))
 		return 0
 	}
 	return v
