Send a request on from a busy upstream, once, within a budget

Cause: at 70% of the slots 9 ms were added at p99. 13 frontends know the slots of an upstream by what it last told; a draw of two still lands on a full one and waits there while another has a slot free.

Change: the first try asks for a slot at once; if there is none the node beside the upstream refuses as busy, not run, and the request goes to another upstream, which may queue it. A budget of a fifth of the requests bounds the extra hand-overs; keyed and pinned requests wait as before.

Also: 'distribution.readers', a bound on callers' requests in progress, the list moving an instance whose join is not heard, slopes and leaving benches, the request path split by job.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -24,6 +24,7 @@
 	ReasonOutweighed  Reason = "outweighed"   // gave its place to a heavier kind
 	ReasonRate        Reason = "rate"         // the row's rate limit
 	ReasonConcurrency Reason = "concurrency"  // the row's concurrency limit
+	ReasonBusy        Reason = "busy"         // no slot free, and the sender would rather try another upstream
 	ReasonDraining    Reason = "draining"     // the instance leaves
 	ReasonCancelled   Reason = "cancelled"    // the caller gave up while it waited
 	ReasonWrongTarget Reason = "wrong-target" // sent to a node that is not beside the upstream
@@ -37,6 +38,8 @@
 	Weight float64
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time
+	// NoWait asks for a slot at once or a refusal.
+	NoWait bool
 
 	arrived time.Time
 }
@@ -106,6 +109,9 @@
 		q.inUse++
 		return Verdict{Started: true}, nil
 	}
+	if t.NoWait {
+		return q.refusal(ReasonBusy), nil
+	}
 	if q.tooLate(now, t) {
 		return q.refusal(ReasonTooLate), nil
 	}
--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -19,11 +19,11 @@
 func benchCommand(out IO) *ff.Command {
 	return &ff.Command{
 		Name:      "bench",
-		Usage:     "walldrift bench plan|upstreams|control|latency|goodput ...",
+		Usage:     "walldrift bench plan|upstreams|control|latency|goodput|slopes|leaving ...",
 		ShortHelp: "plan and measure a fleet of separate processes (see scripts/fleet)",
 		Flags:     ff.NewFlagSet("bench"),
 		Subcommands: []*ff.Command{
-			benchPlan(out), benchUpstreams(out), benchControl(out), benchLatency(out), benchGoodput(out),
+			benchPlan(out), benchUpstreams(out), benchControl(out), benchLatency(out), benchGoodput(out), benchSlopes(out), benchLeaving(out),
 		},
 	}
 }
@@ -194,6 +194,40 @@
 	}
 }
 
+func benchSlopes(out IO) *ff.Command {
+	fs := ff.NewFlagSet("slopes")
+	dir := fs.StringLong("dir", "", "directory with the results of scripts/scale")
+	kind := fs.StringEnumLong("kind", "rest, edits or herd", "rest", "edits", "herd")
+	return &ff.Command{
+		Name:      "slopes",
+		Usage:     "walldrift bench slopes --dir DIR [--kind K]",
+		ShortHelp: "fit lines through the results of scripts/scale",
+		Flags:     fs,
+		Exec: func(context.Context, []string) error {
+			if *dir == "" {
+				return usagef("slopes needs --dir")
+			}
+			return bench.WriteSlopes(out.Out, *dir, *kind)
+		},
+	}
+}
+
+func benchLeaving(out IO) *ff.Command {
+	return &ff.Command{
+		Name:      "leaving",
+		Usage:     "walldrift bench leaving",
+		ShortHelp: "measure how long leaving upstreams still get new work",
+		Flags:     ff.NewFlagSet("leaving"),
+		Exec: func(ctx context.Context, _ []string) error {
+			r, err := bench.MeasureLeaving(ctx)
+			if err != nil {
+				return err
+			}
+			return printResult(out, r)
+		},
+	}
+}
+
 func printResult(out IO, r any) error {
 	enc := json.NewEncoder(out.Out)
 	enc.SetIndent("", " ")
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -14,6 +14,10 @@
 	// DigestInterval is the mean time between digests on a link. Shorter heals
 	// lost updates sooner, longer costs fewer bytes. Default 5 s.
 	DigestInterval time.Duration
+	// Readers is the number of nodes of each data centre that always watch the
+	// platform. More ride out more failures at once, fewer spare the platform:
+	// each makes one call per change and document. Default 2.
+	Readers int
 	// TakeoverAge is the source age from which nodes that are not readers
 	// begin to read, the next in rank first. Default 30 s.
 	TakeoverAge time.Duration
@@ -27,6 +31,7 @@
 func DefaultEngineConfig() EngineConfig {
 	return EngineConfig{
 		DigestInterval: 5 * time.Second,
+		Readers:        2,
 		TakeoverAge:    30 * time.Second,
 		TakeoverStep:   2 * time.Second,
 		Membership:     membership.DefaultConfig(),
@@ -107,7 +112,7 @@
 		links:   make(map[string]bool),
 		started: now,
 		told:    make(map[string]bool),
-		rank:    membership.ReaderCount(), // no reader before the list is known
+		rank:    cfg.Readers, // no reader before the list is known
 	}
 	e.docs[DocTable] = newReplica(DocTable, checkTable)
 	e.docs[DocList] = newReplica(DocList, e.checkList)
--- a/internal/distribution/reading.go
+++ b/internal/distribution/reading.go
@@ -19,13 +19,13 @@
 }
 
 func (e *Engine) mayRead(now time.Time, rank int) bool {
-	if rank < membership.ReaderCount() {
+	if rank < e.cfg.Readers {
 		return true
 	}
 	heard := e.source
 	if heard.IsZero() {
 		heard = e.started
 	}
-	spare := time.Duration(rank-membership.ReaderCount()) * e.cfg.TakeoverStep
+	spare := time.Duration(rank-e.cfg.Readers) * e.cfg.TakeoverStep
 	return now.Sub(heard) > e.cfg.TakeoverAge+spare
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -122,23 +122,26 @@
 	assert.Assert(t, changed <= 8, "%d links were dropped", changed)
 }
 
+// perCentre is the number of readers of each data centre in these tests.
+const perCentre = 2
+
 func TestReadersFollowOneAnother(t *testing.T) {
 	members := fleet(100, 4, 2)
 	var readers []int
 	for i, m := range members {
-		if ReaderRank(m.Instance, members) < ReaderCount() {
+		if ReaderRank(m.Instance, members) < perCentre {
 			readers = append(readers, i)
 		}
 	}
-	assert.Equal(t, len(readers), 4*ReaderCount())
+	assert.Equal(t, len(readers), 4*perCentre)
 	members[readers[0]].Status = Gone
 	count := 0
 	for _, m := range members {
-		if m.Status != Gone && ReaderRank(m.Instance, members) < ReaderCount() {
+		if m.Status != Gone && ReaderRank(m.Instance, members) < perCentre {
 			count++
 		}
 	}
-	assert.Equal(t, count, 4*ReaderCount(), "another node takes over")
+	assert.Equal(t, count, 4*perCentre, "another node takes over")
 }
 
 // TestViewsAgree floods rumors among views in any order, doubled and delayed,
@@ -218,6 +221,19 @@
 	assert.Equal(t, a.Status("b", now.Add(time.Hour)), Alive)
 }
 
+// The list moves an instance to another address and its join is not heard.
+func TestListMovesInstance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := NewView(DefaultConfig(), instance("a", 1))
+	at := instance("b", 0)
+	v.SetList(&List{Revision: 1, Instances: []Instance{at}}, now)
+	joined := instance("b", 9)
+	v.Hear(Rumor{Name: "b", Incarnation: 9, Instance: &joined}, now)
+	at.Peer = netip.MustParseAddrPort("127.0.0.2:2")
+	v.SetList(&List{Revision: 2, Instances: []Instance{at}}, now)
+	assert.Equal(t, v.Members(now)[1].Peer, at.Peer)
+}
+
 func TestJoinWithoutListEntryEndsAfterGrace(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a, b := NewView(DefaultConfig(), instance("a", 5)), NewView(DefaultConfig(), instance("b", 6))
--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -19,8 +19,6 @@
 	// candidatesPerSlot bounds the substitutes tried for a link to another
 	// data centre.
 	candidatesPerSlot = 6
-	// readersPerDataCentre is the number of nodes that watch the platform.
-	readersPerDataCentre = 2
 )
 
 // Slot is one link that a node should hold: to the first of the candidates
@@ -151,7 +149,7 @@
 }
 
 // ReaderRank returns the place of self among the nodes of its data centre
-// that may watch the platform, from 0. Nodes below ReaderCount watch always.
+// that may watch the platform, from 0.
 func ReaderRank(self Instance, members []Member) int {
 	var names []string
 	for _, m := range members {
@@ -161,6 +159,3 @@
 	}
 	return slices.Index(rank("readers of "+self.DataCentre, names), self.Name)
 }
-
-// ReaderCount is the number of nodes of each data centre that always watch.
-func ReaderCount() int { return readersPerDataCentre }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -72,6 +73,7 @@
 type entry struct {
 	inst     Instance
 	listed   bool
+	listPeer netip.AddrPort // address in the last list that showed the instance
 	rumor    Rumor
 	hasRumor bool
 	since    time.Time // when the rumor was taken
@@ -125,8 +127,11 @@
 	}
 	e.listed = true
 	// A join may be newer than the list, which then still names the address
-	// of the previous process.
-	if in.Generation >= e.inst.Generation {
+	// of the previous process; but an address that the list has changed is newer
+	// than the join that came before.
+	moved := e.listPeer.IsValid() && e.listPeer != in.Peer
+	e.listPeer = in.Peer
+	if in.Generation >= e.inst.Generation || moved {
 		e.inst = in
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 
 func (n *Node) build(self membership.Instance) {
 	engine := distribution.DefaultEngineConfig()
-	engine.DigestInterval = n.cfg.DigestInterval
+	engine.DigestInterval, engine.Readers = n.cfg.DigestInterval, n.cfg.Readers
 	engine.Membership.SuspicionTimeout = n.cfg.SuspicionTimeout
 	n.service = distribution.NewService(distribution.ServiceConfig{
 		Engine:     engine,
@@ -140,6 +140,8 @@
 		Routing: routing.DefaultConfig(),
 		Retry:   policy,
 		Seed:    self.Generation,
+
+		MaxInFlight: n.cfg.MaxInFlight,
 	}, n.holder, n.service.Member, n.pool, requests, n.service.Synced)
 	n.callers = &http.Server{Handler: n.frontend, ReadHeaderTimeout: headerTimeout}
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -74,14 +74,19 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "instance certificate")
 	}
-	pool := x509.NewCertPool()
-	pool.AddCert(a.cert)
 	return &Identity{
 		Certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
-		Authority:   pool,
+		Authority:   a.pool(),
 	}, nil
 }
 
+// pool returns the authority as the only trusted one.
+func (a *Authority) pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return pool
+}
+
 // Names of the files that WriteFiles makes.
 const (
 	AuthorityFile = "ca.pem"
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -47,6 +47,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.budget.Earn()
+	f.spare.Earn()
+}
+
+func (f *Frontend) takeSpare() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spare.Take()
+}
+
+func (f *Frontend) returnSpare() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spare.Return()
 }
 
 func (f *Frontend) again(t retry.Try) retry.Reason {
--- /dev/null
+++ b/internal/proxy/dispatch.go
@@ -0,0 +1,148 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/retry"
+)
+
+// dispatch calls the upstream. The answer's body gives the slot back when it
+// ends.
+func (c *backendCall) dispatch(ctx context.Context, cancel context.CancelFunc) (*http.Response, *Problem) {
+	var connected atomic.Bool
+	if c.keyed {
+		// A repeat of the key wants the answer even if this caller goes away.
+		var stop context.CancelFunc
+		ctx, stop = context.WithDeadline(context.WithoutCancel(ctx), c.start.Add(c.env.Timeout))
+		outer := cancel
+		cancel = func() { stop(); outer() }
+	}
+	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
+	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
+	if err != nil {
+		cancel()
+		return nil, c.failure(err, connected.Load())
+	}
+	stripOwn(resp.Header)
+	stripHop(resp.Header)
+	c.b.stamp(resp.Header)
+	body := &endingBody{ReadCloser: resp.Body, want: resp.ContentLength}
+	if out.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified || resp.StatusCode == http.StatusNoContent {
+		body.want = -1
+	}
+	if c.keyed {
+		body.tee, body.keep = &bytes.Buffer{}, c.b.cfg.Ledger.MaxAnswer
+	}
+	body.end = func(whole bool) { c.ended(resp, body, whole, cancel) }
+	resp.Body = body
+	if c.keyed {
+		resp.Body = &drainedBody{endingBody: body}
+	}
+	return resp, nil
+}
+
+// failure classifies an error of the call to the upstream.
+func (c *backendCall) failure(err error, connected bool) *Problem {
+	if !connected {
+		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUpstream, defaultRetryAfter)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
+	}
+	return unknownOutcome(http.StatusBadGateway, reasonLost)
+}
+
+// ended is called once when the answer's body ends.
+func (c *backendCall) ended(resp *http.Response, body *endingBody, whole bool, cancel context.CancelFunc) {
+	c.leave()
+	cancel()
+	if !whole {
+		c.finishKey(ledger.Lost, nil)
+	} else if c.keyed {
+		c.finishKey(ledger.Done, &ledger.Answer{
+			Status: resp.StatusCode,
+			Header: resp.Header.Clone(),
+			Body:   bytes.Clone(body.tee.Bytes()),
+			Kept:   !body.over,
+		})
+	}
+	c.b.inflight.Add(-1)
+}
+
+// drainedBody reads the rest of a keyed answer when the caller goes away, so
+// that a repeat gets it.
+type drainedBody struct{ *endingBody }
+
+// Close reads on in the background; the request's deadline bounds it.
+func (d *drainedBody) Close() error {
+	go func() {
+		_, _ = io.Copy(io.Discard, d.endingBody)
+		_ = d.endingBody.Close()
+	}()
+	return nil
+}
+
+// upstreamRequest builds the request to the upstream.
+func (c *backendCall) upstreamRequest(ctx context.Context) *http.Request {
+	out := c.req.Clone(ctx)
+	out.RequestURI = ""
+	out.URL.Scheme, out.URL.Host = c.b.cfg.Upstream.Scheme, c.b.cfg.Upstream.Host
+	out.GetBody = nil // nothing may replay the request
+	if c.env.Empty {
+		// A body of unknown length would be sent in chunks, even if empty.
+		out.Body, out.ContentLength = http.NoBody, 0
+	}
+	stripOwn(out.Header)
+	stripHop(out.Header)
+	left := time.Until(c.start.Add(c.env.Timeout)).Milliseconds()
+	out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	setIf(out.Header, HeaderTenant, c.env.Tenant)
+	if c.env.Key != "" {
+		// net/http replays any request that has this header in its canonical
+		// form; HTTP header names are case-insensitive, its map is not.
+		out.Header.Del(HeaderKey)
+		out.Header[rawKeyHeader] = []string{c.env.Key}
+	}
+	return out
+}
+
+// rawKeyHeader is HeaderKey in a form that net/http does not look for.
+const rawKeyHeader = "idempotency-key"
+
+// transport chooses how the upstream is called. net/http sends a GET, HEAD,
+// OPTIONS or TRACE again when a kept connection turns out to be closed; where
+// the table says that such a request is not idempotent, it goes over a new
+// connection, on which nothing is replayed.
+func (b *Backend) transport(env Envelope, method string) http.RoundTripper {
+	if env.Idempotent {
+		return b.pooled
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return b.fresh
+	}
+	return b.pooled
+}
+
+// fingerprint tells two requests under one key apart.
+func fingerprint(req *http.Request) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{req.Method, req.URL.Path, req.URL.RawQuery, strconv.FormatInt(req.ContentLength, 10)} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -43,6 +43,7 @@
 	headerKeyValue   = "Walldrift-Key"
 	headerAwait      = "Walldrift-Await-Admission"
 	headerEmpty      = "Walldrift-Empty"
+	headerNoWait     = "Walldrift-No-Wait"
 	headerLoad       = "Walldrift-Load"
 )
 
@@ -61,6 +62,8 @@
 	Await bool
 	// Empty says that the request has no body, which HTTP/3 leaves open.
 	Empty bool
+	// NoWait asks for a refusal in place of waiting for a slot.
+	NoWait bool
 }
 
 // write replaces the headers of the project in h by those of the envelope.
@@ -70,16 +73,13 @@
 	h.Set(headerService, e.Service)
 	h.Set(headerKind, e.Kind)
 	h.Set(headerKindWeight, strconv.FormatFloat(e.KindWeight, 'g', -1, 64))
-	h.Set(headerIdempotent, strconv.FormatBool(e.Idempotent))
 	h.Set(HeaderTimeout, strconv.FormatInt(e.Timeout.Milliseconds(), 10))
 	setIf(h, headerTenantID, e.Tenant)
 	setIf(h, headerKeyValue, e.Key)
-	if e.Await {
-		h.Set(headerAwait, "true")
-	}
-	if e.Empty {
-		h.Set(headerEmpty, "true")
-	}
+	setFlag(h, headerIdempotent, e.Idempotent)
+	setFlag(h, headerAwait, e.Await)
+	setFlag(h, headerEmpty, e.Empty)
+	setFlag(h, headerNoWait, e.NoWait)
 }
 
 func setIf(h http.Header, name, value string) {
@@ -88,17 +88,26 @@
 	}
 }
 
+const flagSet = "true"
+
+func setFlag(h http.Header, name string, on bool) {
+	if on {
+		h.Set(name, flagSet)
+	}
+}
+
 // readEnvelope reads the headers written by write.
 func readEnvelope(h http.Header) (Envelope, error) {
 	e := Envelope{
 		Target:     h.Get(headerTarget),
 		Service:    h.Get(headerService),
 		Kind:       h.Get(headerKind),
-		Idempotent: h.Get(headerIdempotent) == "true",
+		Idempotent: h.Get(headerIdempotent) == flagSet,
 		Tenant:     h.Get(headerTenantID),
 		Key:        h.Get(headerKeyValue),
-		Await:      h.Get(headerAwait) == "true",
-		Empty:      h.Get(headerEmpty) == "true",
+		Await:      h.Get(headerAwait) == flagSet,
+		Empty:      h.Get(headerEmpty) == flagSet,
+		NoWait:     h.Get(headerNoWait) == flagSet,
 	}
 	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
 	if err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -8,8 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -32,9 +34,13 @@
 	metrics  *Metrics
 	ready    func() bool
 
+	inFlight    atomic.Int64
+	maxInFlight int64
+
 	mu     sync.Mutex // guards what follows
 	router *routing.Router
 	budget *retry.Budget
+	spare  *retry.Budget // for tries at a busy upstream that may go elsewhere
 	rnd    *rand.Rand
 }
 
@@ -44,22 +50,37 @@
 	Routing routing.Config
 	Retry   retry.Policy
 	Seed    uint64 // of the random choices
+	// MaxInFlight bounds the callers' requests in progress, each with up to
+	// bufferLimit of body. Default 4096.
+	MaxInFlight int
 }
 
+// defaultInFlight is the default of FrontendConfig.MaxInFlight.
+const defaultInFlight = 4096
+
 // NewFrontend returns a frontend. ready says whether requests may be served.
 func NewFrontend(cfg FrontendConfig, holder *snapshot.Holder, members routing.Members, d Dispatcher, m *Metrics, ready func() bool) *Frontend {
+	if cfg.MaxInFlight == 0 {
+		cfg.MaxInFlight = defaultInFlight
+	}
 	return &Frontend{
-		holder:   holder,
-		members:  members,
-		dispatch: d,
-		metrics:  m,
-		ready:    ready,
-		router:   routing.NewRouter(cfg.Routing, cfg.Self),
-		budget:   retry.NewBudget(cfg.Retry),
-		rnd:      rand.New(rand.NewPCG(cfg.Seed, 1)),
+		maxInFlight: int64(cfg.MaxInFlight),
+		holder:      holder,
+		members:     members,
+		dispatch:    d,
+		metrics:     m,
+		ready:       ready,
+		router:      routing.NewRouter(cfg.Routing, cfg.Self),
+		budget:      retry.NewBudget(cfg.Retry),
+		spare:       retry.NewBudget(sparePolicy),
+		rnd:         rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 }
 
+// sparePolicy bounds the requests that ask for a slot at once and are sent on
+// when there is none: they add hand-overs, never work at an upstream.
+var sparePolicy = retry.Policy{Ratio: 0.2, Reserve: 20}
+
 // unroutedKind labels requests that match no route.
 const unroutedKind = "none"
 
@@ -67,10 +88,16 @@
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	snap := f.holder.Current()
-	if snap == nil || !f.ready() {
-		f.fail(w, r, start, notRun(http.StatusServiceUnavailable, retry.Refused, reasonNoTable, defaultRetryAfter))
+	if reason := f.unready(snap); reason != "" {
+		f.fail(w, r, start, notRun(http.StatusServiceUnavailable, retry.Refused, reason, defaultRetryAfter))
 		return
 	}
+	if f.inFlight.Add(1) > f.maxInFlight {
+		f.inFlight.Add(-1)
+		f.fail(w, r, start, notRun(http.StatusServiceUnavailable, retry.Limited, reasonFull, defaultRetryAfter))
+		return
+	}
+	defer f.inFlight.Add(-1)
 	route := snap.Route(r.Method, r.URL.Path)
 	if route == nil {
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
@@ -97,6 +124,17 @@
 	x.serve(ctx, w)
 }
 
+// unready says why no request is served now; empty if they are.
+func (f *Frontend) unready(snap *snapshot.Snapshot) string {
+	switch {
+	case snap == nil:
+		return reasonNoTable
+	case !f.ready():
+		return reasonNotInSync
+	}
+	return ""
+}
+
 func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
 	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
 	_ = copyResponse(w, p.response(r))
@@ -125,6 +163,8 @@
 	// mayHaveRun is set once a try ended ambiguously; from then on nothing may
 	// be reported as not run.
 	mayHaveRun bool
+	// noWait asks the next admitting node for a slot at once.
+	noWait bool
 }
 
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
@@ -135,9 +175,14 @@
 		return
 	}
 	x.f.earn()
+	x.noWait = x.mayGoElsewhere() && x.f.takeSpare()
 	for {
 		resp, class := x.try(ctx)
 		x.f.metrics.tried(class)
+		if x.sendOn(ctx, class, resp) {
+			_ = resp.Body.Close()
+			continue
+		}
 		x.mayHaveRun = x.mayHaveRun || class == retry.Ambiguous
 		if class == retry.Answered {
 			x.finish(w, resp)
@@ -160,6 +205,28 @@
 	}
 }
 
+// mayGoElsewhere reports whether another upstream could take the request.
+func (x *exchange) mayGoElsewhere() bool {
+	return x.route.Pinned == nil && !x.homed() && len(x.route.Service.Upstreams) > 1
+}
+
+// homed reports whether the request has one home, which alone may run it.
+func (x *exchange) homed() bool { return x.env.Key != "" && !x.route.Idempotent }
+
+// sendOn reports whether the request goes on to another upstream because the
+// first one had no slot free. It happens once, and the next one may queue it.
+func (x *exchange) sendOn(ctx context.Context, class retry.Class, resp *http.Response) bool {
+	if !x.noWait {
+		return false
+	}
+	x.noWait = false
+	if class != retry.Limited || resp.Header.Get(HeaderReason) != string(admission.ReasonBusy) {
+		x.f.returnSpare()
+		return false
+	}
+	return x.body.replayable() && ctx.Err() == nil
+}
+
 // retries is the number of further tries. Where the first one is known not to
 // have run, one more is always allowed, as the budget permits.
 func (x *exchange) retries() int { return max(x.route.Retries, 1) }
@@ -222,7 +289,7 @@
 // choose picks the upstream of the next try: the key's home for a keyed
 // non-idempotent request, otherwise by the router.
 func (x *exchange) choose() (membership.Instance, *Problem) {
-	if x.env.Key != "" && !x.route.Idempotent {
+	if x.homed() {
 		return x.chooseHome()
 	}
 	c, ok := x.f.pick(routing.Request{Service: x.route.Service, Pinned: x.route.Pinned, Tried: x.tried})
@@ -263,6 +330,7 @@
 	env.Timeout = time.Until(x.deadline)
 	env.Await = x.body.streams()
 	env.Empty = x.body.length == 0
+	env.NoWait = x.noWait
 	if env.Await {
 		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
 	}
--- /dev/null
+++ b/internal/proxy/frontend_test.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/standin"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// scripted answers each hand-over by the next function of its script, and the
+// last one from then on.
+type scripted struct {
+	script []func(*http.Request) (*http.Response, error)
+	seen   []Envelope
+}
+
+func (s *scripted) To(context.Context, membership.Instance) (http.RoundTripper, error) { return s, nil }
+
+func (s *scripted) RoundTrip(r *http.Request) (*http.Response, error) {
+	env, err := readEnvelope(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	at := min(len(s.seen), len(s.script)-1)
+	s.seen = append(s.seen, env)
+	return s.script[at](r)
+}
+
+func lost(*http.Request) (*http.Response, error) { return nil, io.ErrUnexpectedEOF }
+
+func refuse(reason admission.Reason) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		return refusedBy(admission.Verdict{Reason: reason, RetryAfter: time.Second}).response(r), nil
+	}
+}
+
+func answer(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok")), ContentLength: 2, Request: r}, nil
+}
+
+// serve sends one request through a frontend over a scripted way.
+func serve(t *testing.T, s *scripted, method, path string) *httptest.ResponseRecorder {
+	t.Helper()
+	snap, err := snapshot.Build(standin.Kerbline().Table())
+	assert.NilError(t, err)
+	h := &snapshot.Holder{}
+	h.Advance(snap)
+	members := func(name string) (membership.Member, bool) {
+		return membership.Member{Instance: membership.Instance{Name: name}}, true
+	}
+	f := NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: retry.DefaultPolicy(), Seed: 1}, h, members, s,
+		NewMetrics(tally.NoopScope), func() bool { return true })
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+	return w
+}
+
+// Once a try may have run, a later refusal does not make the request "not run".
+func TestNotRunIsNotClaimedAfterAnAmbiguousTry(t *testing.T) {
+	s := &scripted{script: []func(*http.Request) (*http.Response, error){lost, refuse(admission.ReasonQueueFull)}}
+	w := serve(t, s, http.MethodGet, "/tariff/x")
+	assert.Equal(t, len(s.seen), 2)
+	assert.Equal(t, w.Header().Get(HeaderOutcome), string(OutcomeUnknown))
+}
+
+func TestAmbiguousNonIdempotentIsAnsweredAtOnce(t *testing.T) {
+	s := &scripted{script: []func(*http.Request) (*http.Response, error){lost}}
+	w := serve(t, s, http.MethodPost, "/payments/x")
+	assert.Equal(t, len(s.seen), 1)
+	assert.Equal(t, w.Code, http.StatusBadGateway)
+	assert.Equal(t, w.Header().Get(HeaderOutcome), string(OutcomeUnknown))
+}
+
+// A busy upstream sends the request on to another, which may queue it.
+func TestBusyUpstreamSendsOn(t *testing.T) {
+	s := &scripted{script: []func(*http.Request) (*http.Response, error){refuse(admission.ReasonBusy), answer}}
+	w := serve(t, s, http.MethodPost, "/payments/x")
+	assert.Equal(t, w.Body.String(), "ok")
+	assert.Equal(t, len(s.seen), 2)
+	assert.Assert(t, s.seen[0].NoWait && !s.seen[1].NoWait)
+	assert.Assert(t, s.seen[0].Target != s.seen[1].Target)
+}
+
+func TestCallersCannotSpeakForANode(t *testing.T) {
+	h := http.Header{"Walldrift-Idempotent": {"true"}, "Walldrift-Class": {"refused"}, "X-Other": {"1"}}
+	Envelope{Target: "a", Kind: "k"}.write(h)
+	env, err := readEnvelope(h)
+	assert.NilError(t, err)
+	assert.Assert(t, !env.Idempotent)
+	assert.Equal(t, h.Get("Walldrift-Class"), "")
+	assert.Equal(t, h.Get("X-Other"), "1")
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -26,9 +26,10 @@
 // Metrics holds the counters and histograms of the request path.
 type Metrics struct {
 	scope   tally.Scope
-	mu      sync.RWMutex
-	kinds   map[string]*kindMetrics
-	tenants map[string]tally.Histogram
+	kinds   *labelled[*kindMetrics]
+	tenants *labelled[tally.Histogram]
+	classes *labelled[tally.Counter]
+	reasons *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -42,35 +43,50 @@
 
 // NewMetrics returns the metrics under a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
+	tagged := func(name, label string) tally.Scope { return scope.Tagged(map[string]string{name: label}) }
 	return &Metrics{
-		scope:   scope,
-		kinds:   make(map[string]*kindMetrics),
-		tenants: make(map[string]tally.Histogram),
+		scope: scope,
+		kinds: newLabelled(func(l string) *kindMetrics { return newKindMetrics(tagged("kind", l)) }),
+		tenants: newLabelled(func(l string) tally.Histogram {
+			return tagged("tenant", l).Histogram("tenant_request_seconds", latencyBuckets)
+		}),
+		classes: newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
+		reasons: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
 	}
 }
 
-func (m *Metrics) kind(name string) *kindMetrics {
-	m.mu.RLock()
-	k, ok := m.kinds[name]
-	m.mu.RUnlock()
+// labelled keeps a value for each label, the first maxLabels apart and the rest
+// under otherLabel.
+type labelled[T any] struct {
+	mu     sync.RWMutex
+	values map[string]T
+	make   func(label string) T
+}
+
+func newLabelled[T any](f func(label string) T) *labelled[T] {
+	return &labelled[T]{values: make(map[string]T), make: f}
+}
+
+// get returns the value of a label and makes it when it is first asked for.
+func (l *labelled[T]) get(label string) T {
+	l.mu.RLock()
+	v, ok := l.values[label]
+	full := len(l.values) >= maxLabels
+	l.mu.RUnlock()
 	if ok {
-		return k
+		return v
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if k, ok := m.kinds[name]; ok {
-		return k
+	if full && label != otherLabel {
+		return l.get(otherLabel)
 	}
-	label := name
-	if len(m.kinds) >= maxLabels {
-		label = otherLabel
-		if k, ok := m.kinds[otherLabel]; ok {
-			return k
-		}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v, ok := l.values[label]; ok {
+		return v
 	}
-	k = newKindMetrics(m.scope.Tagged(map[string]string{"kind": label}))
-	m.kinds[label] = k
-	return k
+	v = l.make(label)
+	l.values[label] = v
+	return v
 }
 
 func newKindMetrics(s tally.Scope) *kindMetrics {
@@ -86,51 +102,27 @@
 	return k
 }
 
-func (m *Metrics) tenant(name string) tally.Histogram {
-	m.mu.RLock()
-	h, ok := m.tenants[name]
-	m.mu.RUnlock()
-	if ok {
-		return h
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if h, ok := m.tenants[name]; ok {
-		return h
-	}
-	label := name
-	if len(m.tenants) >= maxLabels {
-		label = otherLabel
-		if h, ok := m.tenants[otherLabel]; ok {
-			return h
-		}
-	}
-	h = m.scope.Tagged(map[string]string{"tenant": label}).Histogram("tenant_request_seconds", latencyBuckets)
-	m.tenants[label] = h
-	return h
-}
-
-func (m *Metrics) queued(kind string, d time.Duration) { m.kind(kind).queueing.RecordDuration(d) }
+func (m *Metrics) queued(kind string, d time.Duration) { m.kinds.get(kind).queueing.RecordDuration(d) }
 
 // finished counts one request of a caller.
 func (m *Metrics) finished(kind, tenant, outcome string, took time.Duration, tries int) {
-	k := m.kind(kind)
+	k := m.kinds.get(kind)
 	k.latency.RecordDuration(took)
 	k.tries.RecordValue(float64(tries))
 	if c, ok := k.outcomes[outcome]; ok {
 		c.Inc(1)
 	}
 	if tenant != "" {
-		m.tenant(tenant).RecordDuration(took)
+		m.tenants.get(tenant).RecordDuration(took)
 	}
 }
 
 func (m *Metrics) tried(c retry.Class) {
-	m.scope.Tagged(map[string]string{"class": c.String()}).Counter("tries_ended").Inc(1)
+	m.classes.get(c.String()).Inc(1)
 }
 
 func (m *Metrics) notRetried(r retry.Reason) {
-	m.scope.Tagged(map[string]string{"reason": string(r)}).Counter("not_retried").Inc(1)
+	m.reasons.get(string(r)).Inc(1)
 }
 
 func (m *Metrics) keyDecision(d ledger.Decision) {
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -33,6 +33,8 @@
 // Reasons given besides those of admission and ledger.
 const (
 	reasonNoTable     = "no-table"
+	reasonNotInSync   = "not-in-sync" // no neighbour has told what it holds, since the start or a pause
+	reasonFull        = "too-many-requests"
 	reasonNoRoute     = "no-route"
 	reasonNoUpstream  = "no-upstream"
 	reasonBadRequest  = "bad-request"
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -114,9 +114,20 @@
 		return ReasonTime
 	case !t.Replayable:
 		return ReasonBody
-	case b.tokens < 1:
+	case !b.Take():
 		return ReasonBudget
 	}
-	b.tokens--
 	return Go
 }
+
+// Return gives back a retry that was taken and not made.
+func (b *Budget) Return() { b.tokens = min(b.tokens+1, b.policy.Reserve) }
+
+// Take takes one retry, and reports whether one was left.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -55,8 +55,10 @@
 	text("tls", "authority", required, "PEM file of the fleet's certificate authority", func(n *Node) *string { return &n.Authority }),
 
 	duration("distribution", "digest_interval", "5s", "mean time between digests on a link; shorter heals sooner, longer costs fewer bytes", func(n *Node) *time.Duration { return &n.DigestInterval }),
+	count("distribution", "readers", "nodes", "2", "nodes of each data centre that always watch the platform; the same on all nodes; more ride out more failures at once, fewer spare the platform", func(n *Node) *int { return &n.Readers }),
 	duration("distribution", "suspicion_timeout", "5s", "time from suspicion to gone; longer forgives longer pauses", func(n *Node) *time.Duration { return &n.SuspicionTimeout }),
 
+	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(n *Node) *int { return &n.MaxInFlight }),
 	count("requests", "max_connections", "connections", "128", "request connections kept to other nodes, about 70 KB each", func(n *Node) *int { return &n.MaxConnections }),
 	duration("requests", "connection_idle", "30s", "time after which an unused request connection is closed", func(n *Node) *time.Duration { return &n.ConnectionIdle }),
 	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.1", Doc: "further tries earned by each request", set: setRatio},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,8 +39,10 @@
 	Authority   string
 
 	DigestInterval   time.Duration
+	Readers          int
 	SuspicionTimeout time.Duration
 
+	MaxInFlight    int
 	MaxConnections int
 	ConnectionIdle time.Duration
 	RetryRatio     float64
