Leave out an upstream that takes requests and answers none

Cause: with a third of the upstreams killed at half load, 10% of the lookups failed though the rest had room. Requests to a dead node wait until its connection ends (2 s) or its handshake times out (1 s), and only then count as failures; until then more are sent to it.

Ruled out: the retry budget (refusals say unreachable and no-upstream, few not-retried for budget) and capacity (two thirds of the slots at 0.5).

Change: an upstream with requests waiting and none answered for 300 ms, or four times its smoothed latency, is left out, softly, until it answers.

--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -34,7 +34,13 @@
 func (f *Frontend) began(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Start(name)
+	f.router.Start(time.Now(), name)
+}
+
+func (f *Frontend) heard(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.router.Heard(time.Now(), name)
 }
 
 func (f *Frontend) ended(name string, o routing.Outcome) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -276,6 +276,7 @@
 		return resp, class
 	}
 	latency := time.Since(sent)
+	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
 		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told})
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -29,6 +29,11 @@
 	// PanicShare is the share of a service's weight that may be left out; if
 	// more is, nothing is, as the evidence is more likely wrong. Default 0.5.
 	PanicShare float64
+	// Silence is the least time without any answer, while requests wait for
+	// one, after which an upstream is left out; four times its smoothed latency
+	// if that is longer. Shorter leaves a dead one sooner, longer forgives
+	// pauses. Default 300 ms.
+	Silence time.Duration
 	// SlowStart is how long a new instance's weight grows to the full.
 	// Default 10 s.
 	SlowStart time.Duration
@@ -47,6 +52,7 @@
 		EjectBase:        time.Second,
 		EjectCap:         30 * time.Second,
 		PanicShare:       0.5,
+		Silence:          300 * time.Millisecond,
 		SlowStart:        10 * time.Second,
 		SlowStartFloor:   0.2,
 	}
@@ -63,6 +69,7 @@
 	generation uint64
 	firstSeen  time.Time
 	inFlight   int
+	unanswered time.Time // since when requests wait and none was answered
 	told       Told
 	toldAt     time.Time
 	toldFlight int // own requests in flight when told
@@ -103,6 +110,18 @@
 	return e.told.Draining && now.Sub(e.toldAt) < drainMemory
 }
 
+// silenceFactor is the multiple of the smoothed latency that counts as silence.
+const silenceFactor = 4
+
+// isSilent reports whether requests have waited too long without any answer.
+func (e *evidence) isSilent(cfg Config, now time.Time) bool {
+	if e.inFlight == 0 {
+		return false
+	}
+	limit := max(cfg.Silence, time.Duration(silenceFactor*e.latency*float64(time.Second)))
+	return now.Sub(e.unanswered) > limit
+}
+
 func (e *evidence) isEjected(now time.Time) bool { return now.Before(e.ejected) }
 
 // observe counts an outcome and leaves the upstream out if too many fail.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -21,10 +21,11 @@
 	AlreadyTried    Exclusion = "tried for this request"
 	NotPinned       Exclusion = "route is pinned to another upstream"
 	Ejected         Exclusion = "left out after failures"                 // soft
+	Silent          Exclusion = "requests wait and none is answered"      // soft
 	SuspectInstance Exclusion = "instance does not answer its neighbours" // soft
 )
 
-func (x Exclusion) soft() bool { return x == Ejected || x == SuspectInstance }
+func (x Exclusion) soft() bool { return x == Ejected || x == Silent || x == SuspectInstance }
 
 // Candidate is one upstream of a service with the verdict on it.
 type Candidate struct {
@@ -120,6 +121,8 @@
 		return SuspectInstance
 	case e.isEjected(now):
 		return Ejected
+	case e.isSilent(r.cfg, now):
+		return Silent
 	}
 	return Eligible
 }
@@ -205,7 +208,7 @@
 	if ok && e.generation >= in.Generation {
 		return e
 	}
-	next := &evidence{generation: in.Generation}
+	next := &evidence{generation: in.Generation, unanswered: now}
 	if ok {
 		// Requests to the earlier process still count until they end.
 		next.inFlight = e.inFlight
@@ -221,9 +224,21 @@
 }
 
 // Start counts a request sent to an upstream.
-func (r *Router) Start(name string) {
+func (r *Router) Start(now time.Time, name string) {
+	e, ok := r.evidence[name]
+	if !ok {
+		return
+	}
+	if e.inFlight == 0 {
+		e.unanswered = now
+	}
+	e.inFlight++
+}
+
+// Heard notes that an upstream answered a request, which may go on.
+func (r *Router) Heard(now time.Time, name string) {
 	if e, ok := r.evidence[name]; ok {
-		e.inFlight++
+		e.unanswered = now
 	}
 }
 
@@ -247,6 +262,9 @@
 	}
 	e.inFlight = max(0, e.inFlight-1)
 	e.observe(r.cfg, now, rnd, o.Failed)
+	if !o.Failed {
+		e.unanswered = now
+	}
 	if o.Told != nil {
 		e.told, e.toldAt, e.toldFlight = *o.Told, now, e.inFlight
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -95,7 +95,7 @@
 				assert.Equal(t, ok, usable)
 				if ok {
 					assert.Assert(t, !forbidden(c.Upstream.Name), c.Upstream.Name)
-					b.router.Start(c.Upstream.Name)
+					b.router.Start(b.now, c.Upstream.Name)
 					flight[c.Upstream.Name]++
 				}
 			},
@@ -151,7 +151,7 @@
 	b := newBed(4)
 	for range 10 {
 		b.pick()
-		b.router.Start("u1")
+		b.router.Start(b.now, "u1")
 		b.router.End(b.now, b.rnd, "u1", Outcome{Failed: true})
 	}
 	assert.Equal(t, b.share(100)["u1"], 0)
@@ -159,12 +159,37 @@
 	assert.Assert(t, b.share(100)["u1"] > 0)
 }
 
+// One that takes requests and answers none is left before any of them fails.
+func TestSilentUpstreamIsLeftOut(t *testing.T) {
+	b := newBed(4)
+	b.pick()
+	b.router.Start(b.now, "u1")
+	b.router.End(b.now, b.rnd, "u1", Outcome{Latency: 10 * time.Millisecond})
+	b.router.Start(b.now, "u1")
+	assert.Equal(t, b.excluded("u1"), Eligible)
+	b.now = b.now.Add(DefaultConfig().Silence + 1)
+	assert.Equal(t, b.excluded("u1"), Silent)
+	assert.Equal(t, b.share(100)["u1"], 0)
+	b.router.Heard(b.now, "u1")
+	assert.Equal(t, b.excluded("u1"), Eligible)
+}
+
+// excluded returns why an upstream is left out now.
+func (b *bed) excluded(name string) Exclusion {
+	for _, c := range b.router.Candidates(b.now, Request{Service: b.service}, b.lookup) {
+		if c.Upstream.Name == name {
+			return c.Excluded
+		}
+	}
+	return NotListed
+}
+
 func TestPanicServesWhenAllLookBad(t *testing.T) {
 	b := newBed(3)
 	for _, n := range []string{"u0", "u1", "u2"} {
 		b.pick()
 		for range 10 {
-			b.router.Start(n)
+			b.router.Start(b.now, n)
 			b.router.End(b.now, b.rnd, n, Outcome{Failed: true})
 		}
 	}
@@ -178,7 +203,7 @@
 	for i := range 6 {
 		n := fmt.Sprintf("u%d", i)
 		b.pick()
-		b.router.Start(n)
+		b.router.Start(b.now, n)
 		told := &Told{InUse: 4, Slots: 4, Waiting: 4}
 		if i == 0 {
 			told = &Told{Slots: 4}
