--- a/internal/console/demo.go
+++ b/internal/console/demo.go
@@ -194,7 +194,7 @@
 	id := version.Of(table.EditionOf(next), next)
 	result := editResult{Cell: cell, Version: id.String(), Pending: true}
 	if _, err := snapshot.Build(next); err != nil {
-		result.Pending, result.Error = false, "published, and refused by every node: "+err.Error()
+		result.Pending, result.Error = false, "published, and refused by the nodes that read it: "+err.Error()
 	}
 	d.remember(result)
 	if result.Pending {
