Start a ready fleet in one place

Reading as a newcomer: goodput, leaving, demo and tests each started a fleet and waited for its first version by themselves. fleet.StartReady does both. Behaviour is the same but for the demo's limit, a minute in place of 30 s.

--- a/internal/bench/goodput.go
+++ b/internal/bench/goodput.go
@@ -12,7 +12,6 @@
 
 	"github.com/walldrift/walldrift/internal/fleet"
 	"github.com/walldrift/walldrift/internal/settings"
-	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/standin"
 )
 
@@ -88,21 +87,11 @@
 		g.Work = time.Duration(float64(g.Work) * cfg.Stretch)
 		capacity += float64(g.Targets*g.Slots) / g.Work.Seconds()
 	}
-	raw := layout.Table()
-	f, err := fleet.Start(fleet.Config{Placements: layout.Placements(), Table: raw, Settings: goodputSettings})
+	f, err := fleet.StartReady(ctx, fleet.Config{Placements: layout.Placements(), Table: layout.Table(), Settings: goodputSettings})
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	snap, err := snapshot.Build(raw)
-	if err != nil {
-		return nil, err
-	}
-	wait, cancel := context.WithTimeout(ctx, time.Minute)
-	defer cancel()
-	if _, err := f.AwaitVersion(wait, snap.ID); err != nil {
-		return nil, err
-	}
 	run := &goodputRun{cfg: cfg, layout: layout, fleet: f}
 	defer run.close()
 	if err := run.targets(); err != nil {
--- a/internal/bench/leaving.go
+++ b/internal/bench/leaving.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/fleet"
-	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/standin"
 )
 
@@ -30,21 +29,11 @@
 // by its health end point and another by its node's shutdown.
 func MeasureLeaving(ctx context.Context) (*LeavingResult, error) {
 	layout := standin.Kerbline()
-	raw := layout.Table()
-	f, err := fleet.Start(fleet.Config{Placements: layout.Placements(), Table: raw})
+	f, err := fleet.StartReady(ctx, fleet.Config{Placements: layout.Placements(), Table: layout.Table()})
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	snap, err := snapshot.Build(raw)
-	if err != nil {
-		return nil, err
-	}
-	wait, cancel := context.WithTimeout(ctx, time.Minute)
-	defer cancel()
-	if _, err := f.AwaitVersion(wait, snap.ID); err != nil {
-		return nil, err
-	}
 	var targets []string
 	for _, p := range layout.Placements() {
 		if p.Service != layout.Groups[0].Service {
--- a/internal/console/demo.go
+++ b/internal/console/demo.go
@@ -41,7 +41,6 @@
 
 // Timing of the demo.
 const (
-	startTimeout   = 30 * time.Second
 	convergeLimit  = 20 * time.Second
 	requestTimeout = 2 * time.Second
 )
@@ -78,30 +77,15 @@
 		return errors.Wrap(err, "page address")
 	}
 	defer func() { _ = listener.Close() }()
-	raw := cfg.Layout.Table()
-	f, err := fleet.Start(fleet.Config{Placements: cfg.Layout.Placements(), Table: raw, Log: cfg.Log, LogLevel: "warn"})
+	f, err := fleet.StartReady(ctx, fleet.Config{Placements: cfg.Layout.Placements(), Table: cfg.Layout.Table(), Log: cfg.Log, LogLevel: "warn"})
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	if err := awaitFirst(ctx, f, raw); err != nil {
-		return err
-	}
 	d := &demo{cfg: cfg, fleet: f}
 	return d.serve(ctx, listener)
 }
 
-func awaitFirst(ctx context.Context, f *fleet.Fleet, raw []byte) error {
-	snap, err := snapshot.Build(raw)
-	if err != nil {
-		return err
-	}
-	wait, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	_, err = f.AwaitVersion(wait, snap.ID)
-	return err
-}
-
 func (d *demo) serve(ctx context.Context, listener net.Listener) error {
 	var targets []string
 	for _, n := range d.fleet.Nodes() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/walldrift/walldrift/internal/peer"
 	"github.com/walldrift/walldrift/internal/platform"
 	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/standin"
 	"github.com/walldrift/walldrift/internal/telemetry"
 	"github.com/walldrift/walldrift/internal/version"
@@ -100,6 +101,29 @@
 	return f, nil
 }
 
+// StartReady is Start followed by a wait, bounded by ctx and startTimeout,
+// until every node has the table in force.
+func StartReady(ctx context.Context, cfg Config) (*Fleet, error) {
+	snap, err := snapshot.Build(cfg.Table)
+	if err != nil {
+		return nil, err
+	}
+	f, err := Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if _, err := f.AwaitVersion(ctx, snap.ID); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// startTimeout bounds the wait of StartReady.
+const startTimeout = time.Minute
+
 // PublishList publishes the instance list.
 func (f *Fleet) PublishList() {
 	f.Platform.Put(platform.KeyInstances, standin.List(uint64(time.Now().UnixMilli()), f.cfg.Placements, f.peers))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -53,10 +53,9 @@
 	if cfg.Settings == nil {
 		cfg.Settings = quickKeys
 	}
-	f, err := Start(cfg)
+	f, err := StartReady(t.Context(), cfg)
 	assert.NilError(t, err)
 	t.Cleanup(f.Close)
-	await(t, f, cfg.Table)
 	return f
 }
 
