Drive the same code by the proof and the proxy; SIGTERM amid uploads

Cause: reading as a newcomer, the asking of other homes stood twice, in the proxy and in the test's model of it, so the machine proved a copy.

--- a/cmd/walldrift/process_test.go
+++ b/cmd/walldrift/process_test.go
@@ -339,6 +339,67 @@
 	return counts.Calls
 }
 
+// slowUpload gives its body in two parts with a pause between them.
+type slowUpload struct {
+	parts [][]byte
+	wait  time.Duration
+}
+
+func (u *slowUpload) Read(b []byte) (int, error) {
+	if len(u.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, u.parts[0])
+	if u.parts[0] = u.parts[0][n:]; len(u.parts[0]) == 0 {
+		u.parts = u.parts[1:]
+		time.Sleep(u.wait)
+	}
+	return n, nil
+}
+
+// SIGTERM reaches the callers' node and all nodes beside the upstreams while
+// uploads are on their way; each gets its whole answer.
+func TestSigtermCutsNoUpload(t *testing.T) {
+	p := startProcesses(t)
+	const uploads = 8
+	type result struct {
+		status int
+		bytes  int
+		err    error
+	}
+	results := make(chan result, uploads)
+	for range uploads {
+		go func() {
+			half := bytes.Repeat([]byte("photo"), 40_000)
+			resp, err := quick.Post("http://"+p.node("tariff-1").Callers+"/payments/x", "image/jpeg",
+				&slowUpload{parts: [][]byte{bytes.Clone(half), bytes.Clone(half)}, wait: 700 * time.Millisecond})
+			if err != nil {
+				results <- result{err: err}
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			var e standin.Echo
+			err = json.NewDecoder(resp.Body).Decode(&e)
+			results <- result{status: resp.StatusCode, bytes: e.Bytes, err: err}
+		}()
+	}
+	time.Sleep(400 * time.Millisecond) // the first half is on its way
+	leaving := []string{"tariff-1", "payments-1", "payments-2", "payments-3", "payments-4"}
+	for _, n := range leaving {
+		p.signal(n, syscall.SIGTERM)
+	}
+	for range uploads {
+		r := <-results
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusOK)
+		assert.Equal(t, r.bytes, 400_000)
+	}
+	for _, n := range leaving {
+		assert.NilError(t, p.byID[n].Wait(), "%s ends cleanly", n)
+		delete(p.byID, n)
+	}
+}
+
 // run executes the binary and returns its exit code and both outputs.
 func run(t *testing.T, args ...string) (int, string) {
 	t.Helper()
--- /dev/null
+++ b/internal/fleet/faults_test.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/distribution"
+	"github.com/walldrift/walldrift/internal/platform"
+	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/standin"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// A graceful shutdown lets an upload and a slow answer in progress end.
+func TestShutdownCutsNothingInFlight(t *testing.T) {
+	f := startSmall(t, Config{})
+	photo := bytes.Repeat([]byte("p"), 1<<20)
+	results := make(chan reply, 4)
+	for _, via := range []string{"look-1", "pay-1"} { // through a peer and through the leaving node itself
+		go func() {
+			slow := io.MultiReader(bytes.NewReader(photo[:1000]), &pausedReader{wait: 300 * time.Millisecond}, bytes.NewReader(photo))
+			results <- send(t, f, via, "POST", "/pay/x", map[string]string{standin.HeaderWork: "300"}, slow)
+		}()
+		go func() {
+			results <- send(t, f, via, "GET", "/look/x", map[string]string{standin.HeaderWork: "500"}, nil)
+		}()
+	}
+	time.Sleep(150 * time.Millisecond)
+	assert.NilError(t, f.StopNode("pay-1"))
+	for range 4 {
+		r := <-results
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusOK, "%s", r.body)
+	}
+}
+
+// pausedReader waits once and gives nothing.
+type pausedReader struct{ wait time.Duration }
+
+func (p *pausedReader) Read([]byte) (int, error) {
+	time.Sleep(p.wait)
+	return 0, io.EOF
+}
+
+func TestPlatformAwayNewNodeStartsFromPeers(t *testing.T) {
+	f := startSmall(t, Config{})
+	f.Platform.SetDown(true)
+	assert.NilError(t, f.StopNode("look-2"))
+	seeds := f.Node("look-1").Instance()
+	f.cfg.Settings = func(n *settings.Node) { quickKeys(n); seed(n, seeds.Name, seeds.Peer) }
+	assert.NilError(t, f.StartNode("look-2"))
+	await(t, f, smallLayout().Table())
+	r := send(t, f, "look-2", "GET", "/look/x", nil, nil)
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
+func seed(n *settings.Node, name string, addr netip.AddrPort) {
+	n.Seeds = []distribution.Seed{{Name: name, Addr: addr}}
+}
+
+// Two data centres are cut from each other, and only one still reaches the
+// platform. Both go on serving; the other follows once the cut ends.
+func TestPartitionBothSidesServeAndAgree(t *testing.T) {
+	f := startSmall(t, Config{Faults: true, Settings: func(n *settings.Node) {
+		quickKeys(n)
+		if n.DataCentre == "dc-2" {
+			n.Platform = &url.URL{Scheme: "http", Host: "127.0.0.1:9"} // nobody answers there
+			n.StartTimeout = time.Minute
+			n.Seeds = []distribution.Seed{{Name: n.Name, Addr: n.Peers}}
+		}
+	}})
+	f.Network.Cut("dc-1", "dc-2", true)
+	next, err := table.Set(smallLayout().Table(), table.Edit{Row: table.RowUpstream, Name: "pay-1", Column: table.ColWeight, Value: "3"})
+	assert.NilError(t, err)
+	f.Platform.Put(platform.KeyTable, next)
+	served := map[string]int{}
+	for range 6 {
+		for _, n := range []string{"pay-1", "pay-2"} { // one on each side
+			r := send(t, f, n, "GET", "/look/x", nil, nil)
+			if r.status == http.StatusOK {
+				served[n]++
+			}
+		}
+	}
+	assert.Assert(t, served["pay-1"] > 0 && served["pay-2"] > 0, "%v", served)
+	assert.Equal(t, f.Node("pay-2").Table().Edition, uint64(1))
+	f.Network.Cut("dc-1", "dc-2", false)
+	await(t, f, next)
+	assert.Assert(t, f.Network.Dropped() > 0)
+}
+
+// One datagram in five is lost; every edit still reaches every node.
+func TestEditsReachAllUnderLoss(t *testing.T) {
+	f := startSmall(t, Config{Faults: true})
+	f.Network.SetLoss(0.2)
+	raw := smallLayout().Table()
+	for i := range 5 {
+		var err error
+		raw, err = table.Set(raw, table.Edit{Row: table.RowUpstream, Name: "pay-1", Column: table.ColWeight, Value: fmt.Sprint(2 + i)})
+		assert.NilError(t, err)
+		f.Platform.Put(platform.KeyTable, raw)
+		await(t, f, raw)
+	}
+	assert.Assert(t, f.Network.Dropped() > 0)
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -75,28 +76,17 @@
 	if v.Ask != "" {
 		ask = append(ask, v.Ask)
 	}
-	asked := map[string]bool{h.name: true}
-	for len(ask) > 0 {
-		name := ask[0]
-		ask = ask[1:]
-		if asked[name] {
-			continue
-		}
-		asked[name] = true
+	fence := Fence{Home: h.name, Version: h.snap.ID}
+	v = AskOthers(h.name, ask, func(name string) (Verdict, error) {
 		if cut(name) {
-			h.ledger.Finish(now, k, NotRun, nil)
-			return PriorUnknown
-		}
-		c := homes[name].ledger.Claim(now, k, Fence{Home: h.name, Version: h.snap.ID})
-		if c.Decision != Moved {
-			h.ledger.Finish(now, k, NotRun, nil)
-			return c.Decision
-		}
-		if c.Ask != "" {
-			ask = append(ask, c.Ask)
+			return Verdict{}, errors.New("cut")
 		}
+		return homes[name].ledger.Claim(now, k, fence), nil
+	})
+	if v.Decision != Run {
+		h.ledger.Finish(now, k, NotRun, nil)
 	}
-	return Run
+	return v.Decision
 }
 
 // TestAtMostOnceAcrossHomes lets callers repeat keys through any node while
@@ -262,6 +252,33 @@
 	assert.Equal(t, len(started.Ask(now.Add(testConfig.Settle+3*time.Second), later, "h1")), 0)
 }
 
+// Any home that cannot be asked, or that names one, stops the run.
+func TestAskOthers(t *testing.T) {
+	claim := func(home string) (Verdict, error) {
+		switch home {
+		case "cut":
+			return Verdict{}, errors.New("cut")
+		case "ran":
+			return Verdict{Decision: Replay}, nil
+		case "fenced":
+			return Verdict{Decision: Moved, Ask: "ran"}, nil
+		}
+		return Verdict{Decision: Moved}, nil
+	}
+	for _, c := range []struct {
+		homes []string
+		want  Decision
+	}{
+		{nil, Run},
+		{[]string{"self", "b", "c"}, Run},
+		{[]string{"b", "cut"}, PriorUnknown},
+		{[]string{"b", "ran"}, Replay},
+		{[]string{"fenced", "b"}, Replay},
+	} {
+		assert.Equal(t, AskOthers("self", c.homes, claim).Decision, c.want, "%v", c.homes)
+	}
+}
+
 func TestRepeatGetsKeptAnswer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(testConfig, now)
--- a/internal/proxy/keys.go
+++ b/internal/proxy/keys.go
@@ -31,7 +31,10 @@
 	}
 	b.mu.Unlock()
 	if len(ask) > 0 {
-		v = c.askOthers(ctx, ask, ledger.Fence{Home: b.cfg.Name, Version: snap.ID})
+		fence := ledger.Fence{Home: b.cfg.Name, Version: snap.ID}
+		v = ledger.AskOthers(b.cfg.Name, ask, func(home string) (ledger.Verdict, error) {
+			return b.claims.Claim(ctx, home, c.key, fence)
+		})
 		if v.Decision != ledger.Run {
 			c.finishKey(ledger.NotRun, nil)
 		}
@@ -39,35 +42,6 @@
 	return c.resolve(v)
 }
 
-// maxClaims bounds the homes asked about one key.
-const maxClaims = 64
-
-// askOthers asks other possible homes of the key, which is held here as running
-// meanwhile, and those that they name. Run means that none of them ran it or
-// will.
-func (c *backendCall) askOthers(ctx context.Context, homes []string, f ledger.Fence) ledger.Verdict {
-	asked := map[string]bool{f.Home: true}
-	for len(homes) > 0 {
-		home := homes[0]
-		homes = homes[1:]
-		if asked[home] {
-			continue
-		}
-		asked[home] = true
-		v, err := c.b.claims.Claim(ctx, home, c.key, f)
-		if err != nil || len(asked) > maxClaims {
-			return ledger.Verdict{Decision: ledger.PriorUnknown}
-		}
-		if v.Decision != ledger.Moved {
-			return v
-		}
-		if v.Ask != "" {
-			homes = append(homes, v.Ask)
-		}
-	}
-	return ledger.Verdict{Decision: ledger.Run}
-}
-
 func (c *backendCall) resolve(v ledger.Verdict) (*http.Response, *Problem) {
 	if v.Decision == ledger.Run {
 		return nil, nil
