Mend what a second reading found

A refusal stood twice in the queue, with and without a capital, and Gate.Refusal, Backend.Drain and Engine.Offered were dead or a second name. A keyed answer that was read to its end no longer starts a goroutine when it is closed.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -126,10 +126,3 @@
 	defer g.mu.Unlock()
 	return g.queue.Load()
 }
-
-// Refusal returns the verdict for a reason, with the advice when to come back.
-func (g *Gate) Refusal(r Reason) Verdict {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.queue.Refusal(r)
-}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -110,15 +110,15 @@
 		return Verdict{Started: true}, nil
 	}
 	if t.NoWait {
-		return q.refusal(ReasonBusy), nil
+		return q.Refusal(ReasonBusy), nil
 	}
 	if q.tooLate(now, t) {
-		return q.refusal(ReasonTooLate), nil
+		return q.Refusal(ReasonTooLate), nil
 	}
 	if q.waiting >= q.cfg.QueueLimit {
 		displaced = q.displace(t)
 		if displaced == nil {
-			return q.refusal(ReasonQueueFull), nil
+			return q.Refusal(ReasonQueueFull), nil
 		}
 	}
 	q.kind(t).push(t)
@@ -169,9 +169,7 @@
 }
 
 // Refusal returns the verdict for a reason, with the advice when to come back.
-func (q *Queue) Refusal(r Reason) Verdict { return q.refusal(r) }
-
-func (q *Queue) refusal(r Reason) Verdict {
+func (q *Queue) Refusal(r Reason) Verdict {
 	return Verdict{Reason: r, RetryAfter: q.retryAfter()}
 }
 
--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -179,9 +179,6 @@
 	return fx
 }
 
-// Offered returns the last document read from the platform by this node.
-func (e *Engine) Offered(d Doc) Offer { return e.offered[d] }
-
 // SourceAnswered notes that the platform answered without news.
 func (e *Engine) SourceAnswered(now time.Time) { e.source = now }
 
--- a/internal/distribution/reader.go
+++ b/internal/distribution/reader.go
@@ -79,18 +79,11 @@
 
 // mayRead asks the engine whether this node reads now.
 func (s *Service) mayRead(ctx context.Context, doc Doc) bool {
-	ch := make(chan bool, 1)
-	s.post(func(now time.Time) Effects {
+	ok, _ := ask(ctx, s, func(now time.Time) bool {
 		first := doc == DocList && s.engine.Held(DocList).IsZero()
-		ch <- s.engine.ShouldRead(now) || first
-		return Effects{}
+		return s.engine.ShouldRead(now) || first
 	})
-	select {
-	case ok := <-ch:
-		return ok
-	case <-ctx.Done():
-		return false
-	}
+	return ok
 }
 
 // readOnce makes one call to the platform and hands the result to the engine.
--- a/internal/distribution/service.go
+++ b/internal/distribution/service.go
@@ -243,6 +243,22 @@
 	}
 }
 
+// ask calls f in the loop and returns its result; false if ctx ends first.
+func ask[T any](ctx context.Context, s *Service, f func(now time.Time) T) (T, bool) {
+	ch := make(chan T, 1)
+	s.post(func(now time.Time) Effects {
+		ch <- f(now)
+		return Effects{}
+	})
+	select {
+	case v := <-ch:
+		return v, true
+	case <-ctx.Done():
+		var none T
+		return none, false
+	}
+}
+
 // Survey asks all nodes for their status.
 func (s *Service) Survey(ctx context.Context) ([]NodeStatus, error) {
 	ch := make(chan Survey, 1)
@@ -274,17 +290,9 @@
 // Refusal returns the newest refused table that would be newer than the held
 // one, with all its findings.
 func (s *Service) Refusal() (Refusal, bool) {
-	ch := make(chan *Refusal, 1)
-	s.post(func(time.Time) Effects {
-		ch <- s.engine.Refused(DocTable)
-		return Effects{}
-	})
-	select {
-	case r := <-ch:
-		if r != nil {
-			return *r, true
-		}
-	case <-s.ctx.Done():
+	r, ok := ask(s.ctx, s, func(time.Time) *Refusal { return s.engine.Refused(DocTable) })
+	if !ok || r == nil {
+		return Refusal{}, false
 	}
-	return Refusal{}, false
+	return *r, true
 }
--- a/internal/distribution/traffic.go
+++ b/internal/distribution/traffic.go
@@ -28,17 +28,8 @@
 
 // WireBytes returns the bytes on the links in use.
 func (s *Service) WireBytes(ctx context.Context) Wire {
-	ch := make(chan Wire, 1)
-	s.post(func(time.Time) Effects {
-		ch <- s.links.wireBytes()
-		return Effects{}
-	})
-	select {
-	case w := <-ch:
-		return w
-	case <-ctx.Done():
-		return Wire{}
-	}
+	w, _ := ask(ctx, s, func(time.Time) Wire { return s.links.wireBytes() })
+	return w
 }
 
 // IsSilent reports whether an error means that the peer stopped answering, as
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -93,7 +93,7 @@
 	n.log.Info("leaving", "timeout", n.cfg.DrainTimeout)
 	n.service.Leave(true)
 	time.Sleep(n.cfg.DrainAnnounce)
-	n.backend.Drain()
+	n.backend.SetDraining(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout)
 	defer cancel()
 	_ = n.callers.Shutdown(ctx)
--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -94,7 +94,7 @@
 	keySuffix     = "-key.pem"
 )
 
-// CertFile and KeyFile return the file names for an instance under dir.
+// CertFile returns the certificate file of an instance under dir.
 func CertFile(dir, name string) string { return filepath.Join(dir, name+certSuffix) }
 
 // KeyFile returns the key file of an instance under dir.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/quic-go/quic-go/http3"
 	"gotest.tools/v3/assert"
 )
 
@@ -84,12 +85,7 @@
 	for range n {
 		conn, err := client.DialRequests(b.Context(), "server", server.Addr())
 		assert.NilError(b, err)
-		req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "https://server/", nil)
-		assert.NilError(b, err)
-		resp, err := conn.RoundTrip(req)
-		assert.NilError(b, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		assert.NilError(b, err)
+		exchange(b, conn)
 	}
 	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/n, "cpu-us/conn")
 	b.ReportMetric(float64(inUse()-memory)/n, "B/conn")
@@ -106,17 +102,23 @@
 	assert.NilError(b, err)
 	cpu, calls := cpuTime(), 0
 	for b.Loop() {
-		req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "https://server/", nil)
-		assert.NilError(b, err)
-		resp, err := conn.RoundTrip(req)
-		assert.NilError(b, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		assert.NilError(b, err)
+		exchange(b, conn)
 		calls++
 	}
 	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(calls), "cpu-us/call")
 }
 
+// exchange sends one small request and reads its answer.
+func exchange(b *testing.B, conn *http3.ClientConn) {
+	b.Helper()
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, "https://server/", nil)
+	assert.NilError(b, err)
+	resp, err := conn.RoundTrip(req)
+	assert.NilError(b, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(b, err)
+}
+
 // inUse returns heap and stacks in use.
 func inUse() int64 {
 	runtime.GC()
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -121,9 +121,6 @@
 	return row, true
 }
 
-// Drain refuses all further work.
-func (b *Backend) Drain() { b.gate.SetDraining(true) }
-
 // SetDraining refuses further work, or takes it again.
 func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -95,6 +95,7 @@
 	got  int64
 	once sync.Once
 	end  func(whole bool)
+	done bool          // end was called
 	tee  *bytes.Buffer // copy of the first bytes; nil for none
 	keep int           // most bytes copied
 	over bool          // more than keep came
@@ -127,7 +128,12 @@
 	b.tee.Write(p)
 }
 
-func (b *endingBody) finish(whole bool) { b.once.Do(func() { b.end(whole) }) }
+func (b *endingBody) finish(whole bool) {
+	b.once.Do(func() {
+		b.done = true
+		b.end(whole)
+	})
+}
 
 // Close ends the body; an answer that was not read to its end was cut.
 func (b *endingBody) Close() error {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -88,6 +88,9 @@
 
 // Close reads on in the background; the request's deadline bounds it.
 func (d *drainedBody) Close() error {
+	if d.done {
+		return d.endingBody.Close()
+	}
 	go func() {
 		_, _ = io.Copy(io.Discard, d.endingBody)
 		_ = d.endingBody.Close()
