--- /dev/null
+++ b/cmd/walldrift/fleet_test.go
@@ -0,0 +1,222 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/bench"
+	"github.com/walldrift/walldrift/internal/platform"
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/standin"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// processes is a fleet of separate processes.
+type processes struct {
+	t    *testing.T
+	dir  string
+	plan *bench.Plan
+	byID map[string]*exec.Cmd
+}
+
+const extraSettings = `[ledger]
+skew = 1ms
+settle = 500ms
+[shutdown]
+announce = 100ms
+`
+
+func startProcesses(t *testing.T) *processes {
+	t.Helper()
+	layout := standin.Kerbline()
+	p := &processes{t: t, dir: t.TempDir(), byID: make(map[string]*exec.Cmd)}
+	var err error
+	p.plan, err = bench.WritePlan(bench.PlanConfig{
+		Dir: p.dir, BasePort: freePorts(t, 80), Placements: layout.Placements(), Table: layout.Table(), Extra: extraSettings,
+	})
+	assert.NilError(t, err)
+	t.Cleanup(p.stopAll)
+	p.startPlatform()
+	p.start("upstreams", "bench", "upstreams", "--dir", p.dir)
+	for _, n := range p.plan.Nodes {
+		p.startNode(n.Name)
+	}
+	p.awaitTable("1-")
+	return p
+}
+
+// freePorts finds a range of ports below the ephemeral ones in which the first
+// is free.
+func freePorts(t *testing.T, n int) int {
+	t.Helper()
+	for base := 21000; base < 32000; base += n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return base
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func (p *processes) startPlatform() {
+	p.start("platform", "standin", "platform", "--listen", p.plan.Platform,
+		"--table", filepath.Join(p.dir, "table.csv"), "--instances", filepath.Join(p.dir, "instances.json"))
+}
+
+func (p *processes) startNode(name string) {
+	p.start(name, "node", "--config", filepath.Join(p.dir, "nodes", name+".ini"))
+}
+
+func (p *processes) start(name string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	assert.NilError(p.t, err)
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(p.t, cmd.Start())
+	p.byID[name] = cmd
+}
+
+func (p *processes) signal(name string, s syscall.Signal) {
+	assert.NilError(p.t, p.byID[name].Process.Signal(s))
+}
+
+// kill ends a process without warning.
+func (p *processes) kill(name string) {
+	p.signal(name, syscall.SIGKILL)
+	_ = p.byID[name].Wait()
+	delete(p.byID, name)
+}
+
+func (p *processes) stopAll() {
+	for _, cmd := range p.byID {
+		_ = cmd.Process.Kill()
+	}
+	for _, cmd := range p.byID {
+		_ = cmd.Wait()
+	}
+}
+
+func (p *processes) node(name string) bench.PlanNode {
+	for _, n := range p.plan.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	p.t.Fatalf("no node %s", name)
+	return bench.PlanNode{}
+}
+
+// awaitTable waits until every running node is ready with a version of the
+// given prefix.
+func (p *processes) awaitTable(prefix string) {
+	p.t.Helper()
+	behind := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		behind = ""
+		for _, n := range p.plan.Nodes {
+			if p.byID[n.Name] != nil && !p.holds(n, prefix) {
+				behind = n.Name
+			}
+		}
+		if behind == "" {
+			return
+		}
+	}
+	p.t.Fatalf("%s does not hold %s", behind, prefix)
+}
+
+func (p *processes) holds(n bench.PlanNode, prefix string) bool {
+	st, ok := p.status(n)
+	return ok && st.Ready && strings.HasPrefix(st.Node.Table, prefix)
+}
+
+type nodeState struct {
+	Ready bool `json:"ready"`
+	Node  struct {
+		Table string `json:"table"`
+	} `json:"node"`
+}
+
+var quick = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (p *processes) status(n bench.PlanNode) (nodeState, bool) {
+	var st nodeState
+	resp, err := quick.Get("http://" + n.Admin + "/status")
+	if err != nil {
+		return st, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return st, json.NewDecoder(resp.Body).Decode(&st) == nil
+}
+
+// edit publishes the table with one weight changed and returns its edition.
+func (p *processes) edit(weight int) string {
+	p.t.Helper()
+	url := "http://" + p.plan.Platform + platform.PathPrefix + platform.KeyTable
+	resp, err := quick.Get(url + "?raw")
+	assert.NilError(p.t, err)
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, resp.Body.Close())
+	next, err := table.Set(raw, table.Edit{Row: table.RowUpstream, Name: "tariff-1", Column: table.ColWeight, Value: fmt.Sprint(weight)})
+	assert.NilError(p.t, err)
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(next))
+	assert.NilError(p.t, err)
+	resp, err = quick.Do(req)
+	assert.NilError(p.t, err)
+	assert.NilError(p.t, resp.Body.Close())
+	return fmt.Sprintf("%d-", table.EditionOf(next))
+}
+
+// call sends a request and returns its outcome header and answer.
+func (p *processes) call(via, method, path string) (status int, outcome string, e standin.Echo, id string) {
+	id = uuid.Must(uuid.NewV7()).String()
+	req, err := http.NewRequest(method, "http://"+p.node(via).Callers+path, strings.NewReader("body"))
+	assert.NilError(p.t, err)
+	req.Header.Set(standin.HeaderRequestID, id)
+	req.Header["idempotency-key"] = []string{id}
+	resp, err := quick.Do(req)
+	if err != nil {
+		return 0, "", e, id
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode == http.StatusOK {
+		assert.NilError(p.t, json.Unmarshal(b, &e))
+		assert.Equal(p.t, e.RequestID, id)
+	}
+	return resp.StatusCode, resp.Header.Get(proxy.HeaderOutcome), e, id
+}
+
+// runs counts how often each request ID ran on any upstream.
+func (p *processes) runs() map[string]int {
+	total := make(map[string]int)
+	for _, n := range p.plan.Nodes {
+		resp, err := quick.Get("http://" + n.Upstream + "/standin/runs")
+		assert.NilError(p.t, err)
+		var some map[string]int
+		assert.NilError(p.t, json.NewDecoder(resp.Body).Decode(&some))
+		_ = resp.Body.Close()
+		for id, c := range some {
+			total[id] += c
+		}
+	}
+	return total
+}
