--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -70,6 +70,7 @@
 		Flags:     ff.NewFlagSet("walldrift"),
 		Subcommands: []*ff.Command{
 			nodeCommand(out),
+			sidecarCommand(out),
 			tableCommand(out),
 			statusCommand(out),
 			explainCommand(out),
--- /dev/null
+++ b/internal/cli/sidecar.go
@@ -0,0 +1,58 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/walldrift/walldrift/internal/discovery"
+	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/sidecar"
+	"github.com/walldrift/walldrift/internal/telemetry"
+	"github.com/walldrift/walldrift/platform"
+)
+
+func sidecarCommand(out IO) *ff.Command {
+	fs := ff.NewFlagSet("sidecar")
+	file := fs.String('c', "config", "", "INI file with the sidecar's settings")
+	check := fs.BoolLong("check", "report every finding and start nothing")
+	set := fs.StringListLong("set", "override: section.key=value (repeatable)")
+	return &ff.Command{
+		Name:      "sidecar",
+		Usage:     "walldrift sidecar --config sidecar.ini [--check] [--set section.key=value]",
+		ShortHelp: "run the process beside one upstream on the users' platform",
+		Flags:     fs,
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return usagef("sidecar needs --config FILE and no arguments")
+			}
+			overrides, err := settings.ParseOverrides(*set)
+			if err != nil {
+				return usagef("--set: %v", err)
+			}
+			cfg, err := settings.LoadSidecar(*file, settings.SidecarEnvironment(), overrides)
+			if err != nil {
+				return err
+			}
+			if *check {
+				_, err = fmt.Fprintf(out.Out, "%s: no findings\n", *file)
+				return err
+			}
+			s, err := sidecar.New(cfg, usersPlatform(), telemetry.NewLogger(out.Out, cfg.LogLevel, cfg.LogFormat, cfg.Name))
+			if err != nil {
+				return err
+			}
+			return s.Run(ctx)
+		},
+	}
+}
+
+// usersPlatform is the adapter of the users' machines.
+func usersPlatform() sidecar.Platform {
+	return sidecar.Platform{
+		Dialect:   platform.Dialect,
+		ReadyPath: platform.ReadyPath,
+		Source:    func(address string) discovery.Source { return platform.NewStore(address) },
+	}
+}
--- /dev/null
+++ b/internal/http1/conn.go
@@ -0,0 +1,352 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readBuffer is the first size of a connection's read buffer; a larger head
+// makes it grow up to Limits.HeaderBytes.
+const readBuffer = 4 << 10
+
+// conn is one connection of a caller. One goroutine reads requests and starts a
+// handler for each; the answers are written in the order of the requests.
+type conn struct {
+	server *Server
+	nc     net.Conn
+	br     *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+	slots  chan struct{} // requests in progress
+	group  sync.WaitGroup
+
+	mu      sync.Mutex
+	last    *exchange // the newest request read
+	closing bool      // no further request is read
+	waiting bool      // the reader waits for the first byte of a request
+	aborted bool
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &conn{
+		server: s,
+		nc:     nc,
+		br:     bufio.NewReaderSize(nc, readBuffer),
+		ctx:    ctx,
+		cancel: cancel,
+		slots:  make(chan struct{}, s.cfg.Pipelined),
+	}
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.server.remove(c)
+	defer c.cancel()
+	for c.next() {
+	}
+	c.group.Wait()
+	c.end()
+}
+
+// next reads one request and starts its handler. It returns false when the
+// connection takes no more.
+func (c *conn) next() bool {
+	limits := c.server.cfg.Limits()
+	if !c.awaitFirst(limits.IdleTimeout) {
+		return false
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	req, status := c.read(limits)
+	if status != 0 {
+		c.refuse(status)
+		return false
+	}
+	if req == nil {
+		c.cancel() // the caller has gone
+		return false
+	}
+	_ = c.nc.SetReadDeadline(time.Time{})
+	return c.start(req)
+}
+
+// awaitFirst waits for the first byte of a request.
+func (c *conn) awaitFirst(idle time.Duration) bool {
+	for {
+		if !c.setWaiting(idle) {
+			return false
+		}
+		b, err := c.br.Peek(1)
+		if !c.doneWaiting() && err != nil {
+			return false
+		}
+		if err == nil {
+			// An empty line before a request is passed over.
+			if b[0] != '\r' && b[0] != '\n' {
+				return true
+			}
+			_, _ = c.br.Discard(1)
+			continue
+		}
+		if isTimeout(err) && c.busy() && !c.isClosing() {
+			continue // the idle time counts from the last answer
+		}
+		if !isTimeout(err) {
+			c.cancel()
+		}
+		return false
+	}
+}
+
+// setWaiting marks the connection as idle unless it is to be closed.
+func (c *conn) setWaiting(idle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || (c.server.draining.Load() && c.last == nil) {
+		if c.br.Buffered() == 0 || c.closing {
+			return false
+		}
+	}
+	c.waiting = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+	return true
+}
+
+// doneWaiting reports whether the connection may go on.
+func (c *conn) doneWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	return !c.closing
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// busy reports whether a request is in progress.
+func (c *conn) busy() bool { return len(c.slots) > 0 }
+
+// wake makes an idle reader notice that the server drains.
+func (c *conn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && !c.busy() {
+		c.closing = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// read reads one request. A status other than 0 refuses it; a nil request
+// without one means that the connection has ended.
+func (c *conn) read(limits Limits) (*http.Request, int) {
+	head, err := c.awaitHead(limits.HeaderBytes)
+	switch {
+	case errors.Is(err, ErrHeadTooLarge):
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		return nil, http.StatusRequestTimeout
+	case err != nil:
+		return nil, 0
+	}
+	if checkHead(head) != nil {
+		return nil, http.StatusBadRequest
+	}
+	req, err := http.ReadRequest(c.br)
+	if err != nil || req.Host == "" && req.ProtoAtLeast(1, 1) {
+		return nil, http.StatusBadRequest
+	}
+	return req, 0
+}
+
+// awaitHead waits until a whole head is buffered and returns it unread.
+func (c *conn) awaitHead(limit int) ([]byte, error) {
+	for {
+		buf, _ := c.br.Peek(c.br.Buffered())
+		if n := headEnd(buf); n > 0 {
+			return buf[:n], nil
+		}
+		if len(buf) >= limit {
+			return nil, ErrHeadTooLarge
+		}
+		if len(buf) == c.br.Size() {
+			c.grow(limit)
+		}
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow replaces the read buffer by a larger one.
+func (c *conn) grow(limit int) {
+	old, _ := c.br.Peek(c.br.Buffered())
+	kept := bytes.Clone(old)
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.nc), max(limit, 2*len(kept)))
+}
+
+// start runs the handler of a request, and waits until its body is read, as the
+// next request follows it.
+func (c *conn) start(req *http.Request) bool {
+	ctx, cancel := context.WithCancel(c.ctx)
+	x := &exchange{c: c, cancel: cancel, done: make(chan struct{}), keep: !req.Close}
+	x.body = newServerBody(x, req)
+	req.Body = x.body
+	req = req.WithContext(ctx)
+	req.RemoteAddr = c.nc.RemoteAddr().String()
+	x.req = req
+	if !c.push(x) {
+		cancel()
+		return false
+	}
+	c.slots <- struct{}{}
+	c.group.Go(func() { c.run(x) })
+	if !x.body.empty {
+		select {
+		case <-x.body.finished:
+		case <-x.done:
+		}
+	}
+	return x.keep
+}
+
+// push appends x to the order of answers.
+func (c *conn) push(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	if c.last != nil {
+		x.prev = c.last.done
+	}
+	c.last = x
+	if !x.keep {
+		c.closing = true
+	}
+	return true
+}
+
+// run calls the handler and ends its answer.
+func (c *conn) run(x *exchange) {
+	defer func() {
+		<-c.slots
+		close(x.done)
+		x.cancel()
+	}()
+	w := newResponseWriter(x)
+	if !c.call(w, x) || !w.finish() {
+		c.abort()
+	}
+	x.body.release()
+	c.settle(x)
+}
+
+// call runs the handler; false means that the answer must not look whole.
+func (c *conn) call(w *responseWriter, x *exchange) (whole bool) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		whole = false
+		if p != http.ErrAbortHandler {
+			debug.PrintStack()
+		}
+	}()
+	c.server.cfg.Handler.ServeHTTP(w, x.req)
+	return true
+}
+
+// settle starts the idle time anew when the last request has been answered, and
+// closes a connection that drains.
+func (c *conn) settle(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last != x {
+		return
+	}
+	c.last = nil
+	if c.closing || c.server.draining.Load() {
+		c.closing = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	if c.waiting {
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
+	}
+}
+
+// announceClose reports whether the answer to x is the last on the connection,
+// and keeps further requests from being read if it is.
+func (c *conn) announceClose(x *exchange, wanted bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last != x {
+		return false
+	}
+	if wanted || !x.keep || c.closing || c.server.draining.Load() {
+		c.closing = true
+		return true
+	}
+	return false
+}
+
+// refuse answers a request that could not be read, behind the answers before
+// it, and ends the connection.
+func (c *conn) refuse(status int) {
+	c.group.Wait()
+	if c.isAborted() {
+		return
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.nc, "HTTP/1.1 "+statusLine(status)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+func (c *conn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
+// abort resets the connection, so that no answer looks whole that is not.
+func (c *conn) abort() {
+	c.mu.Lock()
+	c.closing, c.aborted = true, true
+	c.mu.Unlock()
+	c.cancel()
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.nc.Close()
+}
+
+// end closes the connection: its write side first, then it reads what is still
+// on the way, as closing with unread bytes would reset it.
+func (c *conn) end() {
+	if c.isAborted() || c.ctx.Err() != nil {
+		_ = c.nc.Close()
+		return
+	}
+	if t, ok := c.nc.(*net.TCPConn); ok && t.CloseWrite() == nil {
+		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.nc)
+	}
+	_ = c.nc.Close()
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/internal/http1/server.go
@@ -0,0 +1,139 @@
+package http1
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits bound what a caller may send and how long it may take. They are read
+// anew for each request, so a change is in force at once.
+type Limits struct {
+	// HeaderBytes is the largest head of a request.
+	HeaderBytes int
+	// HeaderTimeout is the time from the first byte of a head to its last.
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may wait for its next request.
+	IdleTimeout time.Duration
+}
+
+// Config holds the settings of a Server.
+type Config struct {
+	Handler http.Handler
+	// Limits returns the limits in force; nil means DefaultLimits.
+	Limits func() Limits
+	// Pipelined is the number of requests of one connection in progress at
+	// once. More hides the wait behind a slow answer, fewer bounds what one
+	// caller can take. Default 8.
+	Pipelined int
+}
+
+// DefaultLimits returns limits for connections between nodes.
+func DefaultLimits() Limits {
+	return Limits{HeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+}
+
+const defaultPipelined = 8
+
+// lingerTime is how long a closing connection goes on reading, so that the
+// last answer is not lost to a reset (RFC 9112 section 9.6).
+const lingerTime = time.Second
+
+// Server serves HTTP/1.1 on any number of listeners.
+type Server struct {
+	cfg      Config
+	draining atomic.Bool
+	closed   atomic.Bool
+
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	listeners []net.Listener
+}
+
+// NewServer returns a server; Serve starts it.
+func NewServer(cfg Config) *Server {
+	if cfg.Limits == nil {
+		cfg.Limits = DefaultLimits
+	}
+	if cfg.Pipelined == 0 {
+		cfg.Pipelined = defaultPipelined
+	}
+	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+}
+
+// acceptPause is the wait after a failed accept, such as one for want of
+// descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// Serve accepts connections until the server is closed or the listener fails.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		switch {
+		case err == nil:
+			c := newConn(s, nc)
+			if s.add(c) {
+				go c.serve()
+			}
+		case s.closed.Load() || errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed.Load() {
+		_ = c.nc.Close()
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// Conns returns the number of open connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Drain announces the end of every connection: answers bear Connection: close,
+// and idle connections are closed. New connections are still served.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.wake()
+	}
+}
+
+// Close closes listeners and connections at once.
+func (s *Server) Close() {
+	s.closed.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	for c := range s.conns {
+		_ = c.nc.Close()
+	}
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -26,6 +26,12 @@
 	// QueueLimit is the number of requests that may wait for a slot.
 	QueueLimit int
 	Ledger     ledger.Config
+	// Dialect names the headers of the upstream. Default: DefaultDialect.
+	Dialect Dialect
+	// Transport calls the upstream; nil means net/http with a pool.
+	Transport http.RoundTripper
+	// WholeAnswers is as in FrontendConfig.
+	WholeAnswers int64
 }
 
 // Backend admits work for the upstream beside it and calls it. It implements
@@ -39,6 +45,7 @@
 	metrics  *Metrics
 	inflight atomic.Int64
 	claims   Claimer
+	leaving  atomic.Bool
 
 	mu      sync.Mutex // guards what follows
 	limits  *admission.Limits
@@ -59,6 +66,9 @@
 
 // NewBackend returns the backend of one upstream.
 func NewBackend(cfg BackendConfig, holder *snapshot.Holder, claims Claimer, m *Metrics, now time.Time) *Backend {
+	if cfg.Dialect == (Dialect{}) {
+		cfg.Dialect = DefaultDialect()
+	}
 	dialer := &net.Dialer{Timeout: upstreamDial}
 	pooled := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -121,9 +131,17 @@
 	return row, true
 }
 
+// SetSlots changes the number of requests that the upstream works on at once,
+// where no table gives it.
+func (b *Backend) SetSlots(n int) { b.gate.SetSlots(n) }
+
 // SetDraining refuses further work, or takes it again.
 func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
 
+// SetLeaving tells callers' nodes with each answer that this node leaves soon,
+// while it still takes work.
+func (b *Backend) SetLeaving(on bool) { b.leaving.Store(on) }
+
 // InFlight returns the requests admitted and not yet ended.
 func (b *Backend) InFlight() int64 { return b.inflight.Load() }
 
@@ -137,7 +155,7 @@
 	if err != nil {
 		return b.refuse(req, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)), nil
 	}
-	if env.Target != b.cfg.Name {
+	if b.cfg.Name != "" && env.Target != b.cfg.Name {
 		return b.refuse(req, refusedBy(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter})), nil
 	}
 	b.inflight.Add(1)
@@ -160,11 +178,11 @@
 func (b *Backend) stamp(h http.Header) {
 	load := b.gate.Load()
 	text := strconv.Itoa(load.InUse) + "/" + strconv.Itoa(load.Slots) + "/" + strconv.Itoa(load.Waiting)
-	if b.gate.Draining() {
+	if b.gate.Draining() || b.leaving.Load() {
 		text += "/draining"
 	}
 	h.Set(headerLoad, text)
-	h.Set(HeaderServedBy, b.cfg.Name)
+	setIf(h, HeaderServedBy, b.cfg.Name)
 }
 
 // backendCall is one request on its way through the backend.
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -4,47 +4,72 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/retry"
 )
 
-// bufferLimit is the longest request body kept for a further try. Longer ones
-// stream, and are held back until the request is admitted.
-const bufferLimit = 32 << 10
+// defaultBufferLimit is the default of FrontendConfig.BufferLimit.
+const defaultBufferLimit = 32 << 10
 
 // requestBody is a caller's body that can be sent again as long as nothing of
 // it is gone.
 type requestBody struct {
 	buffered []byte // whole body, if it is short
-	stream   io.ReadCloser
-	length   int64
+	stream   io.Reader
+	length   int64       // negative if it is not known
 	touched  atomic.Bool // bytes of the stream were read
 }
 
-// newRequestBody buffers a short body and wraps a long one.
-func newRequestBody(r *http.Request) (*requestBody, error) {
+// errBodyTooLong reports a body over the limit of the table.
+var errBodyTooLong = errors.New("request body is too long")
+
+// newRequestBody buffers a body of up to limit bytes and wraps a longer one. A
+// body longer than most, if that is not 0, gives errBodyTooLong.
+func newRequestBody(r *http.Request, limit, most int64) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		b.length = 0
 		return b, nil
 	}
-	if r.ContentLength < 0 || r.ContentLength > bufferLimit {
+	if most > 0 && r.ContentLength > most {
+		return nil, errBodyTooLong
+	}
+	if r.ContentLength > limit {
 		b.stream = r.Body
 		return b, nil
 	}
-	var err error
-	b.buffered, err = io.ReadAll(io.LimitReader(r.Body, r.ContentLength+1))
-	if err != nil {
+	head, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
 		return nil, errors.Wrap(err, "request body")
-	}
-	if int64(len(b.buffered)) != r.ContentLength {
+	case r.ContentLength >= 0 && int64(len(head)) != r.ContentLength:
 		return nil, errors.Wrap(io.ErrUnexpectedEOF, "request body")
+	case int64(len(head)) > limit:
+		b.stream = io.MultiReader(bytes.NewReader(head), r.Body)
+		return b, nil
 	}
+	b.buffered, b.length = head, int64(len(head))
 	return b, nil
 }
 
+// bodyProblem turns an error of newRequestBody into an answer.
+func bodyProblem(err error) *Problem {
+	var ne net.Error
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return notRun(http.StatusRequestEntityTooLarge, retry.Refused, reasonBadRequest, 0)
+	case errors.As(err, &ne) && ne.Timeout():
+		return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
+	}
+	return notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)
+}
+
 // replayable reports whether the body can be sent again.
 func (b *requestBody) replayable() bool { return b.stream == nil || !b.touched.Load() }
 
@@ -140,3 +165,32 @@
 	b.finish(b.want >= 0 && b.got == b.want)
 	return b.ReadCloser.Close()
 }
+
+// whole reads an answer of up to limit bytes to its end. It returns nil if the
+// answer is cut, and a body that goes on for a longer one.
+func whole(resp *http.Response, limit int64) io.ReadCloser {
+	if limit == 0 || resp.ContentLength > limit || resp.Request != nil && resp.Request.Method == http.MethodHead {
+		return resp.Body
+	}
+	var head bytes.Buffer
+	if resp.ContentLength > 0 {
+		head.Grow(int(resp.ContentLength) + bytes.MinRead)
+	}
+	_, err := io.Copy(&head, io.LimitReader(resp.Body, limit+1))
+	switch {
+	case err != nil || resp.ContentLength >= 0 && int64(head.Len()) != resp.ContentLength:
+		_ = resp.Body.Close()
+		return nil
+	case int64(head.Len()) > limit:
+		return &resumedBody{Reader: io.MultiReader(&head, resp.Body), Closer: resp.Body}
+	}
+	_ = resp.Body.Close()
+	resp.ContentLength = int64(head.Len())
+	return io.NopCloser(&head)
+}
+
+// resumedBody is an answer whose first bytes were read already.
+type resumedBody struct {
+	io.Reader
+	io.Closer
+}
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -8,6 +8,7 @@
 
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/snapshot"
 )
 
 // The methods here guard the router, the budget and the random numbers of the
@@ -19,6 +20,28 @@
 	return f.router.Pick(time.Now(), f.rnd, req, f.members)
 }
 
+// share returns the service of a request: the route's, or one of its shares
+// drawn by weight.
+func (f *Frontend) share(route *snapshot.Route) *snapshot.Service {
+	total := 0.0
+	for _, s := range route.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return route.Service
+	}
+	f.mu.Lock()
+	at := f.rnd.Float64() * total
+	f.mu.Unlock()
+	for _, s := range route.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
+
 // Explain returns the verdict on every upstream of a service, as a request
 // would meet it now; false if there is no such service.
 func (f *Frontend) Explain(service string) ([]routing.Candidate, bool) {
--- /dev/null
+++ b/internal/proxy/dialect.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Dialect names the headers that the callers and upstreams of a deployment use
+// beside the project's own. An empty name is not used.
+type Dialect struct {
+	// RequestID identifies one attempt of a caller; an upstream echoes it.
+	RequestID string
+	// Deadline is how long the caller, or the node, waits: milliseconds.
+	Deadline string
+	// Signature proves that an answer is the upstream's own.
+	Signature string
+	// ExpectedInstance is the one process that may run the request; another
+	// one at its address answers 421.
+	ExpectedInstance string
+	// CallerService tells an upstream the service beside whose node the request
+	// began.
+	CallerService string
+	// NotExecuted in an upstream's answer says that it did not run the request.
+	NotExecuted string
+	// Load in an upstream's answer is "running,waiting,slots".
+	Load string
+	// FractionalRetryAfter allows fractions of a second in Retry-After.
+	FractionalRetryAfter bool
+}
+
+// DefaultDialect names the headers of a deployment that uses the project's own.
+func DefaultDialect() Dialect { return Dialect{Deadline: HeaderTimeout} }
+
+// callerTimeout is the limit, or the time that the caller waits if that is
+// shorter.
+func (d Dialect) callerTimeout(h http.Header, limit time.Duration) time.Duration {
+	ms, err := strconv.ParseFloat(h.Get(d.Deadline), 64)
+	if err != nil || !(ms > 0) || ms > float64(limit.Milliseconds()) {
+		return limit
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// retryAfter writes the advice when to come back.
+func (d Dialect) retryAfter(after time.Duration) string {
+	if d.FractionalRetryAfter {
+		return strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(after.Seconds())))
+}
+
+// Belongs reports whether an upstream's answer is to the request.
+func (d Dialect) Belongs(req *http.Request, resp *http.Response) bool {
+	if d.RequestID == "" {
+		return true
+	}
+	return resp.Header.Get(d.RequestID) == req.Header.Get(d.RequestID)
+}
+
+// genuine reports whether an answer is the upstream's own. Only successes need
+// to prove it: a failure without proof is passed on as what it is.
+func (d Dialect) genuine(resp *http.Response) bool {
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	return d.Signature == "" || !success || resp.Header.Get(d.Signature) != ""
+}
+
+// notExecuted reports whether the upstream says that it did not run the
+// request.
+func (d Dialect) notExecuted(resp *http.Response) bool {
+	if d.ExpectedInstance != "" && resp.StatusCode == http.StatusMisdirectedRequest {
+		return true
+	}
+	return d.NotExecuted != "" && resp.Header.Get(d.NotExecuted) != ""
+}
+
+// impliesNotRun reports whether callers take the status for a promise that the
+// request did not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// rawPath is the path as the caller wrote it, without the query.
+func rawPath(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		path, _, _ := strings.Cut(r.RequestURI, "?")
+		return path
+	}
+	return r.URL.EscapedPath()
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/retry"
 )
@@ -38,6 +39,19 @@
 	}
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
+	if problem := c.unusable(resp); problem != nil {
+		_ = resp.Body.Close()
+		cancel()
+		return nil, problem
+	}
+	if resp.Body = whole(resp, c.b.cfg.WholeAnswers); resp.Body == nil {
+		err := ctx.Err()
+		cancel()
+		if err != nil {
+			return nil, c.failure(err, true)
+		}
+		return nil, unknownOutcome(http.StatusBadGateway, reasonLost)
+	}
 	c.b.stamp(resp.Header)
 	body := &endingBody{ReadCloser: resp.Body, want: resp.ContentLength}
 	if out.Method == http.MethodHead || resp.StatusCode == http.StatusNotModified || resp.StatusCode == http.StatusNoContent {
@@ -54,9 +68,25 @@
 	return resp, nil
 }
 
+// unusable returns the problem in place of an answer that must not be passed
+// on: a refusal, a success that is not the upstream's own, and a status that
+// callers would take for a promise that the request did not run.
+func (c *backendCall) unusable(resp *http.Response) *Problem {
+	d := c.b.cfg.Dialect
+	switch {
+	case d.notExecuted(resp):
+		return notRun(http.StatusServiceUnavailable, retry.Rejected, reasonRejected, rejectedRetryAfter)
+	case !d.genuine(resp):
+		return unknownOutcome(http.StatusBadGateway, reasonNotGenuine)
+	case d.NotExecuted != "" && !c.env.Idempotent && impliesNotRun(resp.StatusCode):
+		return unknownOutcome(http.StatusBadGateway, reasonUnproven)
+	}
+	return nil
+}
+
 // failure classifies an error of the call to the upstream.
 func (c *backendCall) failure(err error, connected bool) *Problem {
-	if !connected {
+	if !connected || errors.Is(err, http1.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUpstream, defaultRetryAfter)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -101,7 +131,6 @@
 // upstreamRequest builds the request to the upstream.
 func (c *backendCall) upstreamRequest(ctx context.Context) *http.Request {
 	out := c.req.Clone(ctx)
-	out.RequestURI = ""
 	out.URL.Scheme, out.URL.Host = c.b.cfg.Upstream.Scheme, c.b.cfg.Upstream.Host
 	out.GetBody = nil // nothing may replay the request
 	if c.env.Empty {
@@ -111,7 +140,11 @@
 	stripOwn(out.Header)
 	stripHop(out.Header)
 	left := time.Until(c.start.Add(c.env.Timeout)).Milliseconds()
-	out.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	d := c.b.cfg.Dialect
+	out.Header.Set(d.Deadline, strconv.FormatInt(max(left, 1), 10))
+	if d.ExpectedInstance != "" {
+		out.Header.Set(d.ExpectedInstance, c.env.Target)
+	}
 	setIf(out.Header, HeaderTenant, c.env.Tenant)
 	if c.env.Key != "" {
 		// net/http replays any request that has this header in its canonical
@@ -130,6 +163,9 @@
 // the table says that such a request is not idempotent, it goes over a new
 // connection, on which nothing is replayed.
 func (b *Backend) transport(env Envelope, method string) http.RoundTripper {
+	if b.cfg.Transport != nil {
+		return b.cfg.Transport
+	}
 	if env.Idempotent {
 		return b.pooled
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -26,6 +26,7 @@
 // Frontend serves callers: it routes each request on the snapshot in force
 // when the request came, and hands it to the node beside the chosen upstream.
 type Frontend struct {
+	cfg      FrontendConfig
 	holder   *snapshot.Holder
 	members  routing.Members
 	dispatch Dispatcher
@@ -51,6 +52,43 @@
 	// MaxInFlight bounds the callers' requests in progress, each with up to
 	// bufferLimit of body. Default 4096.
 	MaxInFlight int
+	// Dialect names the headers of callers. Default: DefaultDialect.
+	Dialect Dialect
+	// BufferLimit is the longest request body kept for a further try, in bytes.
+	// Longer ones stream and can be tried again only while untouched. Default
+	// 32 KB.
+	BufferLimit int64
+	// WholeAnswers is the longest answer, in bytes, that is read to its end
+	// before any of it is passed on, so that one that is cut can still be tried
+	// again or reported. Default 0: every answer streams.
+	WholeAnswers int64
+	// IgnoreKeys passes idempotency keys on as any other header: no node is
+	// their home.
+	IgnoreKeys bool
+	// CallerService returns the service beside this node, for
+	// Dialect.CallerService.
+	CallerService func() string
+	// BodyLimit returns the longest request body allowed, in bytes; 0 for any.
+	BodyLimit func() int64
+}
+
+func (cfg *FrontendConfig) setDefaults() {
+	if cfg.MaxInFlight == 0 {
+		cfg.MaxInFlight = defaultInFlight
+	}
+	if cfg.Dialect == (Dialect{}) {
+		cfg.Dialect = DefaultDialect()
+	}
+	if cfg.BufferLimit == 0 {
+		cfg.BufferLimit = defaultBufferLimit
+	}
+	if cfg.CallerService == nil {
+		service := cfg.Self.Service
+		cfg.CallerService = func() string { return service }
+	}
+	if cfg.BodyLimit == nil {
+		cfg.BodyLimit = func() int64 { return 0 }
+	}
 }
 
 // defaultInFlight is the default of FrontendConfig.MaxInFlight.
@@ -58,10 +96,9 @@
 
 // NewFrontend returns a frontend. ready says whether requests may be served.
 func NewFrontend(cfg FrontendConfig, holder *snapshot.Holder, members routing.Members, d Dispatcher, m *Metrics, ready func() bool) *Frontend {
-	if cfg.MaxInFlight == 0 {
-		cfg.MaxInFlight = defaultInFlight
-	}
+	cfg.setDefaults()
 	return &Frontend{
+		cfg:         cfg,
 		maxInFlight: int64(cfg.MaxInFlight),
 		holder:      holder,
 		members:     members,
@@ -96,22 +133,24 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
-	route := snap.Route(r.Method, r.URL.Path)
+	route := snap.Match(r.Host, r.Method, rawPath(r))
 	if route == nil {
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
 		return
 	}
-	timeout := callerTimeout(r.Header, route.Timeout)
+	timeout := f.cfg.Dialect.callerTimeout(r.Header, route.Timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(timeout))
 	defer cancel()
+	service := f.share(route)
 	x := &exchange{
 		f:        f,
 		route:    route,
+		service:  service,
 		req:      r,
 		start:    start,
 		deadline: start.Add(timeout),
 		env: Envelope{
-			Service:    route.Service.Name,
+			Service:    service.Name,
 			Kind:       route.Kind,
 			KindWeight: route.KindWeight,
 			Idempotent: route.Idempotent,
@@ -119,9 +158,15 @@
 			Key:        r.Header.Get(HeaderKey),
 		},
 	}
+	if f.cfg.IgnoreKeys {
+		x.env.Key = ""
+	}
 	x.serve(ctx, w)
 }
 
+// InFlight returns the callers' requests in progress.
+func (f *Frontend) InFlight() int64 { return f.inFlight.Load() }
+
 // unready says why no request is served now; empty if they are.
 func (f *Frontend) unready(snap *snapshot.Snapshot) string {
 	switch {
@@ -135,22 +180,26 @@
 
 func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
 	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
-	_ = copyResponse(w, p.response(r))
+	_ = copyResponse(w, f.answer(p, r))
 }
 
-// callerTimeout is the route's timeout, or the caller's if that is shorter.
-func callerTimeout(h http.Header, limit time.Duration) time.Duration {
-	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
-	if err != nil || ms <= 0 || ms > limit.Milliseconds() {
-		return limit
+// answer builds the answer of a problem for a caller.
+func (f *Frontend) answer(p *Problem, r *http.Request) *http.Response {
+	resp := p.response(r)
+	if p.RetryAfterMs > 0 {
+		resp.Header.Set("Retry-After", f.cfg.Dialect.retryAfter(time.Duration(p.RetryAfterMs)*time.Millisecond))
+	}
+	if id := f.cfg.Dialect.RequestID; id != "" {
+		resp.Header.Set(id, r.Header.Get(id))
 	}
-	return time.Duration(ms) * time.Millisecond
+	return resp
 }
 
 // exchange is one request of a caller with its tries.
 type exchange struct {
 	f        *Frontend
 	route    *snapshot.Route
+	service  *snapshot.Service // of the route, or its share of a split
 	req      *http.Request
 	body     *requestBody
 	env      Envelope
@@ -158,6 +207,7 @@
 	deadline time.Time
 	tried    []string
 	tries    int
+	arrived  int // tries that reached an upstream
 	// mayHaveRun is set once a try ended ambiguously; from then on nothing may
 	// be reported as not run.
 	mayHaveRun bool
@@ -167,9 +217,10 @@
 
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
 	var err error
-	x.body, err = newRequestBody(x.req)
+	_ = http.NewResponseController(w).SetReadDeadline(x.deadline)
+	x.body, err = newRequestBody(x.req, x.f.cfg.BufferLimit, x.f.cfg.BodyLimit())
 	if err != nil {
-		x.finish(w, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0).response(x.req))
+		x.finish(w, x.f.answer(bodyProblem(err), x.req))
 		return
 	}
 	x.f.earn()
@@ -182,6 +233,9 @@
 			continue
 		}
 		x.mayHaveRun = x.mayHaveRun || class == retry.Ambiguous
+		if class.Arrived() {
+			x.arrived++
+		}
 		if class == retry.Answered {
 			x.finish(w, resp)
 			return
@@ -189,6 +243,7 @@
 		reason := x.f.again(retry.Try{
 			Class:      class,
 			Idempotent: x.route.Idempotent,
+			Arrived:    x.arrived,
 			Number:     x.tries,
 			Retries:    x.retries(),
 			Remaining:  time.Until(x.deadline),
@@ -205,7 +260,7 @@
 
 // mayGoElsewhere reports whether another upstream could take the request.
 func (x *exchange) mayGoElsewhere() bool {
-	return x.route.Pinned == nil && !x.homed() && len(x.route.Service.Upstreams) > 1
+	return x.route.Pinned == nil && !x.homed() && len(x.service.Upstreams) > 1
 }
 
 // homed reports whether the request has one home, which alone may run it.
@@ -232,10 +287,13 @@
 // finish sends the response to the caller and counts the request.
 func (x *exchange) finish(w http.ResponseWriter, resp *http.Response) {
 	outcome := resp.Header.Get(HeaderOutcome)
+	if outcome != "" {
+		x.speakTo(resp)
+	}
 	if x.mayHaveRun && Outcome(outcome) == OutcomeNotRun {
 		// The last try did not run, an earlier one may have.
 		_ = resp.Body.Close()
-		resp = unknownOutcome(resp.StatusCode, resp.Header.Get(HeaderReason)).response(x.req)
+		resp = x.f.answer(unknownOutcome(http.StatusBadGateway, resp.Header.Get(HeaderReason)), x.req)
 		outcome = string(OutcomeUnknown)
 	}
 	if outcome == "" {
@@ -253,11 +311,22 @@
 	}
 }
 
+// speakTo puts an answer that a node made into the caller's dialect.
+func (x *exchange) speakTo(resp *http.Response) {
+	d := x.f.cfg.Dialect
+	if ms, err := strconv.ParseInt(resp.Header.Get(HeaderRetryAfterMs), 10, 64); err == nil {
+		resp.Header.Set("Retry-After", d.retryAfter(time.Duration(ms)*time.Millisecond))
+	}
+	if d.RequestID != "" {
+		resp.Header.Set(d.RequestID, x.req.Header.Get(d.RequestID))
+	}
+}
+
 // try makes one try and returns its response, made up if there was none.
 func (x *exchange) try(ctx context.Context) (*http.Response, retry.Class) {
 	target, problem := x.choose()
 	if problem != nil {
-		return problem.response(x.req), problem.class
+		return x.f.answer(problem, x.req), problem.class
 	}
 	x.tries++
 	x.tried = append(x.tried, target.Name)
@@ -266,13 +335,18 @@
 	resp, problem := x.send(ctx, target)
 	if problem != nil {
 		x.f.ended(target.Name, routing.Outcome{Failed: ctx.Err() == nil})
-		return problem.response(x.req), problem.class
+		return x.f.answer(problem, x.req), problem.class
 	}
 	class := classOf(resp.Header)
 	if class != retry.Answered {
 		x.f.ended(target.Name, routing.Outcome{Failed: class == retry.NeverDispatched || class == retry.Ambiguous, Told: readLoad(resp.Header)})
 		return resp, class
 	}
+	if resp.Body = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
+		x.f.ended(target.Name, routing.Outcome{Failed: true})
+		problem := unknownOutcome(http.StatusBadGateway, reasonLost)
+		return x.f.answer(problem, x.req), problem.class
+	}
 	latency := time.Since(sent)
 	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
@@ -291,7 +365,7 @@
 	if x.homed() {
 		return x.chooseHome()
 	}
-	c, ok := x.f.pick(routing.Request{Service: x.route.Service, Pinned: x.route.Pinned, Tried: x.tried})
+	c, ok := x.f.pick(routing.Request{Service: x.service, Pinned: x.route.Pinned, Tried: x.tried})
 	if !ok {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
 	}
@@ -300,7 +374,7 @@
 
 func (x *exchange) chooseHome() (membership.Instance, *Problem) {
 	key := ledger.Key{Service: x.env.Service, Tenant: x.env.Tenant, Value: x.env.Key}
-	m, ok := x.f.members(ledger.Home(x.route.Service, key))
+	m, ok := x.f.members(ledger.Home(x.service, key))
 	if !ok || m.Status == membership.Gone {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonHome, defaultRetryAfter)
 	}
@@ -334,7 +408,6 @@
 		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
 	}
 	out := x.req.Clone(ctx)
-	out.RequestURI = ""
 	out.URL.Scheme = "https"
 	out.URL.Host = target.Name
 	out.Host = x.req.Host
@@ -343,5 +416,12 @@
 	out.GetBody = nil
 	stripHop(out.Header)
 	env.write(out.Header)
+	d := x.f.cfg.Dialect
+	if d.CallerService != "" {
+		out.Header.Set(d.CallerService, x.f.cfg.CallerService())
+	}
+	if d.ExpectedInstance != "" {
+		out.Header.Del(d.ExpectedInstance)
+	}
 	return out
 }
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -43,6 +43,9 @@
 	reasonDeadline    = "deadline"
 	reasonHome        = "home-unavailable"
 	reasonUpstream    = "upstream-refused-connection"
+	reasonRejected    = "upstream-rejected"  // the upstream says that it did not run it
+	reasonNotGenuine  = "answer-not-genuine" // a success without the upstream's signature
+	reasonUnproven    = "refusal-not-proven" // a refusing status that does not say "not run"
 )
 
 // Problem is an answer that a node makes itself, in the form of RFC 9457.
@@ -58,6 +61,10 @@
 
 const problemType = "application/problem+json"
 
+// rejectedRetryAfter is the advice where an upstream rejected a request: its
+// queue is short, so room comes soon.
+const rejectedRetryAfter = 150 * time.Millisecond
+
 // defaultRetryAfter is the advice where nothing better is known.
 const defaultRetryAfter = time.Second
 
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/retry"
 )
 
@@ -19,7 +20,7 @@
 	ctx = context.WithValue(ctx, admittedHook{}, f)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
-			if code == http.StatusEarlyHints {
+			if code == http.StatusEarlyHints || code == http.StatusContinue {
 				f()
 			}
 			return nil
@@ -34,7 +35,7 @@
 		// RFC 9114 section 4.1.1: the request was not processed.
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonUnreachable, defaultRetryAfter)
 	}
-	if errors.Is(err, ErrNotSent) {
+	if errors.Is(err, ErrNotSent) || errors.Is(err, http1.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUnreachable, defaultRetryAfter)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -22,11 +22,13 @@
 	Refused
 	// Limited is Refused because of overload or a limit.
 	Limited
+	// Rejected means that the upstream itself got it and said that it was not run.
+	Rejected
 	// Ambiguous means that it may have run.
 	Ambiguous
 )
 
-var classNames = [...]string{"answered", "never-dispatched", "refused", "limited", "ambiguous"}
+var classNames = [...]string{"answered", "never-dispatched", "refused", "limited", "rejected", "ambiguous"}
 
 // String returns the class in the form used in headers and metrics.
 func (c Class) String() string { return classNames[min(c, Ambiguous)] }
@@ -43,7 +45,11 @@
 }
 
 // NotRun reports whether the request is known not to have run.
-func (c Class) NotRun() bool { return c == NeverDispatched || c == Refused || c == Limited }
+func (c Class) NotRun() bool { return c != Answered && c != Ambiguous }
+
+// Arrived reports whether the request may have reached an upstream, and so
+// counts against the budget and the number of tries.
+func (c Class) Arrived() bool { return c == Answered || c == Rejected || c == Ambiguous }
 
 // Policy holds the numbers of the decision.
 type Policy struct {
@@ -54,6 +60,11 @@
 	Reserve float64
 	// MinRemaining is the time that must be left for another try. Default 5 ms.
 	MinRemaining time.Duration
+	// FreeTries is the number of tries, beyond the allowed ones, that may end at
+	// a node before they reach an upstream. They cost no budget, as they add no
+	// load to the upstreams. More finds room in more places, fewer hands a
+	// request around less. Default 0: every try counts alike.
+	FreeTries int
 }
 
 // DefaultPolicy returns the defaults given at the fields.
@@ -78,6 +89,9 @@
 type Try struct {
 	Class      Class
 	Idempotent bool
+	// Arrived counts the tries that may have reached an upstream. While it is 0
+	// another try adds nothing to the load of the upstreams.
+	Arrived int
 	// Number counts the tries made, from 1; Retries is the most further ones.
 	Number  int
 	Retries int
@@ -108,18 +122,28 @@
 		return ReasonDone
 	case !t.Class.NotRun() && !t.Idempotent:
 		return ReasonMayRun
-	case t.Number > t.Retries:
+	case b.exhausted(t):
 		return ReasonTries
 	case t.Remaining < b.policy.MinRemaining:
 		return ReasonTime
 	case !t.Replayable:
 		return ReasonBody
+	case b.policy.FreeTries > 0 && t.Arrived == 0:
+		return Go
 	case !b.Take():
 		return ReasonBudget
 	}
 	return Go
 }
 
+// exhausted reports whether no try is left by their number.
+func (b *Budget) exhausted(t Try) bool {
+	if b.policy.FreeTries == 0 {
+		return t.Number > t.Retries
+	}
+	return t.Arrived > t.Retries || t.Number > t.Retries+b.policy.FreeTries
+}
+
 // Return gives back a retry that was taken and not made.
 func (b *Budget) Return() { b.tokens = min(b.tokens+1, b.policy.Reserve) }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -12,8 +12,8 @@
 	"github.com/walldrift/walldrift/internal/distribution"
 )
 
-// Field describes one setting.
-type Field struct {
+// Field describes one setting of the settings T.
+type Field[T any] struct {
 	Section string
 	Key     string
 	Unit    string
@@ -22,13 +22,13 @@
 	Required bool
 	Doc      string
 
-	set func(n *Node, value string) error
+	set func(n *T, value string) error
 }
 
 // Fields lists all settings in the order of the reference page.
-func Fields() []Field { return fields }
+func Fields() []Field[Node] { return fields }
 
-var fields = []Field{
+var fields = []Field[Node]{
 	text("instance", "name", required, "name of the instance, as in the table and the certificate", func(n *Node) *string { return &n.Name }),
 	text("instance", "service", required, "service that the upstream belongs to", func(n *Node) *string { return &n.Service }),
 	text("instance", "data_centre", required, "data centre of the instance", func(n *Node) *string { return &n.DataCentre }),
@@ -77,23 +77,23 @@
 // required in place of a default says that there is none.
 const required = "\x00"
 
-func newField(section, key, unit, def, doc string, set func(*Node, string) error) Field {
-	f := Field{Section: section, Key: key, Unit: unit, Default: def, Doc: doc, set: set}
+func newField[T any](section, key, unit, def, doc string, set func(*T, string) error) Field[T] {
+	f := Field[T]{Section: section, Key: key, Unit: unit, Default: def, Doc: doc, set: set}
 	if def == required {
 		f.Default, f.Required = "", true
 	}
 	return f
 }
 
-func text(section, key, def, doc string, at func(*Node) *string) Field {
-	return newField(section, key, "text", def, doc, func(n *Node, v string) error {
+func text[T any](section, key, def, doc string, at func(*T) *string) Field[T] {
+	return newField(section, key, "text", def, doc, func(n *T, v string) error {
 		*at(n) = v
 		return nil
 	})
 }
 
-func choice(section, key, def string, values []string, doc string, at func(*Node) *string) Field {
-	return newField(section, key, strings.Join(values, ", "), def, doc, func(n *Node, v string) error {
+func choice[T any](section, key, def string, values []string, doc string, at func(*T) *string) Field[T] {
+	return newField(section, key, strings.Join(values, ", "), def, doc, func(n *T, v string) error {
 		for _, allowed := range values {
 			if v == allowed {
 				*at(n) = v
@@ -104,8 +104,8 @@
 	})
 }
 
-func address(section, key, def, doc string, at func(*Node) *netip.AddrPort) Field {
-	return newField(section, key, "ip:port", def, doc, func(n *Node, v string) error {
+func address[T any](section, key, def, doc string, at func(*T) *netip.AddrPort) Field[T] {
+	return newField(section, key, "ip:port", def, doc, func(n *T, v string) error {
 		a, err := netip.ParseAddrPort(v)
 		if err != nil {
 			return errors.Newf("%q is not ip:port", v)
@@ -115,8 +115,8 @@
 	})
 }
 
-func link(section, key, def, doc string, at func(*Node) **url.URL) Field {
-	return newField(section, key, "http://ip:port", def, doc, func(n *Node, v string) error {
+func link[T any](section, key, def, doc string, at func(*T) **url.URL) Field[T] {
+	return newField(section, key, "http://ip:port", def, doc, func(n *T, v string) error {
 		u, err := url.Parse(v)
 		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 			return errors.Newf("%q is not an http address", v)
@@ -126,8 +126,8 @@
 	})
 }
 
-func duration(section, key, def, doc string, at func(*Node) *time.Duration) Field {
-	return newField(section, key, "duration", def, doc, func(n *Node, v string) error {
+func duration[T any](section, key, def, doc string, at func(*T) *time.Duration) Field[T] {
+	return newField(section, key, "duration", def, doc, func(n *T, v string) error {
 		d, err := time.ParseDuration(v)
 		if err != nil || d <= 0 {
 			return errors.Newf("%q is not a positive duration such as 500ms or 2s", v)
@@ -137,8 +137,8 @@
 	})
 }
 
-func count(section, key, unit, def, doc string, at func(*Node) *int) Field {
-	return newField(section, key, unit, def, doc, func(n *Node, v string) error {
+func count[T any](section, key, unit, def, doc string, at func(*T) *int) Field[T] {
+	return newField(section, key, unit, def, doc, func(n *T, v string) error {
 		c, err := strconv.Atoi(v)
 		if err != nil || c <= 0 {
 			return errors.Newf("%q is not a positive whole number", v)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -41,8 +41,10 @@
 // WALLDRIFT_LISTEN_CALLERS.
 const envPrefix = "WALLDRIFT_"
 
-// Environment returns the overrides set in the environment.
-func Environment() Overrides {
+// Environment returns the overrides of a node's settings in the environment.
+func Environment() Overrides { return environment(fields) }
+
+func environment[T any](fields []Field[T]) Overrides {
 	o := make(Overrides)
 	for _, f := range fields {
 		name := envPrefix + strings.ToUpper(f.Section+"_"+f.Key)
@@ -78,15 +80,19 @@
 
 // Parse is Load for bytes already read.
 func Parse(file string, raw []byte, overrides ...Overrides) (*Node, error) {
+	return parse(fields, file, raw, overrides)
+}
+
+func parse[T any](fields []Field[T], file string, raw []byte, overrides []Overrides) (*T, error) {
 	cfg, err := ini.LoadSources(ini.LoadOptions{Loose: false}, raw)
 	if err != nil {
 		return nil, Findings{{File: file, Message: err.Error()}}
 	}
-	l := &loader{file: file, lines: strings.Split(string(raw), "\n")}
+	l := &loader{file: file, lines: strings.Split(string(raw), "\n"), known: names(fields)}
 	l.rejectUnknown(cfg)
-	node := &Node{}
+	node := new(T)
 	for _, f := range fields {
-		l.apply(node, cfg, f, overrides)
+		apply(l, node, cfg, f, overrides)
 	}
 	l.rejectUnknownOverrides(overrides)
 	if len(l.findings) > 0 {
@@ -98,14 +104,23 @@
 type loader struct {
 	file     string
 	lines    []string
+	known    map[string]bool // section.key of every setting
 	findings Findings
 }
 
+func names[T any](fields []Field[T]) map[string]bool {
+	known := make(map[string]bool, len(fields))
+	for _, f := range fields {
+		known[f.Section+"."+f.Key] = true
+	}
+	return known
+}
+
 func (l *loader) add(line int, key, message string) {
 	l.findings = append(l.findings, Finding{File: l.file, Line: line, Key: key, Message: message})
 }
 
-func (l *loader) apply(n *Node, cfg *ini.File, f Field, overrides []Overrides) {
+func apply[T any](l *loader, n *T, cfg *ini.File, f Field[T], overrides []Overrides) {
 	name := f.Section + "." + f.Key
 	value, line := f.Default, 0
 	if s, err := cfg.GetSection(f.Section); err == nil && s.HasKey(f.Key) {
@@ -131,7 +146,7 @@
 func (l *loader) rejectUnknown(cfg *ini.File) {
 	for _, s := range cfg.Sections() {
 		for _, k := range s.Keys() {
-			if !known(s.Name() + "." + k.Name()) {
+			if !l.known[s.Name()+"."+k.Name()] {
 				l.add(l.lineOf(s.Name(), k.Name()), s.Name()+"."+k.Name(), "unknown setting")
 			}
 		}
@@ -141,22 +156,13 @@
 func (l *loader) rejectUnknownOverrides(overrides []Overrides) {
 	for _, o := range overrides {
 		for name := range o {
-			if !known(name) {
+			if !l.known[name] {
 				l.add(0, name, "unknown setting in an override")
 			}
 		}
 	}
 }
 
-func known(name string) bool {
-	for _, f := range fields {
-		if f.Section+"."+f.Key == name {
-			return true
-		}
-	}
-	return false
-}
-
 // lineOf finds the line of a key, from 1; 0 if it is not there.
 func (l *loader) lineOf(section, key string) int {
 	current := ini.DefaultSection
@@ -175,8 +181,10 @@
 }
 
 // Defaults returns settings with every default set and the required ones empty.
-func Defaults() (*Node, error) {
-	n := &Node{}
+func Defaults() (*Node, error) { return defaults(fields) }
+
+func defaults[T any](fields []Field[T]) (*T, error) {
+	n := new(T)
 	for _, f := range fields {
 		if f.Default == "" {
 			continue
--- /dev/null
+++ b/internal/settings/sidecar.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sidecar holds the checked settings of a sidecar: a node on a platform that
+// publishes tables and upstreams in a store and issues no certificates.
+type Sidecar struct {
+	Name       string
+	Service    string
+	DataCentre string
+	Region     string
+
+	Callers netip.AddrPort // TCP, HTTP from callers
+	Peers   netip.AddrPort // TCP, requests from other sidecars; the same port on all
+	Ready   netip.AddrPort // TCP, readiness and metrics
+
+	Upstream netip.AddrPort
+	Slots    int
+
+	Store     netip.AddrPort
+	WatchWait time.Duration
+
+	MaxInFlight  int
+	BufferLimit  int
+	RetryRatio   float64
+	RetryReserve int
+
+	DrainAnnounce time.Duration
+	DrainTimeout  time.Duration
+
+	MemoryLimit int // MiB
+
+	LogLevel  string
+	LogFormat string
+}
+
+// SidecarFields lists all settings of a sidecar in the order of the reference
+// page.
+func SidecarFields() []Field[Sidecar] { return sidecarFields }
+
+var sidecarFields = []Field[Sidecar]{
+	text("instance", "name", required, "name of the machine, for logs", func(s *Sidecar) *string { return &s.Name }),
+	text("instance", "service", required, "service of the upstream beside the sidecar", func(s *Sidecar) *string { return &s.Service }),
+	text("instance", "data_centre", required, "data centre of the machine", func(s *Sidecar) *string { return &s.DataCentre }),
+	text("instance", "region", required, "region of the data centre", func(s *Sidecar) *string { return &s.Region }),
+
+	address("listen", "callers", required, "TCP address for HTTP from callers", func(s *Sidecar) *netip.AddrPort { return &s.Callers }),
+	address("listen", "peers", required, "TCP address for requests from other sidecars, the same port on every machine", func(s *Sidecar) *netip.AddrPort { return &s.Peers }),
+	address("listen", "ready", required, "TCP address for readiness and metrics", func(s *Sidecar) *netip.AddrPort { return &s.Ready }),
+
+	address("upstream", "address", required, "HTTP address of the upstream beside the sidecar", func(s *Sidecar) *netip.AddrPort { return &s.Upstream }),
+	count("upstream", "slots", "requests", "12", "requests the upstream works on at once, until the store tells", func(s *Sidecar) *int { return &s.Slots }),
+
+	address("store", "address", required, "address of the store that publishes tables and upstreams", func(s *Sidecar) *netip.AddrPort { return &s.Store }),
+	duration("store", "watch_wait", "2s", "longest wait of one watch; longer costs fewer calls, shorter notices a silent store sooner", func(s *Sidecar) *time.Duration { return &s.WatchWait }),
+
+	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
+	count("requests", "buffer_limit", "bytes", "524288", "longest request body kept for a further try; more can be tried again, fewer takes less memory", func(s *Sidecar) *int { return &s.BufferLimit }),
+	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.1", Doc: "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", set: setSidecarRatio},
+	count("requests", "retry_reserve", "retries", "3", "further tries saved up by one sidecar; times the number of sidecars it must stay under what the platform allows", func(s *Sidecar) *int { return &s.RetryReserve }),
+
+	duration("shutdown", "announce", "2500ms", "time between announcing the leave and refusing new work; two missed readiness checks of a second each, and some", func(s *Sidecar) *time.Duration { return &s.DrainAnnounce }),
+	duration("shutdown", "timeout", "5700ms", "longest time from the signal to the end; what it cuts is reported", func(s *Sidecar) *time.Duration { return &s.DrainTimeout }),
+
+	count("memory", "limit", "MiB", "64", "size from which the garbage collector works harder to stay under it", func(s *Sidecar) *int { return &s.MemoryLimit }),
+
+	choice("log", "level", "info", []string{"debug", "info", "warn", "error"}, "least level written", func(s *Sidecar) *string { return &s.LogLevel }),
+	choice("log", "format", "json", []string{"text", "json"}, "form of the log lines", func(s *Sidecar) *string { return &s.LogFormat }),
+}
+
+func setSidecarRatio(s *Sidecar, v string) error {
+	r, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(r >= 0 && r <= 1) {
+		return errors.Newf("%q is not a number from 0 to 1", v)
+	}
+	s.RetryRatio = r
+	return nil
+}
+
+// LoadSidecar reads the file of a sidecar; see Load.
+func LoadSidecar(file string, overrides ...Overrides) (*Sidecar, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return parse(sidecarFields, file, raw, overrides)
+}
+
+// SidecarEnvironment returns the overrides of a sidecar's settings in the
+// environment.
+func SidecarEnvironment() Overrides { return environment(sidecarFields) }
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,270 @@
+// Package sidecar assembles the process that stands beside one upstream on a
+// platform that publishes tables and upstreams in a store: it follows the
+// store, carries the requests of its machine's callers, and admits the work of
+// its own upstream.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/discovery"
+	"github.com/walldrift/walldrift/internal/http1"
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/telemetry"
+)
+
+// Platform is what the adapter of a platform gives.
+type Platform struct {
+	Dialect   proxy.Dialect
+	ReadyPath string
+	// Source opens the store at an address.
+	Source func(address string) discovery.Source
+}
+
+// Sidecar is one running process.
+type Sidecar struct {
+	cfg      *settings.Sidecar
+	platform Platform
+	log      *log.Logger
+	metrics  *telemetry.Metrics
+	holder   *snapshot.Holder
+	follower *discovery.Follower
+	backend  *proxy.Backend
+	frontend *proxy.Frontend
+	hop      *http1.Client
+	upstream *http1.Client
+	servers  servers
+	service  atomic.Pointer[string]
+	leaving  atomic.Bool
+}
+
+// servers are the three listening sides.
+type servers struct {
+	callers, peers, ready *http1.Server
+	listeners             []net.Listener
+}
+
+// Sizes and limits of the request path.
+const (
+	// expectFrom is the length of a body from which a peer is asked for
+	// admission before the body is sent, so that refused uploads cost nothing.
+	expectFrom = 8 << 10
+	// wholeAnswers is the longest answer read to its end before it is passed
+	// on; the usual ones have a few KB.
+	wholeAnswers = 64 << 10
+	// queueFactor is the number of requests that may wait per slot.
+	queueFactor = 2
+)
+
+// New binds the addresses of a sidecar and prepares it; Run starts it.
+func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
+	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
+	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}}
+	s.service.Store(&cfg.Service)
+	s.build()
+	if err := s.bind(); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Sidecar) build() {
+	follow := discovery.DefaultConfig()
+	follow.WatchWait, follow.PeerPort = s.cfg.WatchWait, s.cfg.Peers.Port()
+	s.follower = discovery.NewFollower(follow, s.platform.Source(s.cfg.Store.String()), s.holder, s.log, s.directoryChanged)
+
+	requests := proxy.NewMetrics(s.metrics.Scope)
+	toUpstream := http1.DefaultClientConfig()
+	toUpstream.Belongs = s.platform.Dialect.Belongs
+	s.upstream = http1.NewClient(toUpstream)
+	toPeers := http1.DefaultClientConfig()
+	toPeers.Expect = expectFrom
+	s.hop = http1.NewClient(toPeers)
+	s.backend = proxy.NewBackend(proxy.BackendConfig{
+		Upstream:     upstreamURL(s.cfg.Upstream),
+		Slots:        s.cfg.Slots,
+		QueueLimit:   queueFactor * s.cfg.Slots,
+		Ledger:       ledger.DefaultConfig(),
+		Dialect:      s.platform.Dialect,
+		Transport:    s.upstream,
+		WholeAnswers: wholeAnswers,
+	}, s.holder, nil, requests, time.Now())
+
+	policy := retry.DefaultPolicy()
+	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), 2
+	s.frontend = proxy.NewFrontend(proxy.FrontendConfig{
+		Self: membership.Instance{
+			Name:       s.cfg.Name,
+			Service:    s.cfg.Service,
+			DataCentre: s.cfg.DataCentre,
+			Region:     s.cfg.Region,
+		},
+		Routing:       routing.DefaultConfig(),
+		Retry:         policy,
+		Seed:          uint64(time.Now().UnixNano()),
+		MaxInFlight:   s.cfg.MaxInFlight,
+		Dialect:       s.platform.Dialect,
+		BufferLimit:   int64(s.cfg.BufferLimit),
+		WholeAnswers:  wholeAnswers,
+		IgnoreKeys:    true,
+		CallerService: func() string { return *s.service.Load() },
+		BodyLimit:     func() int64 { return s.follower.Limits().BodyBytes },
+	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
+}
+
+// bind opens the sockets.
+func (s *Sidecar) bind() error {
+	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits})
+	s.servers.peers = http1.NewServer(http1.Config{Handler: proxy.NewPeerHandler(s.backend)})
+	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
+	for _, addr := range []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready} {
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		s.servers.listeners = append(s.servers.listeners, l)
+	}
+	return nil
+}
+
+func (s *Sidecar) closeListeners() {
+	for _, l := range s.servers.listeners {
+		_ = l.Close()
+	}
+}
+
+// callerLimits are the published limits, with defaults for what is not set.
+func (s *Sidecar) callerLimits() http1.Limits {
+	l := http1.DefaultLimits()
+	published := s.follower.Limits()
+	if published.HeaderBytes > 0 {
+		l.HeaderBytes = published.HeaderBytes
+	}
+	if published.HeaderTimeout > 0 {
+		l.HeaderTimeout = published.HeaderTimeout
+	}
+	if published.IdleTimeout > 0 {
+		l.IdleTimeout = published.IdleTimeout
+	}
+	return l
+}
+
+// directoryChanged takes over what the store says of the own upstream.
+func (s *Sidecar) directoryChanged(d *discovery.Directory) {
+	own, ok := d.At(s.cfg.Upstream)
+	if ok && own.Slots > 0 {
+		s.backend.SetSlots(own.Slots)
+	}
+}
+
+// Ready reports whether callers may come.
+func (s *Sidecar) Ready() bool { return s.holder.Current() != nil && !s.leaving.Load() }
+
+func (s *Sidecar) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(s.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("/metrics", s.metrics.Handler())
+	return mux
+}
+
+// Timing of the background work.
+const (
+	sweepInterval = time.Second
+	drainPoll     = 20 * time.Millisecond
+	// closeWait is how long closed connections may linger before the end.
+	closeWait = 300 * time.Millisecond
+)
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (s *Sidecar) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	failed := make(chan error, 3)
+	for i, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
+		listener := s.servers.listeners[i]
+		group.Go(func() { failed <- server.Serve(listener) })
+	}
+	group.Go(func() { s.follower.Run(run) })
+	group.Go(func() { s.sweepLoop(run) })
+	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
+	var err error
+	select {
+	case <-ctx.Done():
+		s.drain()
+	case err = <-failed:
+	}
+	stop()
+	for _, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
+		server.Close()
+	}
+	group.Wait()
+	s.hop.Close()
+	s.upstream.Close()
+	s.log.Info("stopped")
+	return errors.CombineErrors(err, s.metrics.Close())
+}
+
+// drain ends the work of this node without cutting a request.
+func (s *Sidecar) drain() {
+	began := time.Now()
+	end := began.Add(s.cfg.DrainTimeout)
+	s.leaving.Store(true)
+	s.backend.SetLeaving(true)
+	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
+	time.Sleep(s.cfg.DrainAnnounce)
+	s.backend.SetDraining(true)
+	s.servers.callers.Drain()
+	for s.inFlight() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPoll)
+	}
+	s.servers.peers.Drain()
+	if cut := s.inFlight(); cut > 0 {
+		s.log.Warn("shutdown timeout cuts requests", "requests", cut)
+	}
+	until := time.Now().Add(closeWait)
+	for s.servers.callers.Conns() > 0 && time.Now().Before(until) {
+		time.Sleep(drainPoll)
+	}
+}
+
+func (s *Sidecar) inFlight() int64 { return s.backend.InFlight() + s.frontend.InFlight() }
+
+func (s *Sidecar) sweepLoop(ctx context.Context) {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.hop.Sweep(now)
+			s.upstream.Sweep(now)
+			s.frontend.Prune()
+		}
+	}
+}
+
+func upstreamURL(a netip.AddrPort) *url.URL { return &url.URL{Scheme: "http", Host: a.String()} }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -41,16 +41,29 @@
 	table.Route
 	Service *Service
 	Pinned  *Upstream // nil means any upstream of the service
+	// Shares are the services that the requests are split over; empty sends all
+	// to Service.
+	Shares []Share
+}
+
+// Share is one service's part of a route.
+type Share struct {
+	Service *Service
+	Weight  float64 // relative to the other shares
 }
 
 // Snapshot is one version of the table, indexed. It must not be changed.
 type Snapshot struct {
-	ID        version.ID
+	ID version.ID
+	// Directory orders snapshots of one table whose upstreams are discovered
+	// and not named by the table; 0 otherwise.
+	Directory uint64
 	Raw       []byte
 	Table     *table.Table
 	services  map[string]*Service
 	upstreams map[string]*Upstream
-	routes    []*Route // longest prefix first
+	routes    []*Route            // longest prefix first
+	hosts     map[string][]*Route // the same by host
 }
 
 // Build checks the raw table and returns its snapshot. A refused table gives
@@ -60,8 +73,15 @@
 	if len(findings) > 0 {
 		return nil, findings
 	}
+	return FromTable(t, version.Of(t.Edition, raw), raw)
+}
+
+// FromTable returns the snapshot of a table that is known to be acceptable.
+// Services without an upstream are allowed: theirs may be discovered later. A
+// table that is not closed gives ErrNotClosed.
+func FromTable(t *table.Table, id version.ID, raw []byte) (*Snapshot, error) {
 	s := &Snapshot{
-		ID:        version.Of(t.Edition, raw),
+		ID:        id,
 		Raw:       raw,
 		Table:     t,
 		services:  make(map[string]*Service, len(t.Services)),
@@ -106,6 +126,13 @@
 			return errors.Wrapf(ErrNotClosed, "route %q names service %q", row.Name, row.Service)
 		}
 		r := &Route{Route: row, Service: svc}
+		for _, share := range row.Split {
+			part, ok := s.services[share.Service]
+			if !ok {
+				return errors.Wrapf(ErrNotClosed, "route %q names service %q", row.Name, share.Service)
+			}
+			r.Shares = append(r.Shares, Share{Service: part, Weight: share.Weight})
+		}
 		if row.Upstream != "" {
 			if r.Pinned, ok = s.upstreams[row.Upstream]; !ok {
 				return errors.Wrapf(ErrNotClosed, "route %q names upstream %q", row.Name, row.Upstream)
@@ -120,6 +147,10 @@
 		// A route that names its methods is more specific than one for all.
 		return len(b.Methods) - len(a.Methods)
 	})
+	s.hosts = make(map[string][]*Route)
+	for _, r := range s.routes {
+		s.hosts[r.Host] = append(s.hosts[r.Host], r)
+	}
 	return nil
 }
 
@@ -132,10 +163,25 @@
 // Routes returns all routes, longest prefix first.
 func (s *Snapshot) Routes() []*Route { return s.routes }
 
-// Route returns the route for a request, or nil. A prefix matches whole path
-// segments only.
-func (s *Snapshot) Route(method, path string) *Route {
-	for _, r := range s.routes {
+// Match returns the route for a request, or nil. Routes of the request's host
+// precede those of any host. The host may bear a port.
+func (s *Snapshot) Match(host, method, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	if r := match(s.hosts[strings.ToLower(host)], method, path); r != nil {
+		return r
+	}
+	return match(s.hosts[""], method, path)
+}
+
+// Route is Match for a request of no particular host.
+func (s *Snapshot) Route(method, path string) *Route { return match(s.hosts[""], method, path) }
+
+// match returns the first of the routes, longest prefix first, that takes the
+// request. A prefix matches whole path segments only.
+func match(routes []*Route, method, path string) *Route {
+	for _, r := range routes {
 		if !matchPrefix(r.Prefix, path) {
 			continue
 		}
@@ -175,7 +221,8 @@
 func (h *Holder) Advance(s *Snapshot) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !s.ID.Newer(h.ID()) {
+	cur := h.cur.Load()
+	if cur != nil && !s.ID.Newer(cur.ID) && (s.ID != cur.ID || s.Directory <= cur.Directory) {
 		return false
 	}
 	h.cur.Store(s)
--- a/internal/table/check.go
+++ b/internal/table/check.go
@@ -57,6 +57,11 @@
 		if _, ok := services[r.Service]; !ok && r.Service != "" {
 			add(fs, r.Row, ColService, RuleReference, "dangling route: no service %q", r.Service)
 		}
+		for _, share := range r.Split {
+			if _, ok := services[share.Service]; !ok {
+				add(fs, r.Row, ColSplit, RuleReference, "dangling route: no service %q", share.Service)
+			}
+		}
 		if r.Upstream != "" {
 			u, ok := upstreams[r.Upstream]
 			if !ok {
@@ -74,7 +79,7 @@
 		if ms := r.Timeout.Milliseconds(); ms < 1 || ms > maxTimeoutMS {
 			add(fs, r.Row, ColTimeout, RuleRange, "%d is outside 1 to %d", ms, maxTimeoutMS)
 		}
-		key := strings.Join(r.Methods, " ") + " " + r.Prefix
+		key := strings.Join(r.Methods, " ") + " " + r.Host + r.Prefix
 		if at, twice := matches[key]; twice && r.Prefix != "" {
 			add(fs, r.Row, ColPrefix, RuleDuplicate, "row %d already matches %q", at, strings.TrimSpace(key))
 		}
--- a/internal/table/columns.go
+++ b/internal/table/columns.go
@@ -19,6 +19,10 @@
 	ColTimeout     Column = "timeout_ms"
 	ColRetries     Column = "retries"
 	ColIdempotent  Column = "idempotent"
+	ColHost        Column = "host"
+	ColObjective   Column = "objective_ms"
+	ColPriority    Column = "priority"
+	ColSplit       Column = "split"
 )
 
 // Header lists the columns in the order in which they are written.
@@ -27,6 +31,10 @@
 	ColPrefix, ColMethods, ColKind, ColKindWeight, ColTimeout, ColRetries, ColIdempotent,
 }
 
+// Optional lists the columns that a header may leave out; their cells are then
+// empty.
+var Optional = []Column{ColHost, ColObjective, ColPriority, ColSplit}
+
 // RowType is the value of the first column.
 type RowType string
 
@@ -44,5 +52,6 @@
 	RowService:  {ColRow, ColName, ColRate, ColConcurrency},
 	RowUpstream: {ColRow, ColName, ColService, ColWeight, ColRate, ColConcurrency},
 	RowRoute: {ColRow, ColName, ColService, ColUpstream, ColPrefix, ColMethods,
-		ColKind, ColKindWeight, ColTimeout, ColRetries, ColIdempotent},
+		ColKind, ColKindWeight, ColTimeout, ColRetries, ColIdempotent,
+		ColHost, ColObjective, ColPriority, ColSplit},
 }
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -84,7 +84,7 @@
 	good := true
 	for i, h := range head {
 		col := Column(strings.TrimSpace(h))
-		if !slices.Contains(Header, col) {
+		if !slices.Contains(Header, col) && !slices.Contains(Optional, col) {
 			add(fs, 1, col, RuleHeader, "unknown column")
 			good = false
 		}
@@ -114,8 +114,8 @@
 func (c *cells) rowType() RowType { return RowType(c.text(ColRow)) }
 
 func (c *cells) text(col Column) string {
-	i := c.index[col]
-	if i >= len(c.rec) {
+	i, ok := c.index[col]
+	if !ok || i >= len(c.rec) {
 		return ""
 	}
 	return strings.TrimSpace(c.rec[i])
@@ -179,7 +179,7 @@
 	if len(c.rec) > len(c.index) {
 		add(c.fs, c.row, "", RuleHeader, "%d cells under %d columns", len(c.rec), len(c.index))
 	}
-	for _, col := range Header {
+	for col := range c.index {
 		if !slices.Contains(allowed, col) && c.text(col) != "" {
 			add(c.fs, c.row, col, RuleUnused, "has no meaning in a %s row", kind)
 		}
@@ -227,10 +227,11 @@
 }
 
 func (c *cells) route() Route {
+	service, split := c.shares()
 	return Route{
 		Row:        c.row,
 		Name:       c.required(ColName),
-		Service:    c.required(ColService),
+		Service:    service,
 		Upstream:   strings.Clone(c.text(ColUpstream)),
 		Prefix:     c.required(ColPrefix),
 		Methods:    strings.Fields(strings.ToUpper(c.text(ColMethods))),
@@ -239,7 +240,33 @@
 		Timeout:    time.Duration(c.integer(ColTimeout, int(DefaultTimeout/time.Millisecond))) * time.Millisecond,
 		Retries:    c.integer(ColRetries, 0),
 		Idempotent: c.yesNo(ColIdempotent),
+		Host:       strings.ToLower(c.text(ColHost)),
+		Objective:  time.Duration(c.integer(ColObjective, 0)) * time.Millisecond,
+		Priority:   c.integer(ColPriority, 0),
+		Split:      split,
+	}
+}
+
+// shares reads the service of a route, or its split such as "blue=90 green=10".
+func (c *cells) shares() (string, []Share) {
+	text := c.text(ColSplit)
+	if text == "" {
+		return c.required(ColService), nil
+	}
+	if c.text(ColService) != "" {
+		add(c.fs, c.row, ColSplit, RuleUnused, "the route names a service already")
+	}
+	var shares []Share
+	for _, part := range strings.Fields(text) {
+		name, value, ok := strings.Cut(part, "=")
+		weight, err := strconv.ParseFloat(value, 64)
+		if !ok || name == "" || err != nil || !(weight >= 0 && weight <= maxNumber) {
+			add(c.fs, c.row, ColSplit, RuleNumber, "%q is not service=weight", part)
+			return "", nil
+		}
+		shares = append(shares, Share{Service: strings.Clone(name), Weight: weight})
 	}
+	return shares[0].Service, shares
 }
 
 // EditionOf returns the edition of a raw table that need not be acceptable, so
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -58,6 +58,9 @@
 	Service string
 	// Upstream pins the route to one upstream of the service; empty means any.
 	Upstream string
+	// Host limits the route to requests for this host, in lower case without a
+	// port; empty means any.
+	Host string
 	// Prefix is the path prefix, starting with a slash; the longest match wins.
 	Prefix string
 	// Methods lists the HTTP methods served; empty means all.
@@ -72,4 +75,18 @@
 	Retries int
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool
+	// Objective is the time within which an answer is worth its full value;
+	// 0 means none is set.
+	Objective time.Duration
+	// Priority ranks kinds under overload; 0 is served first.
+	Priority int
+	// Split shares the requests among services by weight. Empty sends all to
+	// Service, which is otherwise the first of the shares.
+	Split []Share
+}
+
+// Share is one service's part of a route.
+type Share struct {
+	Service string
+	Weight  float64 // relative to the other shares
 }
