Wait for a slot a quarter of the objective at most; drain without a cut

Change: a request waits for a slot a quarter of its objective at most, and its kind weighs more with a better priority and a shorter objective, so calls of a running request go before new work. Change: connections are closed after their answers, the listener only when nothing runs at the upstream, and the end waits for the last connection.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -38,6 +38,9 @@
 	Weight float64
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time
+	// Latest is when it must have started; later it is refused. Zero means that
+	// only Deadline bounds the wait.
+	Latest time.Time
 	// NoWait asks for a slot at once or a refusal.
 	NoWait bool
 
@@ -159,13 +162,18 @@
 	return false
 }
 
-// LatestStart returns the time after which the request cannot finish before
-// its deadline, by the measured service time; zero without a deadline.
+// LatestStart returns the time after which the request is refused: when it
+// cannot finish before its deadline, by the measured service time, or has waited
+// as long as it may. Zero means never.
 func (q *Queue) LatestStart(t *Ticket) time.Time {
 	if t.Deadline.IsZero() {
-		return time.Time{}
+		return t.Latest
 	}
-	return t.Deadline.Add(-q.ServiceTime())
+	latest := t.Deadline.Add(-q.ServiceTime())
+	if !t.Latest.IsZero() && t.Latest.Before(latest) {
+		return t.Latest
+	}
+	return latest
 }
 
 // Refusal returns the verdict for a reason, with the advice when to come back.
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -242,13 +242,17 @@
 	if reason != admission.ReasonNone {
 		return refusedBy(admission.Verdict{Reason: reason, RetryAfter: max(after, defaultRetryAfter/10)})
 	}
-	v := b.gate.Enter(ctx, &admission.Ticket{
+	ticket := &admission.Ticket{
 		Kind:     c.env.Kind,
 		Tenant:   c.env.Tenant,
 		Weight:   c.env.KindWeight,
 		Deadline: c.start.Add(c.env.Timeout),
 		NoWait:   c.env.NoWait,
-	})
+	}
+	if c.env.Patience > 0 {
+		ticket.Latest = c.start.Add(c.env.Patience)
+	}
+	v := b.gate.Enter(ctx, ticket)
 	b.metrics.queued(c.env.Kind, time.Since(c.start))
 	if !v.Started {
 		b.limitDone()
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -44,6 +44,7 @@
 	headerAwait      = "Walldrift-Await-Admission"
 	headerEmpty      = "Walldrift-Empty"
 	headerNoWait     = "Walldrift-No-Wait"
+	headerPatience   = "Walldrift-Patience-Ms"
 	headerLoad       = "Walldrift-Load"
 )
 
@@ -57,6 +58,9 @@
 	Tenant     string
 	Key        string
 	Timeout    time.Duration
+	// Patience is how long the request may still wait for a slot; 0 means until
+	// the timeout.
+	Patience time.Duration
 	// Await says that the sender holds the body back until the request is
 	// admitted.
 	Await bool
@@ -74,6 +78,9 @@
 	h.Set(headerKind, e.Kind)
 	h.Set(headerKindWeight, strconv.FormatFloat(e.KindWeight, 'g', -1, 64))
 	h.Set(HeaderTimeout, strconv.FormatInt(e.Timeout.Milliseconds(), 10))
+	if e.Patience > 0 {
+		h.Set(headerPatience, strconv.FormatInt(max(e.Patience.Milliseconds(), 1), 10))
+	}
 	setIf(h, headerTenantID, e.Tenant)
 	setIf(h, headerKeyValue, e.Key)
 	setFlag(h, headerIdempotent, e.Idempotent)
@@ -114,6 +121,12 @@
 		return e, errors.Wrap(err, "timeout")
 	}
 	e.Timeout = time.Duration(ms) * time.Millisecond
+	if v := h.Get(headerPatience); v != "" {
+		if ms, err = strconv.ParseInt(v, 10, 64); err != nil {
+			return e, errors.Wrap(err, "patience")
+		}
+		e.Patience = time.Duration(ms) * time.Millisecond
+	}
 	e.KindWeight, err = strconv.ParseFloat(h.Get(headerKindWeight), 64)
 	return e, errors.Wrap(err, "kind weight")
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -149,10 +149,11 @@
 		req:      r,
 		start:    start,
 		deadline: start.Add(timeout),
+		patience: patience(start, route),
 		env: Envelope{
 			Service:    service.Name,
 			Kind:       route.Kind,
-			KindWeight: route.KindWeight,
+			KindWeight: route.KindWeight * urgency(route),
 			Idempotent: route.Idempotent,
 			Tenant:     r.Header.Get(HeaderTenant),
 			Key:        r.Header.Get(HeaderKey),
@@ -205,6 +206,9 @@
 	env      Envelope
 	start    time.Time
 	deadline time.Time
+	// patience is until when the request may wait for a slot; zero means until
+	// the deadline.
+	patience time.Time
 	tried    []string
 	tries    int
 	arrived  int // tries that reached an upstream
@@ -246,7 +250,7 @@
 			Arrived:    x.arrived,
 			Number:     x.tries,
 			Retries:    x.retries(),
-			Remaining:  time.Until(x.deadline),
+			Remaining:  x.remaining(class),
 			Replayable: x.body.replayable(),
 		})
 		if reason != retry.Go || ctx.Err() != nil {
@@ -258,6 +262,15 @@
 	}
 }
 
+// remaining is the time left for another try: to find a slot while no upstream
+// has seen the request, otherwise until the deadline.
+func (x *exchange) remaining(class retry.Class) time.Duration {
+	if x.arrived == 0 && class.NotRun() && !x.patience.IsZero() {
+		return time.Until(x.patience)
+	}
+	return time.Until(x.deadline)
+}
+
 // mayGoElsewhere reports whether another upstream could take the request.
 func (x *exchange) mayGoElsewhere() bool {
 	return x.route.Pinned == nil && !x.homed() && len(x.service.Upstreams) > 1
@@ -404,6 +417,10 @@
 	env.Await = x.body.streams()
 	env.Empty = x.body.length == 0
 	env.NoWait = x.noWait
+	if !x.patience.IsZero() {
+		env.Patience = time.Until(x.patience)
+		env.NoWait = env.NoWait || env.Patience <= 0
+	}
 	if env.Await {
 		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
 	}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -90,6 +90,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
+	return ParseSidecar(file, raw, overrides...)
+}
+
+// ParseSidecar is LoadSidecar for bytes already read.
+func ParseSidecar(file string, raw []byte, overrides ...Overrides) (*Sidecar, error) {
 	return parse(sidecarFields, file, raw, overrides)
 }
 
--- /dev/null
+++ b/internal/sidecar/fleet_test.go
@@ -0,0 +1,250 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/discovery"
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/settings"
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// testDialect is a dialect made up for the tests.
+var testDialect = proxy.Dialect{
+	RequestID:            "Test-Request",
+	Deadline:             "Test-Deadline-Ms",
+	Signature:            "Test-Signature",
+	ExpectedInstance:     "Test-Instance",
+	CallerService:        "Test-Caller",
+	NotExecuted:          "Test-Not-Executed",
+	Load:                 "Test-Load",
+	FractionalRetryAfter: true,
+}
+
+// memoryStore is a discovery.Source in memory.
+type memoryStore struct {
+	mu      sync.Mutex
+	update  discovery.Update
+	changed chan struct{}
+}
+
+func newMemoryStore(doc *discovery.Document) *memoryStore {
+	return &memoryStore{update: discovery.Update{Revision: 1, Document: doc}, changed: make(chan struct{})}
+}
+
+func (m *memoryStore) List(context.Context) (discovery.Update, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.update
+	u.Upstreams = append([]discovery.Upstream(nil), u.Upstreams...)
+	return u, nil
+}
+
+func (m *memoryStore) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Update, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		u, changed := m.update, m.changed
+		u.Upstreams = append([]discovery.Upstream(nil), u.Upstreams...)
+		m.mu.Unlock()
+		if u.Revision > after {
+			return u, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return discovery.Update{Revision: after}, nil
+		case <-ctx.Done():
+			return discovery.Update{}, ctx.Err()
+		}
+	}
+}
+
+// change edits the published state.
+func (m *memoryStore) change(edit func(*discovery.Update)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.update.Revision++
+	edit(&m.update)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// upstream is a stand-in of an upstream. Its handler answers a request that is
+// meant for it and counts how often each request ran.
+type upstream struct {
+	id     string
+	work   time.Duration
+	server *http.Server
+	addr   netip.AddrPort
+
+	mu     sync.Mutex
+	ran    map[string]int
+	handle http.HandlerFunc // replaces the answer; nil for the usual one
+}
+
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get(testDialect.ExpectedInstance); want != u.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get(testDialect.RequestID)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	u.ran[id]++
+	handle := u.handle
+	u.mu.Unlock()
+	w.Header().Set(testDialect.RequestID, id)
+	w.Header().Set(testDialect.Signature, u.id)
+	w.Header().Set("Seen-Caller", r.Header.Get(testDialect.CallerService))
+	w.Header().Set("Seen-Target", r.RequestURI)
+	if handle != nil {
+		handle(w, r)
+		return
+	}
+	time.Sleep(u.work)
+	_, _ = fmt.Fprintf(w, "%s got %d bytes", u.id, len(body))
+}
+
+func (u *upstream) runs(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[id]
+}
+
+// fleet is a few sidecars with an upstream beside each, on loopback addresses
+// of their own.
+type fleet struct {
+	t         testing.TB
+	store     *memoryStore
+	sidecars  []*Sidecar
+	upstreams []*upstream
+	stops     []context.CancelFunc
+	done      []chan error
+}
+
+var nextBlock atomic.Int32
+
+// document is the table of the tests: reads and writes of one service, with a
+// read route split over two.
+func document(edition uint64) *discovery.Document {
+	route := func(name, prefix string, idempotent bool) table.Route {
+		return table.Route{Name: name, Host: "shop.example", Prefix: prefix, Service: "shop", Kind: name, KindWeight: 1,
+			Timeout: 2 * time.Second, Objective: 400 * time.Millisecond, Retries: 1, Idempotent: idempotent}
+	}
+	t := &table.Table{Edition: edition, Services: []table.Service{{Name: "shop"}},
+		Routes: []table.Route{route("read", "/read/", true), route("write", "/write/", false)}}
+	return &discovery.Document{ID: version.Of(edition, []byte{byte(edition)}), Table: t}
+}
+
+func startFleet(t testing.TB, n int, work time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: newMemoryStore(document(1))}
+	block := nextBlock.Add(1)
+	peers := freePort(t)
+	for i := range n {
+		ip := fmt.Sprintf("127.1.%d.%d", block, i+1)
+		f.addUpstream(ip, i, work)
+		f.addSidecar(ip, i, peers)
+	}
+	t.Cleanup(f.stop)
+	f.awaitReady()
+	return f
+}
+
+func freePort(t testing.TB) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) addUpstream(ip string, i int, work time.Duration) {
+	l, err := net.Listen("tcp", ip+":0")
+	assert.NilError(f.t, err)
+	u := &upstream{id: "shop-" + strconv.Itoa(i), work: work, ran: make(map[string]int), addr: l.Addr().(*net.TCPAddr).AddrPort()}
+	u.server = &http.Server{Handler: u}
+	go func() { _ = u.server.Serve(l) }()
+	f.upstreams = append(f.upstreams, u)
+	f.store.change(func(s *discovery.Update) {
+		s.Upstreams = append(s.Upstreams, discovery.Upstream{ID: u.id, Service: "shop", Address: u.addr, DataCentre: "a", Slots: 12, Revision: s.Revision})
+	})
+}
+
+func (f *fleet) addSidecar(ip string, i, peers int) {
+	ini := fmt.Sprintf("[instance]\nname=node-%d\nservice=shop\ndata_centre=a\nregion=r\n[listen]\ncallers=%s:0\npeers=%s:%d\nready=%s:0\n"+
+		"[upstream]\naddress=%s\n[store]\naddress=127.0.0.1:1\n[shutdown]\nannounce=100ms\ntimeout=3s\n", i, ip, ip, peers, ip, f.upstreams[i].addr)
+	cfg, err := settings.ParseSidecar("test.ini", []byte(ini))
+	assert.NilError(f.t, err)
+	p := Platform{Dialect: testDialect, ReadyPath: "/ready", Source: func(string) discovery.Source { return f.store }}
+	s, err := New(cfg, p, log.New(io.Discard))
+	assert.NilError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	f.sidecars = append(f.sidecars, s)
+	f.stops = append(f.stops, stop)
+	f.done = append(f.done, done)
+}
+
+func (f *fleet) awaitReady() {
+	for _, s := range f.sidecars {
+		for !s.Ready() || len(s.holder.Current().Service("shop").Upstreams) < len(f.upstreams) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (f *fleet) stop() {
+	for i, stop := range f.stops {
+		stop()
+		f.sidecars[i].closeAll()
+	}
+	for _, u := range f.upstreams {
+		_ = u.server.Close()
+	}
+}
+
+func (f *fleet) callers(i int) string { return f.sidecars[i].servers.listeners[0].Addr().String() }
+
+var nextID atomic.Int64
+
+// request builds a request to sidecar i with an id of its own.
+func (f *fleet) request(i int, method, path, body string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+f.callers(i)+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Host = "shop.example"
+	req.Header.Set(testDialect.RequestID, "r"+strconv.FormatInt(nextID.Add(1), 10))
+	req.Header.Set(testDialect.Deadline, "2000")
+	return req
+}
+
+// send sends a request and returns the status, header and body.
+func (f *fleet) send(req *http.Request) (int, http.Header, string) {
+	f.t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+	return resp.StatusCode, resp.Header, string(body)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -69,6 +69,9 @@
 	// wholeAnswers is the longest answer read to its end before it is passed
 	// on; the usual ones have a few KB.
 	wholeAnswers = 64 << 10
+	// dialTimeout bounds a new connection inside the fleet: some 200 round trips
+	// between data centres, and short enough to go elsewhere in time.
+	dialTimeout = 300 * time.Millisecond
 	// queueFactor is the number of requests that may wait per slot.
 	queueFactor = 2
 )
@@ -93,10 +96,11 @@
 
 	requests := proxy.NewMetrics(s.metrics.Scope)
 	toUpstream := http1.DefaultClientConfig()
+	toUpstream.DialTimeout = dialTimeout
 	toUpstream.Belongs = s.platform.Dialect.Belongs
 	s.upstream = http1.NewClient(toUpstream)
 	toPeers := http1.DefaultClientConfig()
-	toPeers.Expect = expectFrom
+	toPeers.Expect, toPeers.DialTimeout = expectFrom, dialTimeout
 	s.hop = http1.NewClient(toPeers)
 	s.backend = proxy.NewBackend(proxy.BackendConfig{
 		Upstream:     upstreamURL(s.cfg.Upstream),
@@ -151,6 +155,13 @@
 	}
 }
 
+// closeAll closes listeners and connections at once.
+func (s *Sidecar) closeAll() {
+	for _, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
+		server.Close()
+	}
+}
+
 // callerLimits are the published limits, with defaults for what is not set.
 func (s *Sidecar) callerLimits() http1.Limits {
 	l := http1.DefaultLimits()
@@ -193,8 +204,6 @@
 const (
 	sweepInterval = time.Second
 	drainPoll     = 20 * time.Millisecond
-	// closeWait is how long closed connections may linger before the end.
-	closeWait = 300 * time.Millisecond
 )
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -217,9 +226,7 @@
 	case err = <-failed:
 	}
 	stop()
-	for _, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
-		server.Close()
-	}
+	s.closeAll()
 	group.Wait()
 	s.hop.Close()
 	s.upstream.Close()
@@ -237,15 +244,19 @@
 	time.Sleep(s.cfg.DrainAnnounce)
 	s.backend.SetDraining(true)
 	s.servers.callers.Drain()
-	for s.inFlight() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPoll)
-	}
 	s.servers.peers.Drain()
+	s.awaitUntil(end, func() bool { return s.backend.InFlight() == 0 })
+	// Nothing runs at the upstream that could still call through this node.
+	_ = s.servers.listeners[0].Close()
+	s.awaitUntil(end, func() bool { return s.inFlight() == 0 && s.servers.callers.Conns() == 0 })
 	if cut := s.inFlight(); cut > 0 {
 		s.log.Warn("shutdown timeout cuts requests", "requests", cut)
 	}
-	until := time.Now().Add(closeWait)
-	for s.servers.callers.Conns() > 0 && time.Now().Before(until) {
+}
+
+// awaitUntil waits for a condition, until end at the latest.
+func (s *Sidecar) awaitUntil(end time.Time, met func() bool) {
+	for !met() && time.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
 }
