Choose the least expected time; keep waits short; record decisions

Change: the admitting node tells its measured service time, and the frontend takes the least expected time (service time, slots in use, wait, failures, 1.25 for another data centre) over all upstreams in place of the lesser load of two; patience is 0.15 of the objective, 60 ms at least; rejections count against an upstream; retry budgets are kept by service.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -120,6 +120,13 @@
 	return g.draining
 }
 
+// ServiceTime returns the smoothed time that a request holds a slot.
+func (g *Gate) ServiceTime() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.ServiceTime()
+}
+
 // Load returns the present state.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -66,7 +66,7 @@
 }
 
 // Smoothing of the measured service time.
-const serviceSmoothing = 0.1
+const serviceSmoothing = 0.05
 
 // Bounds of the advice when to come back.
 const (
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -178,6 +178,7 @@
 func (b *Backend) stamp(h http.Header) {
 	load := b.gate.Load()
 	text := strconv.Itoa(load.InUse) + "/" + strconv.Itoa(load.Slots) + "/" + strconv.Itoa(load.Waiting)
+	text += "/" + strconv.FormatInt(b.gate.ServiceTime().Microseconds(), 10)
 	if b.gate.Draining() || b.leaving.Load() {
 		text += "/draining"
 	}
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -72,10 +72,20 @@
 	f.router.End(time.Now(), f.rnd, name, o)
 }
 
-func (f *Frontend) earn() {
+// budget returns the retry budget of a service. The lock is held.
+func (f *Frontend) budget(service string) *retry.Budget {
+	b, ok := f.budgets[service]
+	if !ok {
+		b = retry.NewBudget(f.cfg.Retry)
+		f.budgets[service] = b
+	}
+	return b
+}
+
+func (f *Frontend) earn(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget.Earn()
+	f.budget(service).Earn()
 	f.spare.Earn()
 }
 
@@ -91,10 +101,10 @@
 	f.spare.Return()
 }
 
-func (f *Frontend) again(t retry.Try) retry.Reason {
+func (f *Frontend) again(service string, t retry.Try) retry.Reason {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget.Again(t)
+	return f.budget(service).Again(t)
 }
 
 // Prune forgets the evidence about instances that are no more.
@@ -107,13 +117,15 @@
 	})
 }
 
-// readLoad reads what an admitting node said of its load, nil if nothing.
+// readLoad reads what an admitting node said of its load, nil if nothing:
+// "in use/slots/waiting/service time in microseconds", and "/draining" if it
+// leaves.
 func readLoad(h http.Header) *routing.Told {
 	parts := strings.Split(h.Get(headerLoad), "/")
-	if len(parts) < 3 {
+	if len(parts) < 4 {
 		return nil
 	}
-	var n [3]int
+	var n [4]int
 	for i := range n {
 		v, err := strconv.Atoi(parts[i])
 		if err != nil || v < 0 {
@@ -121,5 +133,11 @@
 		}
 		n[i] = v
 	}
-	return &routing.Told{InUse: n[0], Slots: n[1], Waiting: n[2], Draining: len(parts) > 3}
+	return &routing.Told{
+		InUse:    n[0],
+		Slots:    n[1],
+		Waiting:  n[2],
+		Service:  time.Duration(n[3]) * time.Microsecond,
+		Draining: len(parts) > len(n),
+	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/routing"
 	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/version"
 )
 
 // Dispatcher finds the way to the node beside an upstream.
@@ -36,11 +37,11 @@
 	inFlight    atomic.Int64
 	maxInFlight int64
 
-	mu     sync.Mutex // guards what follows
-	router *routing.Router
-	budget *retry.Budget
-	spare  *retry.Budget // for tries at a busy upstream that may go elsewhere
-	rnd    *rand.Rand
+	mu      sync.Mutex // guards what follows
+	router  *routing.Router
+	budgets map[string]*retry.Budget // by service
+	spare   *retry.Budget            // for tries at a busy upstream that may go elsewhere
+	rnd     *rand.Rand
 }
 
 // FrontendConfig holds the settings of a Frontend.
@@ -65,6 +66,9 @@
 	// IgnoreKeys passes idempotency keys on as any other header: no node is
 	// their home.
 	IgnoreKeys bool
+	// Record takes the records of requests that failed, were refused, tried
+	// again or slow; nil for none.
+	Record Recorder
 	// CallerService returns the service beside this node, for
 	// Dialect.CallerService.
 	CallerService func() string
@@ -106,7 +110,7 @@
 		metrics:     m,
 		ready:       ready,
 		router:      routing.NewRouter(cfg.Routing, cfg.Self),
-		budget:      retry.NewBudget(cfg.Retry),
+		budgets:     make(map[string]*retry.Budget),
 		spare:       retry.NewBudget(sparePolicy),
 		rnd:         rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
@@ -146,6 +150,7 @@
 		f:        f,
 		route:    route,
 		service:  service,
+		version:  snap.ID,
 		req:      r,
 		start:    start,
 		deadline: start.Add(timeout),
@@ -215,6 +220,9 @@
 	// mayHaveRun is set once a try ended ambiguously; from then on nothing may
 	// be reported as not run.
 	mayHaveRun bool
+	trail      []TryRecord
+	ended      retry.Reason // why no further try was made
+	version    version.ID
 	// noWait asks the next admitting node for a slot at once.
 	noWait bool
 }
@@ -227,7 +235,7 @@
 		x.finish(w, x.f.answer(bodyProblem(err), x.req))
 		return
 	}
-	x.f.earn()
+	x.f.earn(x.service.Name)
 	x.noWait = x.mayGoElsewhere() && x.f.takeSpare()
 	for {
 		resp, class := x.try(ctx)
@@ -244,7 +252,7 @@
 			x.finish(w, resp)
 			return
 		}
-		reason := x.f.again(retry.Try{
+		reason := x.f.again(x.service.Name, retry.Try{
 			Class:      class,
 			Idempotent: x.route.Idempotent,
 			Arrived:    x.arrived,
@@ -255,6 +263,7 @@
 		})
 		if reason != retry.Go || ctx.Err() != nil {
 			x.f.metrics.notRetried(reason)
+			x.ended = reason
 			x.finish(w, resp)
 			return
 		}
@@ -317,6 +326,7 @@
 		outcome = outcomeNames[len(outcomeNames)-1]
 	}
 	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, time.Since(x.start), x.tries)
+	x.record(resp.StatusCode, outcome, resp.Header.Get(HeaderReason))
 	if err != nil {
 		// The status is out; only a broken connection tells the caller that the
 		// answer is not whole.
@@ -345,6 +355,13 @@
 	x.tried = append(x.tried, target.Name)
 	x.f.began(target.Name)
 	sent := time.Now()
+	resp, class := x.tryAt(ctx, target, sent)
+	x.noteTry(target.Name, sent, class, resp)
+	return resp, class
+}
+
+// tryAt makes one try at an upstream, and tells the router how it ended.
+func (x *exchange) tryAt(ctx context.Context, target membership.Instance, sent time.Time) (*http.Response, retry.Class) {
 	resp, problem := x.send(ctx, target)
 	if problem != nil {
 		x.f.ended(target.Name, routing.Outcome{Failed: ctx.Err() == nil})
@@ -352,7 +369,8 @@
 	}
 	class := classOf(resp.Header)
 	if class != retry.Answered {
-		x.f.ended(target.Name, routing.Outcome{Failed: class == retry.NeverDispatched || class == retry.Ambiguous, Told: readLoad(resp.Header)})
+		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
+		x.f.ended(target.Name, routing.Outcome{Failed: failed, Told: readLoad(resp.Header)})
 		return resp, class
 	}
 	if resp.Body = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
--- /dev/null
+++ b/internal/proxy/record.go
@@ -0,0 +1,86 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// Record tells how a caller's request was decided, for logs.
+type Record struct {
+	ID       string // as the caller sent it
+	Kind     string
+	Service  string
+	Route    string
+	Version  version.ID // of the table in force when it came
+	Status   int
+	Outcome  string
+	Reason   string // of an answer that a node made; empty for an upstream's
+	Retry    retry.Reason
+	Took     time.Duration
+	Deadline time.Duration // given to it, from its coming
+	Tries    []TryRecord
+}
+
+// TryRecord is one try of a request.
+type TryRecord struct {
+	Upstream string
+	At       time.Duration // since the request came
+	Took     time.Duration
+	Class    retry.Class
+	Status   int
+	Reason   string
+	// Load is what the admitting node said: in use/slots/waiting.
+	Load string
+}
+
+// Recorder takes records. It must not block, and keeps nothing of the record.
+type Recorder func(*Record)
+
+// slowShare is the part of its objective from which a served request counts as
+// slow and is recorded.
+const slowShare = 1.0
+
+// noteTry adds a try to the record.
+func (x *exchange) noteTry(upstream string, sent time.Time, class retry.Class, resp *http.Response) {
+	if x.f.cfg.Record == nil {
+		return
+	}
+	x.trail = append(x.trail, TryRecord{
+		Upstream: upstream,
+		At:       sent.Sub(x.start),
+		Took:     time.Since(sent),
+		Class:    class,
+		Status:   resp.StatusCode,
+		Reason:   resp.Header.Get(HeaderReason),
+		Load:     resp.Header.Get(headerLoad),
+	})
+}
+
+// record hands a request over that failed, was refused, tried again or slow.
+func (x *exchange) record(status int, outcome, reason string) {
+	if x.f.cfg.Record == nil {
+		return
+	}
+	took := time.Since(x.start)
+	slow := x.route.Objective > 0 && took > time.Duration(slowShare*float64(x.route.Objective))
+	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && x.tries <= 1 && !slow {
+		return
+	}
+	x.f.cfg.Record(&Record{
+		ID:       x.req.Header.Get(x.f.cfg.Dialect.RequestID),
+		Kind:     x.route.Kind,
+		Service:  x.service.Name,
+		Route:    x.route.Name,
+		Version:  x.version,
+		Status:   status,
+		Outcome:  outcome,
+		Reason:   reason,
+		Retry:    x.ended,
+		Took:     took,
+		Deadline: x.deadline.Sub(x.start),
+		Tries:    x.trail,
+	})
+}
--- a/internal/proxy/urgency.go
+++ b/internal/proxy/urgency.go
@@ -9,9 +9,12 @@
 
 const (
 	// patienceShare is the part of its latency objective that a request may
-	// spend waiting for a slot. What is refused within it can still come back
-	// and be answered in time; what waits longer is late in any case.
-	patienceShare = 0.25
+	// spend waiting for a slot. What is refused within a quarter of it, the way
+	// to the caller and back included, can still come back and be in time.
+	patienceShare = 0.15
+	// minPatience is the least wait allowed: a slot comes free every few
+	// milliseconds, and a call that is refused fails the request that made it.
+	minPatience = 60 * time.Millisecond
 	// priorityStep is the ratio of the weights of two neighbouring priorities:
 	// near enough to strict order, without starving the lower one.
 	priorityStep = 4
@@ -25,7 +28,7 @@
 	if route.Objective == 0 {
 		return time.Time{}
 	}
-	return start.Add(time.Duration(patienceShare * float64(route.Objective)))
+	return start.Add(max(time.Duration(patienceShare*float64(route.Objective)), minPatience))
 }
 
 // urgency is the factor on the weight of a kind in the queue: more for a better
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -40,6 +40,13 @@
 	// SlowStartFloor is the part of its weight that a new instance starts with.
 	// Default 0.2.
 	SlowStartFloor float64
+	// ByTime chooses the least expected time over all upstreams in place of the
+	// lesser load of two. It needs told service times.
+	ByTime bool
+	// FarFactor multiplies the expected time at an upstream of another data
+	// centre, as the price of bytes between them: more keeps requests near, less
+	// evens the load. Only with ByTime. Default 1.25.
+	FarFactor float64
 }
 
 // DefaultConfig returns the defaults given at the fields.
@@ -55,13 +62,16 @@
 		Silence:          300 * time.Millisecond,
 		SlowStart:        10 * time.Second,
 		SlowStartFloor:   0.2,
+		FarFactor:        1.25,
 	}
 }
 
 // Told is what the node beside an upstream said of its load.
 type Told struct {
 	InUse, Slots, Waiting int
-	Draining              bool
+	// Service is the smoothed time that a request holds a slot; 0 if unknown.
+	Service  time.Duration
+	Draining bool
 }
 
 // evidence is what this node has met of one upstream.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -99,12 +99,39 @@
 	c.Instance = m.Instance
 	e := r.of(now, m.Instance)
 	c.Weight = u.Weight * e.ramp(r.cfg, now) * r.distance(m.Instance)
-	slots := max(u.Concurrency, e.told.Slots, 1)
-	c.Cost = (e.busy(r.cfg, now) + 1) / float64(slots)
+	slots := float64(max(u.Concurrency, e.told.Slots, 1))
+	c.Cost = (e.busy(r.cfg, now) + 1) / slots
+	if r.cfg.ByTime {
+		c.Cost = r.expected(e, c.Cost, slots, m.Instance)
+	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
 	return c
 }
 
+// unknownService stands for a service time that no node has told yet.
+const unknownService = 0.1
+
+// expected estimates the seconds that a request takes at an upstream: its
+// service time, which grows as its slots fill, the wait behind those that have
+// none, and what fails there and has to be done again.
+func (r *Router) expected(e *evidence, load, slots float64, in membership.Instance) float64 {
+	service := e.told.Service.Seconds()
+	if service == 0 {
+		service = unknownService
+	}
+	busy := min(load, 1)
+	seconds := service * (1 + busy*busy + max(0, load*slots-slots)/slots)
+	if in.DataCentre != r.self.DataCentre {
+		seconds *= r.cfg.FarFactor
+	}
+	works := max(1-e.failure, leastWorking)
+	return seconds / (works * works)
+}
+
+// leastWorking bounds how much worse failures make an upstream look, so that
+// it still gets the odd request and can show that it is well again.
+const leastWorking = 0.15
+
 func (r *Router) exclusion(now time.Time, u *snapshot.Upstream, m membership.Member, e *evidence, req Request) Exclusion {
 	switch {
 	case req.Pinned != nil && req.Pinned.Name != u.Name:
@@ -176,6 +203,9 @@
 	case 1:
 		return usable[0], true
 	}
+	if r.cfg.ByTime {
+		return least(rnd, usable), true
+	}
 	a := draw(rnd, usable, total, -1)
 	b := draw(rnd, usable, total-usable[a].Weight, a)
 	if usable[b].Cost < usable[a].Cost {
@@ -184,6 +214,22 @@
 	return usable[a], true
 }
 
+// costNoise spreads choices among upstreams of nearly the same cost, so that
+// nodes with the same news do not all choose the same one.
+const costNoise = 0.15
+
+// least returns the candidate with the least cost for its weight.
+func least(rnd *rand.Rand, cs []Candidate) Candidate {
+	best, at := 0.0, -1
+	for i, c := range cs {
+		cost := c.Cost / c.Weight * (1 + costNoise*rnd.Float64())
+		if at < 0 || cost < best {
+			best, at = cost, i
+		}
+	}
+	return cs[at]
+}
+
 // draw returns an index by weight, leaving out skip.
 func draw(rnd *rand.Rand, cs []Candidate, total float64, skip int) int {
 	at := rnd.Float64() * total
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -63,7 +63,7 @@
 
 	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
 	count("requests", "buffer_limit", "bytes", "524288", "longest request body kept for a further try; more can be tried again, fewer takes less memory", func(s *Sidecar) *int { return &s.BufferLimit }),
-	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.1", Doc: "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", set: setSidecarRatio},
+	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.15", Doc: "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", set: setSidecarRatio},
 	count("requests", "retry_reserve", "retries", "3", "further tries saved up by one sidecar; times the number of sidecars it must stay under what the platform allows", func(s *Sidecar) *int { return &s.RetryReserve }),
 
 	duration("shutdown", "announce", "2500ms", "time between announcing the leave and refusing new work; two missed readiness checks of a second each, and some", func(s *Sidecar) *time.Duration { return &s.DrainAnnounce }),
--- /dev/null
+++ b/internal/sidecar/record.go
@@ -0,0 +1,73 @@
+package sidecar
+
+import (
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
+
+	"github.com/walldrift/walldrift/internal/proxy"
+)
+
+// Bounds of the lines about requests. A second's worth is what an on-call
+// engineer can use and costs under a hundredth of a small machine's core.
+const (
+	recordsPerSecond = 20
+	recordBurst      = 100
+)
+
+// recorder writes a line for each request whose decisions matter, within a
+// budget; what is left out is counted and said with the next line.
+type recorder struct {
+	log    *log.Logger
+	budget *rate.Limiter
+	missed atomic.Int64
+}
+
+func newRecorder(l *log.Logger) *recorder {
+	return &recorder{log: l, budget: rate.NewLimiter(recordsPerSecond, recordBurst)}
+}
+
+func (r *recorder) record(rec *proxy.Record) {
+	if !r.budget.Allow() {
+		r.missed.Add(1)
+		return
+	}
+	r.log.Info("request",
+		"id", rec.ID,
+		"kind", rec.Kind,
+		"service", rec.Service,
+		"route", rec.Route,
+		"version", rec.Version,
+		"status", rec.Status,
+		"outcome", rec.Outcome,
+		"reason", rec.Reason,
+		"not_retried", string(rec.Retry),
+		"took_ms", millis(rec.Took),
+		"allowed_ms", millis(rec.Deadline),
+		"tries", formatTries(rec.Tries),
+		"left_out", r.missed.Swap(0),
+	)
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// formatTries writes tries as "upstream@12.5ms+30.1ms:class:status:reason:load".
+func formatTries(tries []proxy.TryRecord) string {
+	var b strings.Builder
+	for i, t := range tries {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(t.Upstream)
+		b.WriteByte('@')
+		b.WriteString(strconv.FormatFloat(millis(t.At), 'f', 1, 64))
+		b.WriteString("ms+")
+		b.WriteString(strconv.FormatFloat(millis(t.Took), 'f', 1, 64))
+		b.WriteString("ms:" + t.Class.String() + ":" + strconv.Itoa(t.Status) + ":" + t.Reason + ":" + t.Load)
+	}
+	return b.String()
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -114,6 +114,8 @@
 
 	policy := retry.DefaultPolicy()
 	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), 2
+	choice := routing.DefaultConfig()
+	choice.ByTime = true
 	s.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Self: membership.Instance{
 			Name:       s.cfg.Name,
@@ -121,7 +123,7 @@
 			DataCentre: s.cfg.DataCentre,
 			Region:     s.cfg.Region,
 		},
-		Routing:       routing.DefaultConfig(),
+		Routing:       choice,
 		Retry:         policy,
 		Seed:          uint64(time.Now().UnixNano()),
 		MaxInFlight:   s.cfg.MaxInFlight,
@@ -129,6 +131,7 @@
 		BufferLimit:   int64(s.cfg.BufferLimit),
 		WholeAnswers:  wholeAnswers,
 		IgnoreKeys:    true,
+		Record:        newRecorder(s.log).record,
 		CallerService: func() string { return *s.service.Load() },
 		BodyLimit:     func() int64 { return s.follower.Limits().BodyBytes },
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
