--- /dev/null
+++ b/internal/discovery/follower_test.go
@@ -0,0 +1,168 @@
+package discovery
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// fakeSource is a store whose answers the test sets.
+type fakeSource struct {
+	mu      sync.Mutex
+	state   Update
+	fail    error // answer of every call
+	gone    bool  // the next watch finds its history dropped
+	lists   int
+	watches int
+}
+
+func (s *fakeSource) List(context.Context) (Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return s.state, s.fail
+}
+
+func (s *fakeSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		s.watches++
+		u, err, gone := s.state, s.fail, s.gone
+		s.gone = false
+		s.mu.Unlock()
+		switch {
+		case err != nil:
+			return Update{}, err
+		case gone:
+			return Update{}, ErrHistoryGone
+		case u.Revision > after:
+			return u, nil
+		case !time.Now().Before(end):
+			return Update{Revision: after}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// calls returns the listings and the looks of watches so far.
+func (s *fakeSource) calls() (lists, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists, s.watches
+}
+
+func (s *fakeSource) set(edit func(*fakeSource)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	edit(s)
+}
+
+func testDocument(edition uint64) *Document {
+	t := &table.Table{Edition: edition, Services: []table.Service{{Name: "s"}},
+		Routes: []table.Route{{Name: "r", Prefix: "/", Service: "s", Timeout: time.Second}}}
+	return &Document{ID: version.Of(edition, nil), Table: t}
+}
+
+func published(id string, revision uint64) Upstream {
+	return Upstream{ID: id, Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3, Revision: revision}
+}
+
+// follow runs a follower inside a synctest bubble until the test ends.
+func follow(t *testing.T, source Source) (*Follower, *snapshot.Holder) {
+	holder := &snapshot.Holder{}
+	f := NewFollower(DefaultConfig(), source, holder, log.New(io.Discard), func(*Directory) {})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	return f, holder
+}
+
+func TestSnapshotFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSource{state: Update{Revision: 1, Document: testDocument(1)}}
+		f, holder := follow(t, s)
+		time.Sleep(time.Second)
+		assert.Equal(t, holder.ID().Edition, uint64(1))
+		assert.Equal(t, len(holder.Current().Service("s").Upstreams), 0)
+		s.set(func(s *fakeSource) { s.state = Update{Revision: 2, Upstreams: []Upstream{published("a", 2)}} })
+		time.Sleep(time.Second)
+		assert.Equal(t, holder.Current().Service("s").Upstreams[0].Name, "a")
+		assert.Equal(t, holder.Current().Upstream("a").Concurrency, 3)
+		leaving := published("a", 3)
+		leaving.Leaving = true
+		s.set(func(s *fakeSource) {
+			s.state = Update{Revision: 3, Upstreams: []Upstream{leaving}, Document: testDocument(2)}
+		})
+		time.Sleep(time.Second)
+		m, ok := f.Member("a")
+		assert.Assert(t, ok && m.Status == membership.Departing)
+		assert.Equal(t, holder.ID().Edition, uint64(2))
+	})
+}
+
+// An older table, such as a stale answer shows, never replaces a newer one.
+func TestOlderTableIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSource{state: Update{Revision: 5, Document: testDocument(5)}}
+		_, holder := follow(t, s)
+		time.Sleep(time.Second)
+		s.set(func(s *fakeSource) { s.state = Update{Revision: 6, Document: testDocument(4)} })
+		time.Sleep(time.Second)
+		assert.Equal(t, holder.ID().Edition, uint64(5))
+	})
+}
+
+// When the history is dropped, all is listed at once.
+func TestDroppedHistoryIsListedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSource{state: Update{Revision: 1, Document: testDocument(1)}}
+		_, holder := follow(t, s)
+		time.Sleep(time.Second)
+		s.set(func(s *fakeSource) {
+			s.state = Update{Revision: 9, Document: testDocument(2)}
+			s.gone = true
+		})
+		time.Sleep(20 * time.Millisecond)
+		assert.Equal(t, holder.ID().Edition, uint64(2))
+		lists, _ := s.calls()
+		assert.Equal(t, lists, 2)
+	})
+}
+
+// While the store is away the last snapshot stays, calls are few, and a change
+// is in force within a second of the return.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSource{state: Update{Revision: 1, Document: testDocument(1), Upstreams: []Upstream{published("a", 1)}}}
+		_, holder := follow(t, s)
+		time.Sleep(time.Second)
+		s.set(func(s *fakeSource) { s.fail = errors.New("down") })
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(holder.Current().Service("s").Upstreams), 1)
+		_, before := s.calls()
+		time.Sleep(10 * time.Second)
+		_, after := s.calls()
+		assert.Assert(t, after-before <= 50, "%d calls in ten seconds", after-before)
+		s.set(func(s *fakeSource) { s.fail, s.state = nil, Update{Revision: 2, Document: testDocument(2)} })
+		time.Sleep(time.Second)
+		assert.Equal(t, holder.ID().Edition, uint64(2))
+	})
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -234,7 +234,7 @@
 	req    *http.Request
 	stop   func() bool // ends the watch on the request's context
 	sent   chan error  // outcome of the body; nil if it was sent with the head
-	proven bool        // the body is on its way
+	began  bool        // the body is on its way
 }
 
 func (t *trip) run() (*http.Response, error) {
@@ -271,27 +271,37 @@
 	switch {
 	case !body:
 	case t.expects():
-	case t.req.ContentLength > 0 && t.req.ContentLength <= inlineBody:
-		if _, err := io.CopyN(bw, t.req.Body, t.req.ContentLength); err != nil {
+	case t.length() > 0 && t.length() <= inlineBody:
+		if _, err := io.CopyN(bw, t.req.Body, t.length()); err != nil {
 			return max(counted.n, 1), err
 		}
 	}
 	if err := bw.Flush(); err != nil {
 		return counted.n, err
 	}
-	if body && !t.expects() && (t.req.ContentLength < 0 || t.req.ContentLength > inlineBody) {
+	if body && !t.expects() && (t.length() < 0 || t.length() > inlineBody) {
 		t.startBody()
 	}
 	return counted.n, nil
 }
 
-func (t *trip) hasBody() bool {
-	return t.req.Body != nil && t.req.Body != http.NoBody && t.req.ContentLength != 0
+// length is the length of the body; negative if it is not known. As in
+// net/http, a length of 0 beside a body means that.
+func (t *trip) length() int64 {
+	switch {
+	case t.req.Body == nil || t.req.Body == http.NoBody:
+		return 0
+	case t.req.ContentLength == 0:
+		return -1
+	}
+	return t.req.ContentLength
 }
 
+func (t *trip) hasBody() bool { return t.length() != 0 }
+
 func (t *trip) expects() bool {
 	limit := t.client.cfg.Expect
-	return t.hasBody() && limit >= 0 && (t.req.ContentLength < 0 || t.req.ContentLength > limit)
+	return t.hasBody() && limit >= 0 && (t.length() < 0 || t.length() > limit)
 }
 
 func (t *trip) head(bw *bufio.Writer) {
@@ -306,10 +316,10 @@
 	_, _ = bw.WriteString(t.req.Method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	_ = t.req.Header.WriteSubset(bw, framing)
 	switch {
-	case t.hasBody() && t.req.ContentLength < 0:
+	case t.hasBody() && t.length() < 0:
 		_, _ = bw.WriteString("Transfer-Encoding: chunked\r\n")
-	case t.req.ContentLength > 0 || t.req.Method != http.MethodGet && t.req.Method != http.MethodHead:
-		_, _ = bw.WriteString("Content-Length: " + strconv.FormatInt(max(t.req.ContentLength, 0), 10) + "\r\n")
+	case t.length() > 0 || t.req.Method != http.MethodGet && t.req.Method != http.MethodHead:
+		_, _ = bw.WriteString("Content-Length: " + strconv.FormatInt(max(t.length(), 0), 10) + "\r\n")
 	}
 	if t.expects() {
 		_, _ = bw.WriteString("Expect: 100-continue\r\n")
@@ -323,13 +333,13 @@
 // startBody sends the body while the answer is awaited.
 func (t *trip) startBody() {
 	t.sent = make(chan error, 1)
-	t.proven = true
+	t.began = true
 	go func() { t.sent <- t.writeBody() }()
 }
 
 func (t *trip) writeBody() error {
-	if t.req.ContentLength > 0 {
-		_, err := io.CopyN(onlyWriter{t.cc.nc}, t.req.Body, t.req.ContentLength)
+	if t.length() > 0 {
+		_, err := io.CopyN(onlyWriter{t.cc.nc}, t.req.Body, t.length())
 		return err
 	}
 	return writeChunks(t.cc.nc, t.req.Body)
@@ -386,7 +396,7 @@
 // bodySent reports whether the whole request was sent.
 func (t *trip) bodySent() bool {
 	if t.sent == nil {
-		return !t.expects() || t.proven
+		return !t.expects() || t.began
 	}
 	select {
 	case err := <-t.sent:
