Choose once a try; refuse where every upstream is known to be full

Change: no choice ends the request with what the last try brought. A request is refused at its own node when the best upstream is known, by news of the last 100 ms, to have too many waiting; one more node is asked in place of two; one request more for six slots is handed over.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -237,11 +237,18 @@
 	}
 	x.f.earn(x.service.Name)
 	x.noWait = x.mayGoElsewhere() && x.f.takeSpare()
+	var last *http.Response // of the try before; nil for none
 	for {
-		resp, class := x.try(ctx)
+		target, problem := x.choose()
+		if problem != nil {
+			x.giveUp(w, last, problem)
+			return
+		}
+		drop(last)
+		resp, class := x.try(ctx, target)
+		last = resp
 		x.f.metrics.tried(class)
 		if x.sendOn(ctx, class, resp) {
-			_ = resp.Body.Close()
 			continue
 		}
 		x.mayHaveRun = x.mayHaveRun || class == retry.Ambiguous
@@ -267,6 +274,23 @@
 			x.finish(w, resp)
 			return
 		}
+	}
+}
+
+// giveUp answers a request for which no further upstream can be chosen: with
+// what the last try brought, or the problem if there was none.
+func (x *exchange) giveUp(w http.ResponseWriter, last *http.Response, problem *Problem) {
+	x.ended = retry.ReasonNoUpstream
+	x.f.metrics.notRetried(x.ended)
+	if last == nil {
+		last = x.f.answer(problem, x.req)
+	}
+	x.finish(w, last)
+}
+
+// drop ends a response that is not passed on.
+func drop(resp *http.Response) {
+	if resp != nil {
 		_ = resp.Body.Close()
 	}
 }
@@ -345,12 +369,8 @@
 	}
 }
 
-// try makes one try and returns its response, made up if there was none.
-func (x *exchange) try(ctx context.Context) (*http.Response, retry.Class) {
-	target, problem := x.choose()
-	if problem != nil {
-		return x.f.answer(problem, x.req), problem.class
-	}
+// try makes one try at target and returns its response, made up if there was none.
+func (x *exchange) try(ctx context.Context, target membership.Instance) (*http.Response, retry.Class) {
 	x.tries++
 	x.tried = append(x.tried, target.Name)
 	x.f.began(target.Name)
@@ -400,9 +420,18 @@
 	if !ok {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
 	}
+	if x.hopeless(c) {
+		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonBusy, c.Wait)
+	}
 	return c.Instance, nil
 }
 
+// hopeless reports whether even the best upstream is known to have so many
+// waiting that the request would be refused there.
+func (x *exchange) hopeless(c routing.Candidate) bool {
+	return !x.patience.IsZero() && c.Wait > 0 && c.Wait > time.Until(x.patience)
+}
+
 func (x *exchange) chooseHome() (membership.Instance, *Problem) {
 	key := ledger.Key{Service: x.env.Service, Tenant: x.env.Tenant, Value: x.env.Key}
 	m, ok := x.f.members(ledger.Home(x.service, key))
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -104,3 +104,27 @@
 	assert.Equal(t, h.Get("Walldrift-Class"), "")
 	assert.Equal(t, h.Get("X-Other"), "1")
 }
+
+// When no upstream may be used, the request is answered at once: choosing again
+// would only spin until the deadline.
+func TestNoUpstreamIsChosenOnce(t *testing.T) {
+	snap, err := snapshot.Build(standin.Kerbline().Table())
+	assert.NilError(t, err)
+	h := &snapshot.Holder{}
+	h.Advance(snap)
+	asked := make(map[string]int)
+	none := func(name string) (membership.Member, bool) {
+		asked[name]++
+		return membership.Member{}, false
+	}
+	policy := retry.DefaultPolicy()
+	policy.FreeTries = 1
+	f := NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: policy, Seed: 1}, h, none, &scripted{},
+		NewMetrics(tally.NoopScope), func() bool { return true })
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	for name, n := range asked {
+		assert.Equal(t, n, 1, "asked for %s", name)
+	}
+}
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -36,6 +36,7 @@
 	reasonNotInSync   = "not-in-sync" // no neighbour has told what it holds, since the start or a pause
 	reasonFull        = "too-many-requests"
 	reasonNoRoute     = "no-route"
+	reasonBusy        = "all-busy" // every upstream is known to have too many waiting
 	reasonNoUpstream  = "no-upstream"
 	reasonBadRequest  = "bad-request"
 	reasonUnreachable = "unreachable"
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -113,6 +113,9 @@
 	ReasonTime   Reason = "no-time"
 	ReasonBody   Reason = "body-gone"
 	ReasonBudget Reason = "budget"
+	// ReasonNoUpstream is given by the caller of Again: there is no upstream
+	// left to try.
+	ReasonNoUpstream Reason = "no-upstream"
 )
 
 // Again decides whether another try may follow, and takes it from the budget.
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -103,6 +103,20 @@
 	return max(own, trust*told+(1-trust)*own)
 }
 
+// waitMemory is how long news of a queue is trusted enough to refuse a request
+// on its word: about the time in which one request ends and another starts.
+const waitMemory = 100 * time.Millisecond
+
+// wait is the time in which the requests known to wait for a slot, and this
+// one, get theirs.
+func (e *evidence) wait(now time.Time, slots float64) time.Duration {
+	if e.toldAt.IsZero() || now.Sub(e.toldAt) > waitMemory || e.told.Waiting == 0 {
+		return 0
+	}
+	ahead := e.told.Waiting + max(0, e.inFlight-e.toldFlight) + 1
+	return time.Duration(float64(ahead) / slots * float64(e.told.Service))
+}
+
 // ramp is the part of its weight that a new instance gets, 0 to 1.
 func (e *evidence) ramp(cfg Config, now time.Time) float64 {
 	if e.firstSeen.IsZero() || cfg.SlowStart <= 0 {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -34,8 +34,12 @@
 	Excluded Exclusion
 	// Weight is the table's weight times slow start and distance.
 	Weight float64
-	// Cost is the estimated load over the slots; the lesser is chosen.
+	// Cost is the estimated load over the slots, or the expected seconds with
+	// Config.ByTime; the lesser is chosen.
 	Cost float64
+	// Wait is the time that a request is expected to wait for a slot, by news
+	// that is at most waitMemory old; 0 if there is none.
+	Wait time.Duration
 }
 
 // Request is what the choice depends on.
@@ -102,6 +106,7 @@
 	slots := float64(max(u.Concurrency, e.told.Slots, 1))
 	c.Cost = (e.busy(r.cfg, now) + 1) / slots
 	if r.cfg.ByTime {
+		c.Wait = e.wait(now, slots)
 		c.Cost = r.expected(e, c.Cost, slots, m.Instance)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,6 +72,13 @@
 	// dialTimeout bounds a new connection inside the fleet: some 200 round trips
 	// between data centres, and short enough to go elsewhere in time.
 	dialTimeout = 300 * time.Millisecond
+	// freeTries is retry.Policy.FreeTries: one more node is asked.
+	freeTries = 1
+	// handOverShare is the number of slots for which one request more is handed
+	// over, to wait in the upstream's own queue: it takes the slot that comes
+	// free without the way to this process and back. Trials on two deployments:
+	// worth of loaded days up by 0 to 0.04.
+	handOverShare = 6
 	// queueFactor is the number of requests that may wait per slot.
 	queueFactor = 2
 )
@@ -113,7 +120,7 @@
 	}, s.holder, nil, requests, time.Now())
 
 	policy := retry.DefaultPolicy()
-	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), 2
+	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), freeTries
 	choice := routing.DefaultConfig()
 	choice.ByTime = true
 	s.frontend = proxy.NewFrontend(proxy.FrontendConfig{
@@ -185,7 +192,7 @@
 func (s *Sidecar) directoryChanged(d *discovery.Directory) {
 	own, ok := d.At(s.cfg.Upstream)
 	if ok && own.Slots > 0 {
-		s.backend.SetSlots(own.Slots)
+		s.backend.SetSlots(own.Slots + own.Slots/handOverShare)
 	}
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,11 +1,11 @@
 package sidecar
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,10 +46,10 @@
 					b.Error(err)
 					return
 				}
+				_, _ = io.Copy(io.Discard, resp.Body)
 				_ = resp.Body.Close()
 			}
 		})
 	}
 	group.Wait()
-	_ = time.Now
 }
