Tell the expected wait by kind; a call may wait its objective

Change: the admitting node tells the expected wait of the request's own kind; a route with an objective of at most 150 ms may wait for all of it.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -120,11 +120,18 @@
 	return g.draining
 }
 
-// ServiceTime returns the smoothed time that a request holds a slot.
-func (g *Gate) ServiceTime() time.Duration {
+// Forecast is what a gate expects of the next request of a kind.
+type Forecast struct {
+	Load
+	Service time.Duration // smoothed time that a request holds a slot
+	Wait    time.Duration // until it gets a slot
+}
+
+// Forecast returns the present state, as the next request of a kind meets it.
+func (g *Gate) Forecast(kind string, weight float64) Forecast {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.ServiceTime()
+	return Forecast{Load: g.queue.Load(), Service: g.queue.ServiceTime(), Wait: g.queue.Wait(kind, weight)}
 }
 
 // Load returns the present state.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -181,6 +181,15 @@
 	return Verdict{Reason: r, RetryAfter: q.retryAfter()}
 }
 
+// Wait is the time that a further request of the kind is expected to wait for a
+// slot.
+func (q *Queue) Wait(kind string, weight float64) time.Duration {
+	if q.inUse < q.cfg.Slots && q.waiting == 0 {
+		return 0
+	}
+	return q.waitBehind(q.ahead(&Ticket{Kind: kind, Weight: weight}))
+}
+
 // retryAfter is the time in which the present queue drains.
 func (q *Queue) retryAfter() time.Duration {
 	wait := q.waitBehind(q.waiting + 1)
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -153,36 +153,38 @@
 func (b *Backend) RoundTrip(req *http.Request) (*http.Response, error) {
 	env, err := readEnvelope(req.Header)
 	if err != nil {
-		return b.refuse(req, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)), nil
+		return b.refuse(req, env, notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)), nil
 	}
 	if b.cfg.Name != "" && env.Target != b.cfg.Name {
-		return b.refuse(req, refusedBy(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter})), nil
+		return b.refuse(req, env, refusedBy(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter})), nil
 	}
 	b.inflight.Add(1)
 	call := &backendCall{b: b, env: env, req: req, start: time.Now()}
 	resp, problem := call.run()
 	if problem != nil {
 		b.inflight.Add(-1)
-		resp = b.refuse(req, problem)
+		resp = b.refuse(req, env, problem)
 	}
 	return resp, nil
 }
 
-func (b *Backend) refuse(req *http.Request, p *Problem) *http.Response {
+func (b *Backend) refuse(req *http.Request, env Envelope, p *Problem) *http.Response {
 	resp := p.response(req)
-	b.stamp(resp.Header)
+	b.stamp(resp.Header, env)
 	return resp
 }
 
 // stamp adds what the caller's node learns from every answer.
-func (b *Backend) stamp(h http.Header) {
-	load := b.gate.Load()
-	text := strconv.Itoa(load.InUse) + "/" + strconv.Itoa(load.Slots) + "/" + strconv.Itoa(load.Waiting)
-	text += "/" + strconv.FormatInt(b.gate.ServiceTime().Microseconds(), 10)
+func (b *Backend) stamp(h http.Header, env Envelope) {
+	f := b.gate.Forecast(env.Kind, env.KindWeight)
+	text := strconv.AppendInt(make([]byte, 0, 48), int64(f.InUse), 10)
+	for _, n := range [...]int64{int64(f.Slots), int64(f.Waiting), f.Service.Microseconds(), f.Wait.Microseconds()} {
+		text = strconv.AppendInt(append(text, '/'), n, 10)
+	}
 	if b.gate.Draining() || b.leaving.Load() {
-		text += "/draining"
+		text = append(text, "/draining"...)
 	}
-	h.Set(headerLoad, text)
+	h.Set(headerLoad, string(text))
 	setIf(h, HeaderServedBy, b.cfg.Name)
 }
 
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -118,14 +118,14 @@
 }
 
 // readLoad reads what an admitting node said of its load, nil if nothing:
-// "in use/slots/waiting/service time in microseconds", and "/draining" if it
-// leaves.
+// "in use/slots/waiting/service time/expected wait", times in microseconds, and
+// "/draining" if it leaves.
 func readLoad(h http.Header) *routing.Told {
 	parts := strings.Split(h.Get(headerLoad), "/")
-	if len(parts) < 4 {
+	var n [5]int
+	if len(parts) < len(n) {
 		return nil
 	}
-	var n [4]int
 	for i := range n {
 		v, err := strconv.Atoi(parts[i])
 		if err != nil || v < 0 {
@@ -138,6 +138,7 @@
 		Slots:    n[1],
 		Waiting:  n[2],
 		Service:  time.Duration(n[3]) * time.Microsecond,
+		Wait:     time.Duration(n[4]) * time.Microsecond,
 		Draining: len(parts) > len(n),
 	}
 }
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -390,7 +390,7 @@
 	class := classOf(resp.Header)
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Failed: failed, Told: readLoad(resp.Header)})
+		x.f.ended(target.Name, routing.Outcome{Failed: failed, Told: readLoad(resp.Header), Kind: x.route.Kind})
 		return resp, class
 	}
 	if resp.Body = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
@@ -402,7 +402,7 @@
 	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
-		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told})
+		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind})
 	}}
 	if x.req.Method == http.MethodHead {
 		resp.Body.(*endingBody).want = -1
@@ -416,7 +416,7 @@
 	if x.homed() {
 		return x.chooseHome()
 	}
-	c, ok := x.f.pick(routing.Request{Service: x.service, Pinned: x.route.Pinned, Tried: x.tried})
+	c, ok := x.f.pick(routing.Request{Service: x.service, Pinned: x.route.Pinned, Tried: x.tried, Kind: x.route.Kind})
 	if !ok {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
 	}
--- a/internal/proxy/urgency.go
+++ b/internal/proxy/urgency.go
@@ -13,8 +13,12 @@
 	// to the caller and back included, can still come back and be in time.
 	patienceShare = 0.15
 	// minPatience is the least wait allowed: a slot comes free every few
-	// milliseconds, and a call that is refused fails the request that made it.
+	// milliseconds.
 	minPatience = 60 * time.Millisecond
+	// callObjective is the longest objective of a route that services call: no
+	// person notices a tenth of a second. Such a request may wait its whole
+	// objective, as its refusal fails the request that made it.
+	callObjective = 150 * time.Millisecond
 	// priorityStep is the ratio of the weights of two neighbouring priorities:
 	// near enough to strict order, without starving the lower one.
 	priorityStep = 4
@@ -28,6 +32,9 @@
 	if route.Objective == 0 {
 		return time.Time{}
 	}
+	if route.Objective <= callObjective {
+		return start.Add(route.Objective)
+	}
 	return start.Add(max(time.Duration(patienceShare*float64(route.Objective)), minPatience))
 }
 
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -70,7 +70,10 @@
 type Told struct {
 	InUse, Slots, Waiting int
 	// Service is the smoothed time that a request holds a slot; 0 if unknown.
-	Service  time.Duration
+	Service time.Duration
+	// Wait is how long the next request of the same kind is expected to wait for
+	// a slot.
+	Wait     time.Duration
 	Draining bool
 }
 
@@ -83,6 +86,7 @@
 	told       Told
 	toldAt     time.Time
 	toldFlight int // own requests in flight when told
+	waits      map[string]kindWait
 	failure    float64
 	outcomes   int
 	ejected    time.Time // left out until then
@@ -107,14 +111,29 @@
 // on its word: about the time in which one request ends and another starts.
 const waitMemory = 100 * time.Millisecond
 
-// wait is the time in which the requests known to wait for a slot, and this
-// one, get theirs.
-func (e *evidence) wait(now time.Time, slots float64) time.Duration {
-	if e.toldAt.IsZero() || now.Sub(e.toldAt) > waitMemory || e.told.Waiting == 0 {
+// kindWait is news of the wait of one kind of request.
+type kindWait struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// maxKinds bounds the kinds of request whose waits are remembered.
+const maxKinds = 32
+
+func (e *evidence) noteWait(now time.Time, kind string, wait time.Duration) {
+	if e.waits == nil || len(e.waits) >= maxKinds {
+		e.waits = make(map[string]kindWait)
+	}
+	e.waits[kind] = kindWait{wait: wait, at: now}
+}
+
+// wait is the time that a request of the kind is expected to wait for a slot.
+func (e *evidence) wait(now time.Time, kind string) time.Duration {
+	w, ok := e.waits[kind]
+	if !ok || now.Sub(w.at) > waitMemory {
 		return 0
 	}
-	ahead := e.told.Waiting + max(0, e.inFlight-e.toldFlight) + 1
-	return time.Duration(float64(ahead) / slots * float64(e.told.Service))
+	return w.wait
 }
 
 // ramp is the part of its weight that a new instance gets, 0 to 1.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -47,6 +47,7 @@
 	Service *snapshot.Service
 	Pinned  *snapshot.Upstream
 	Tried   []string // upstreams already tried for this request
+	Kind    string   // class of request, for the wait told of it
 }
 
 // Members looks up the instance behind an upstream name.
@@ -106,7 +107,7 @@
 	slots := float64(max(u.Concurrency, e.told.Slots, 1))
 	c.Cost = (e.busy(r.cfg, now) + 1) / slots
 	if r.cfg.ByTime {
-		c.Wait = e.wait(now, slots)
+		c.Wait = e.wait(now, req.Kind)
 		c.Cost = r.expected(e, c.Cost, slots, m.Instance)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
@@ -300,6 +301,7 @@
 	Failed  bool
 	Latency time.Duration // time to the answer; 0 if there was none
 	Told    *Told         // what its node said with the answer; nil if nothing
+	Kind    string        // class of the request
 }
 
 // latencySmoothing is the weight of the newest latency.
@@ -318,6 +320,7 @@
 	}
 	if o.Told != nil {
 		e.told, e.toldAt, e.toldFlight = *o.Told, now, e.inFlight
+		e.noteWait(now, o.Kind, o.Told.Wait)
 	}
 	if o.Latency > 0 {
 		e.latency += latencySmoothing * (o.Latency.Seconds() - e.latency)
