Hold less for idle callers, fetch changes together, try out what is unknown

Change: an idle connection holds no buffer and the one idle longest beyond 256 is closed; garbage is collected at 40% growth; calls of the store start 500 ms apart; an upstream of which nothing recent is known gets one request in five until there is news; a measured service time fades in 3 s without samples.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -66,7 +66,12 @@
 }
 
 // Smoothing of the measured service time.
-const serviceSmoothing = 0.05
+const (
+	serviceSmoothing = 0.05 // weight of a sample among many
+	// serviceMemory is how long a smoothed service time counts where samples are
+	// few: some of the requests that an upstream gets as a trial.
+	serviceMemory = 3 * time.Second
+)
 
 // Bounds of the advice when to come back.
 const (
@@ -77,12 +82,13 @@
 // Queue shares the slots of one upstream among kinds, in proportion to their
 // weights, and inside a kind evenly among tenants.
 type Queue struct {
-	cfg     Config
-	inUse   int
-	waiting int
-	kinds   []*kindQueue // those with requests waiting or remembered
-	pass    float64      // progress of the fair order
-	service float64      // smoothed service time in seconds; 0 before the first
+	cfg      Config
+	inUse    int
+	waiting  int
+	kinds    []*kindQueue // those with requests waiting or remembered
+	pass     float64      // progress of the fair order
+	observed time.Time    // when service was last updated
+	service  float64      // smoothed service time in seconds; 0 before the first
 }
 
 // NewQueue returns an empty queue.
@@ -133,7 +139,7 @@
 // returns the requests to start now and those to refuse as too late.
 func (q *Queue) Release(now time.Time, held time.Duration) (start, late []*Ticket) {
 	q.inUse--
-	q.observe(held)
+	q.observe(now, held)
 	return q.Fill(now)
 }
 
@@ -216,14 +222,19 @@
 	return !latest.IsZero() && now.After(latest)
 }
 
-func (q *Queue) observe(held time.Duration) {
+// observe takes a service time into the smoothed one. A sample counts for more
+// the longer the one before is ago, so that an upstream that was slow and got
+// little work since is not taken for slow for long.
+func (q *Queue) observe(now time.Time, held time.Duration) {
 	s := held.Seconds()
 	if s <= 0 || math.IsNaN(s) {
 		return
 	}
-	if q.service == 0 {
-		q.service = s
-		return
+	part := 1.0
+	if q.service > 0 {
+		ago := now.Sub(q.observed).Seconds() / serviceMemory.Seconds()
+		part = max(serviceSmoothing, 1-math.Exp(-max(ago, 0)))
 	}
-	q.service += serviceSmoothing * (s - q.service)
+	q.observed = now
+	q.service += part * (s - q.service)
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -20,6 +20,10 @@
 	// WatchWait is the longest wait of one watch. Longer costs fewer calls,
 	// shorter notices a silent store sooner. Default 2 s.
 	WatchWait time.Duration
+	// MinGap is the least time between the starts of two calls. Changes that come
+	// in series are fetched together: longer costs fewer calls, shorter has them
+	// in force sooner. Default 500 ms, a quarter of what the platform allows.
+	MinGap time.Duration
 	// CallTimeout bounds a call beyond its wait. Default 800 ms.
 	CallTimeout time.Duration
 	// BackoffMin and BackoffMax bound the wait after a failed call, drawn at
@@ -35,6 +39,7 @@
 func DefaultConfig() Config {
 	return Config{
 		WatchWait:   2 * time.Second,
+		MinGap:      500 * time.Millisecond,
 		CallTimeout: 800 * time.Millisecond,
 		BackoffMin:  60 * time.Millisecond,
 		BackoffMax:  400 * time.Millisecond,
@@ -92,10 +97,12 @@
 func (f *Follower) Run(ctx context.Context) {
 	backoff := f.cfg.BackoffMin
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.step(ctx)
 		switch {
 		case err == nil:
 			backoff = f.cfg.BackoffMin
+			wait(ctx, f.cfg.MinGap-time.Since(began))
 		case errors.Is(err, ErrHistoryGone):
 			f.listed = false
 			f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
@@ -109,19 +116,19 @@
 
 // step makes one call and takes over what it brought.
 func (f *Follower) step(ctx context.Context) error {
-	wait := f.cfg.WatchWait
+	longest := f.cfg.WatchWait
 	if at, ok := f.registry.NextExpiry(); ok {
-		wait = min(wait, max(time.Until(at), time.Millisecond))
+		longest = min(longest, max(time.Until(at), time.Millisecond))
 	}
 	var u Update
 	var err error
-	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout+wait)
+	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout+longest)
 	defer cancel()
 	whole := !f.listed
 	if whole {
 		u, err = f.source.List(call)
 	} else {
-		u, err = f.source.Watch(call, f.registry.Revision(), wait)
+		u, err = f.source.Watch(call, f.registry.Revision(), longest)
 	}
 	if err != nil {
 		return err
@@ -226,7 +233,14 @@
 
 // pause waits for a random part of d, half of it at least.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d/2 + rand.N(d/2+1))
+	wait(ctx, d/2+rand.N(d/2+1))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -41,7 +41,7 @@
 	return &conn{
 		server: s,
 		nc:     nc,
-		br:     bufio.NewReaderSize(nc, readBuffer),
+		br:     getReader(nc),
 		ctx:    ctx,
 		cancel: cancel,
 		slots:  make(chan struct{}, s.cfg.Pipelined),
@@ -85,7 +85,7 @@
 		if !c.setWaiting(idle) {
 			return false
 		}
-		b, err := c.br.Peek(1)
+		b, err := c.peek()
 		if !c.doneWaiting() && err != nil {
 			return false
 		}
@@ -107,6 +107,21 @@
 	}
 }
 
+// peek waits for the next byte. While there is none, the connection holds no
+// buffer, as most connections are idle most of the time.
+func (c *conn) peek() ([]byte, error) {
+	if c.br.Buffered() == 0 {
+		putReader(c.br)
+		c.br = nil
+		err := awaitReadable(c.nc)
+		c.br = getReader(c.nc)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return c.br.Peek(1)
+}
+
 // setWaiting marks the connection as idle unless it is to be closed.
 func (c *conn) setWaiting(idle time.Duration) bool {
 	c.mu.Lock()
@@ -118,6 +133,9 @@
 	}
 	c.waiting = true
 	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+	if c.last == nil {
+		c.server.idle.add(c)
+	}
 	return true
 }
 
@@ -126,6 +144,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
+	c.server.idle.remove(c)
 	return !c.closing
 }
 
@@ -285,6 +304,7 @@
 	}
 	if c.waiting {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
+		c.server.idle.add(c)
 	}
 }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -30,6 +30,10 @@
 	// once. More hides the wait behind a slow answer, fewer bounds what one
 	// caller can take. Default 8.
 	Pipelined int
+	// MaxIdle is the number of connections without a request that are kept; the
+	// one idle longest is closed for a further one. More spares callers new
+	// connections, fewer takes less memory and descriptors. 0 means no bound.
+	MaxIdle int
 }
 
 // DefaultLimits returns limits for connections between nodes.
@@ -48,6 +52,7 @@
 	cfg      Config
 	draining atomic.Bool
 	closed   atomic.Bool
+	idle     idleList
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -62,7 +67,7 @@
 	if cfg.Pipelined == 0 {
 		cfg.Pipelined = defaultPipelined
 	}
-	return &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+	return &Server{cfg: cfg, conns: make(map[*conn]struct{}), idle: idleList{most: cfg.MaxIdle}}
 }
 
 // acceptPause is the wait after a failed accept, such as one for want of
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -262,3 +262,26 @@
 	resp, _ := read(t, br)
 	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
 }
+
+// Beyond MaxIdle the connection idle longest is closed, without a reset.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := NewServer(Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), MaxIdle: 2})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range 3 {
+		nc, br := dial(t, l.Addr().String())
+		write(t, nc, get("/"))
+		read(t, br)
+		conns, readers = append(conns, nc), append(readers, br)
+	}
+	_, err = readers[0].ReadByte()
+	assert.Equal(t, err, io.EOF)
+	for i := 1; i < 3; i++ {
+		write(t, conns[i], get("/"))
+		read(t, readers[i])
+	}
+}
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -136,6 +136,16 @@
 	return w.wait
 }
 
+// trialInterval is the number of its service times after which an upstream
+// without work from here gets a request as a trial: a usual one after two
+// seconds, a slow one seldom.
+const trialInterval = 20
+
+// unexplored reports whether nothing recent is known of the upstream.
+func (e *evidence) unexplored(now time.Time) bool {
+	return e.inFlight == 0 && (e.toldAt.IsZero() || now.Sub(e.toldAt) > trialInterval*e.told.Service)
+}
+
 // ramp is the part of its weight that a new instance gets, 0 to 1.
 func (e *evidence) ramp(cfg Config, now time.Time) float64 {
 	if e.firstSeen.IsZero() || cfg.SlowStart <= 0 {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -40,6 +40,8 @@
 	// Wait is the time that a request is expected to wait for a slot, by news
 	// that is at most waitMemory old; 0 if there is none.
 	Wait time.Duration
+	// Trial says that nothing recent is known of the upstream.
+	Trial bool
 }
 
 // Request is what the choice depends on.
@@ -109,6 +111,7 @@
 	if r.cfg.ByTime {
 		c.Wait = e.wait(now, req.Kind)
 		c.Cost = r.expected(e, c.Cost, slots, m.Instance)
+		c.Trial = e.unexplored(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
 	return c
@@ -224,10 +227,20 @@
 // nodes with the same news do not all choose the same one.
 const costNoise = 0.15
 
-// least returns the candidate with the least cost for its weight.
+// trialChance is the share of the requests that go to an upstream of which
+// nothing recent is known, as long as there is one: within a few requests, but
+// not from all nodes at once.
+const trialChance = 0.2
+
+// least returns the candidate with the least cost for its weight, or one to try
+// out.
 func least(rnd *rand.Rand, cs []Candidate) Candidate {
 	best, at := 0.0, -1
+	trial := rnd.Float64() < trialChance
 	for i, c := range cs {
+		if c.Trial && trial {
+			return c
+		}
 		cost := c.Cost / c.Weight * (1 + costNoise*rnd.Float64())
 		if at < 0 || cost < best {
 			best, at = cost, i
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -237,3 +237,47 @@
 	b.setStatus("u0", membership.Gone)
 	assert.Equal(t, b.share(100)["u1"], 100)
 }
+
+// An upstream that joins, or was slow once, gets a trial request although the
+// others look better.
+func TestNewUpstreamGetsATrial(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByTime = true
+	now := time.Unix(5000, 0)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	r := NewRouter(cfg, membership.Instance{DataCentre: "a"})
+	svc := &snapshot.Service{}
+	for _, name := range []string{"old", "new"} {
+		svc.Upstreams = append(svc.Upstreams, &snapshot.Upstream{Upstream: table.Upstream{Name: name, Weight: 1, Concurrency: 10}})
+	}
+	members := func(name string) (membership.Member, bool) {
+		in := membership.Instance{Name: name, DataCentre: "a"}
+		if name == "new" {
+			in.Generation = uint64(now.UnixMilli())
+		}
+		return membership.Member{Instance: in}, true
+	}
+	pick := func(service time.Duration) string {
+		c, ok := r.Pick(now, rnd, Request{Service: svc}, members)
+		assert.Assert(t, ok)
+		r.Start(now, c.Instance.Name)
+		if c.Instance.Name == "old" {
+			service = 10 * time.Millisecond
+		}
+		r.End(now, rnd, c.Instance.Name, Outcome{Latency: service, Told: &Told{Slots: 10, Service: service}})
+		return c.Instance.Name
+	}
+	got := make(map[string]int)
+	for range 50 {
+		got[pick(500*time.Millisecond)]++
+	}
+	assert.Assert(t, got["new"] >= 1 && got["new"] <= 2, "%v", got)
+	now = now.Add(trialInterval*500*time.Millisecond + time.Second)
+	again := 0
+	for range 10 {
+		if pick(10*time.Millisecond) == "new" {
+			again++
+		}
+	}
+	assert.Assert(t, again >= 1)
+}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -36,6 +36,7 @@
 	DrainTimeout  time.Duration
 
 	MemoryLimit int // MiB
+	GCPercent   int
 
 	LogLevel  string
 	LogFormat string
@@ -71,6 +72,8 @@
 
 	count("memory", "limit", "MiB", "64", "size from which the garbage collector works harder to stay under it", func(s *Sidecar) *int { return &s.MemoryLimit }),
 
+	count("memory", "gc_percent", "percent", "40", "growth of the heap until it is collected; less takes less memory and more processor time", func(s *Sidecar) *int { return &s.GCPercent }),
+
 	choice("log", "level", "info", []string{"debug", "info", "warn", "error"}, "least level written", func(s *Sidecar) *string { return &s.LogLevel }),
 	choice("log", "format", "json", []string{"text", "json"}, "form of the log lines", func(s *Sidecar) *string { return &s.LogFormat }),
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,6 +72,9 @@
 	// dialTimeout bounds a new connection inside the fleet: some 200 round trips
 	// between data centres, and short enough to go elsewhere in time.
 	dialTimeout = 300 * time.Millisecond
+	// maxIdleCallers bounds the idle connections of callers, a few for each
+	// caller of a machine.
+	maxIdleCallers = 256
 	// freeTries is retry.Policy.FreeTries: one more node is asked.
 	freeTries = 1
 	// handOverShare is the number of slots for which one request more is handed
@@ -86,6 +89,7 @@
 // New binds the addresses of a sidecar and prepares it; Run starts it.
 func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
+	debug.SetGCPercent(cfg.GCPercent)
 	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}}
 	s.service.Store(&cfg.Service)
 	s.build()
@@ -146,7 +150,7 @@
 
 // bind opens the sockets.
 func (s *Sidecar) bind() error {
-	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits})
+	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
 	s.servers.peers = http1.NewServer(http1.Config{Handler: proxy.NewPeerHandler(s.backend)})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
 	for _, addr := range []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready} {
