--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os/signal"
+	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -31,7 +33,11 @@
 			if err != nil {
 				return usagef("--set: %v", err)
 			}
-			cfg, err := settings.LoadSidecar(*file, settings.SidecarEnvironment(), overrides)
+			signal.Ignore(syscall.SIGHUP) // until WatchSettings listens
+			load := func() (*settings.Sidecar, error) {
+				return settings.LoadSidecar(*file, settings.SidecarEnvironment(), overrides)
+			}
+			cfg, err := load()
 			if err != nil {
 				return err
 			}
@@ -43,6 +49,7 @@
 			if err != nil {
 				return err
 			}
+			go s.WatchSettings(ctx, *file, load)
 			return s.Run(ctx)
 		},
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,15 +1,22 @@
 package sidecar
 
 import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+
 	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/http1"
+	"github.com/walldrift/walldrift/internal/settings"
 )
 
 func TestRequestReachesAnUpstreamUnchanged(t *testing.T) {
@@ -53,3 +60,42 @@
 	}
 	group.Wait()
 }
+
+// A changed settings file is taken over, with SIGHUP or without, and a bad one
+// leaves the settings in force.
+func TestSettingsAreReloaded(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	s := f.sidecars[0]
+	file := filepath.Join(t.TempDir(), "s.ini")
+	assert.NilError(t, os.WriteFile(file, []byte("1"), 0o600))
+	loaded := make(chan string, 8)
+	names := []string{"second", "", "third"}
+	load := func() (*settings.Sidecar, error) {
+		name := names[0]
+		names = names[1:]
+		defer func() { loaded <- name }()
+		if name == "" {
+			return nil, errors.New("bad")
+		}
+		next := *s.cfg
+		next.Service = name
+		return &next, nil
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { s.WatchSettings(ctx, file, load); close(done) }()
+	caller := func() string {
+		_, h, _ := f.send(f.request(0, "GET", "/read/x", ""))
+		return h.Get("Seen-Caller")
+	}
+	assert.Equal(t, caller(), "shop")
+	assert.NilError(t, os.WriteFile(file, []byte("22"), 0o600))
+	assert.Equal(t, <-loaded, "second")
+	for range 2 {
+		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		<-loaded
+	}
+	stop()
+	<-done
+	assert.Equal(t, caller(), "third")
+}
