Count the told wait in the choice; use the upstream while a node leaves

Cause 1: the choice estimated the wait from all that waits, though kinds are not served alike, so a request was refused at its node for a wait that another upstream did not have. Change: the told wait of the kind counts. Cause 2: from SIGTERM on peers left a node out, and its upstream stood idle for 2.5 s at each planned restart while callers still came. Change: peers are told half a second before the node refuses work.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -110,7 +110,7 @@
 	c.Cost = (e.busy(r.cfg, now) + 1) / slots
 	if r.cfg.ByTime {
 		c.Wait = e.wait(now, req.Kind)
-		c.Cost = r.expected(e, c.Cost, slots, m.Instance)
+		c.Cost = r.expected(e, c.Cost, slots, c.Wait, m.Instance)
 		c.Trial = e.unexplored(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
@@ -123,13 +123,14 @@
 // expected estimates the seconds that a request takes at an upstream: its
 // service time, which grows as its slots fill, the wait behind those that have
 // none, and what fails there and has to be done again.
-func (r *Router) expected(e *evidence, load, slots float64, in membership.Instance) float64 {
+func (r *Router) expected(e *evidence, load, slots float64, wait time.Duration, in membership.Instance) float64 {
 	service := e.told.Service.Seconds()
 	if service == 0 {
 		service = unknownService
 	}
 	busy := min(load, 1)
-	seconds := service * (1 + busy*busy + max(0, load*slots-slots)/slots)
+	queued := max(service*max(0, load*slots-slots)/slots, wait.Seconds())
+	seconds := service*(1+busy*busy) + queued
 	if in.DataCentre != r.self.DataCentre {
 		seconds *= r.cfg.FarFactor
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,6 +75,9 @@
 	// maxIdleCallers bounds the idle connections of callers, a few for each
 	// caller of a machine.
 	maxIdleCallers = 256
+	// peerNotice is how long before it refuses work a leaving node tells its
+	// peers with each answer: a few answers to each of them.
+	peerNotice = 500 * time.Millisecond
 	// freeTries is retry.Policy.FreeTries: one more node is asked.
 	freeTries = 1
 	// handOverShare is the number of slots for which one request more is handed
@@ -253,9 +256,11 @@
 	began := time.Now()
 	end := began.Add(s.cfg.DrainTimeout)
 	s.leaving.Store(true)
-	s.backend.SetLeaving(true)
 	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
-	time.Sleep(s.cfg.DrainAnnounce)
+	// The upstream's slots are used as long as callers may still come.
+	time.Sleep(s.cfg.DrainAnnounce - min(s.cfg.DrainAnnounce, peerNotice))
+	s.backend.SetLeaving(true)
+	time.Sleep(min(s.cfg.DrainAnnounce, peerNotice))
 	s.backend.SetDraining(true)
 	s.servers.callers.Drain()
 	s.servers.peers.Drain()
