Leave out upstreams with too long a wait before refusing a request

The price of another data centre also grew with the load, so that it outweighed any wait a request may have. Change: upstreams whose told wait is longer than the request's patience are left out while there are others; the price fades as slots fill.

--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -416,7 +416,13 @@
 	if x.homed() {
 		return x.chooseHome()
 	}
-	c, ok := x.f.pick(routing.Request{Service: x.service, Pinned: x.route.Pinned, Tried: x.tried, Kind: x.route.Kind})
+	c, ok := x.f.pick(routing.Request{
+		Service:  x.service,
+		Pinned:   x.route.Pinned,
+		Tried:    x.tried,
+		Kind:     x.route.Kind,
+		Patience: x.patienceLeft(),
+	})
 	if !ok {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
 	}
@@ -429,7 +435,16 @@
 // hopeless reports whether even the best upstream is known to have so many
 // waiting that the request would be refused there.
 func (x *exchange) hopeless(c routing.Candidate) bool {
-	return !x.patience.IsZero() && c.Wait > 0 && c.Wait > time.Until(x.patience)
+	return !x.patience.IsZero() && c.Wait > x.patienceLeft()
+}
+
+// patienceLeft is how long the request may still wait for a slot; 0 if its
+// route sets no bound.
+func (x *exchange) patienceLeft() time.Duration {
+	if x.patience.IsZero() {
+		return 0
+	}
+	return max(time.Until(x.patience), time.Millisecond)
 }
 
 func (x *exchange) chooseHome() (membership.Instance, *Problem) {
@@ -465,8 +480,7 @@
 	env.Empty = x.body.length == 0
 	env.NoWait = x.noWait
 	if !x.patience.IsZero() {
-		env.Patience = time.Until(x.patience)
-		env.NoWait = env.NoWait || env.Patience <= 0
+		env.Patience = x.patienceLeft()
 	}
 	if env.Await {
 		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -43,10 +43,11 @@
 	// ByTime chooses the least expected time over all upstreams in place of the
 	// lesser load of two. It needs told service times.
 	ByTime bool
-	// FarFactor multiplies the expected time at an upstream of another data
-	// centre, as the price of bytes between them: more keeps requests near, less
-	// evens the load. Only with ByTime. Default 1.25.
-	FarFactor float64
+	// FarPrice is the price of bytes between data centres, as a part of the
+	// service time that is added to the expected time at an idle upstream of
+	// another one: more keeps requests near, less evens the load. Only with
+	// ByTime. Default 0.3.
+	FarPrice float64
 }
 
 // DefaultConfig returns the defaults given at the fields.
@@ -62,7 +63,7 @@
 		Silence:          300 * time.Millisecond,
 		SlowStart:        10 * time.Second,
 		SlowStartFloor:   0.2,
-		FarFactor:        1.25,
+		FarPrice:         0.3,
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -50,6 +50,8 @@
 	Pinned  *snapshot.Upstream
 	Tried   []string // upstreams already tried for this request
 	Kind    string   // class of request, for the wait told of it
+	// Patience is how long the request may wait for a slot; 0 means any time.
+	Patience time.Duration
 }
 
 // Members looks up the instance behind an upstream name.
@@ -132,7 +134,8 @@
 	queued := max(service*max(0, load*slots-slots)/slots, wait.Seconds())
 	seconds := service*(1+busy*busy) + queued
 	if in.DataCentre != r.self.DataCentre {
-		seconds *= r.cfg.FarFactor
+		// The price fades as slots fill: where all are full, waits alone decide.
+		seconds += service * r.cfg.FarPrice * (1 - busy*busy)
 	}
 	works := max(1-e.failure, leastWorking)
 	return seconds / (works * works)
@@ -207,6 +210,9 @@
 			total += c.Weight
 		}
 	}
+	if r.cfg.ByTime && req.Patience > 0 {
+		usable = withoutLongWaits(usable, req.Patience)
+	}
 	switch len(usable) {
 	case 0:
 		return Candidate{}, false
@@ -250,6 +256,21 @@
 	return cs[at]
 }
 
+// withoutLongWaits leaves out the upstreams known to make a request wait longer
+// than it may, unless that is so of all.
+func withoutLongWaits(cs []Candidate, patience time.Duration) []Candidate {
+	short := make([]Candidate, 0, len(cs))
+	for _, c := range cs {
+		if c.Wait <= patience {
+			short = append(short, c)
+		}
+	}
+	if len(short) == 0 {
+		return cs
+	}
+	return short
+}
+
 // draw returns an index by weight, leaving out skip.
 func draw(rnd *rand.Rand, cs []Candidate, total float64, skip int) int {
 	at := rnd.Float64() * total
