Write log lines in the background; metrics on an address of their own

Cause: a standard output that nobody reads would have blocked requests, metrics could not be scraped under a known port, and changes of belief about upstreams left no line. A test in fake time shows a blocked output.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -45,7 +46,9 @@
 				_, err = fmt.Fprintf(out.Out, "%s: no findings\n", *file)
 				return err
 			}
-			s, err := sidecar.New(cfg, usersPlatform(), telemetry.NewLogger(out.Out, cfg.LogLevel, cfg.LogFormat, cfg.Name))
+			lines := telemetry.NewAsyncWriter(out.Out, logLines)
+			defer lines.Flush(logFlush)
+			s, err := sidecar.New(cfg, usersPlatform(), telemetry.NewLogger(lines, cfg.LogLevel, cfg.LogFormat, cfg.Name))
 			if err != nil {
 				return err
 			}
@@ -55,6 +58,14 @@
 	}
 }
 
+const (
+	// logLines is the number of lines held for an output that is slow: some
+	// seconds of the busiest minute, at most about 300 KB.
+	logLines = 512
+	// logFlush bounds the wait for the last lines at the end.
+	logFlush = 100 * time.Millisecond
+)
+
 // usersPlatform is the adapter of the users' machines.
 func usersPlatform() sidecar.Platform {
 	return sidecar.Platform{
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -64,6 +64,7 @@
 	document  *Document
 	listed    bool
 	awaySince time.Time
+	away      atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
 	dir       atomic.Pointer[Directory]
 	limits    atomic.Pointer[CallerLimits]
 	builds    uint64
@@ -87,6 +88,15 @@
 // Limits returns the limits on callers in force.
 func (f *Follower) Limits() CallerLimits { return *f.limits.Load() }
 
+// AwayFor returns how long the store has not answered; 0 if it does.
+func (f *Follower) AwayFor(now time.Time) time.Duration {
+	ms := f.away.Load()
+	if ms == 0 {
+		return 0
+	}
+	return now.Sub(time.UnixMilli(ms))
+}
+
 // At returns the upstream published at an address.
 func (d *Directory) At(a netip.AddrPort) (Known, bool) {
 	k, ok := d.byAddress[a]
@@ -141,6 +151,7 @@
 	if !f.awaySince.IsZero() {
 		f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
 		f.awaySince = time.Time{}
+		f.away.Store(0)
 	}
 	for _, finding := range u.Findings {
 		f.log.Warn("published entry left out", "finding", finding)
@@ -174,6 +185,7 @@
 			dir.byAddress[k.Address] = k
 		}
 	}
+	f.logChanges(f.dir.Load(), dir)
 	f.dir.Store(dir)
 	f.onChange(dir)
 	if f.document == nil {
@@ -189,6 +201,25 @@
 	f.holder.Advance(snap)
 }
 
+// logChanges writes a line for each upstream that is believed otherwise than
+// before.
+func (f *Follower) logChanges(before, after *Directory) {
+	for id, m := range after.members {
+		old, ok := before.members[id]
+		switch {
+		case !ok:
+			f.log.Info("upstream joined", "upstream", id, "service", m.Service, "status", m.Status, "peer", m.Peer, "revision", f.registry.Revision())
+		case old.Status != m.Status:
+			f.log.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status, "revision", f.registry.Revision())
+		}
+	}
+	for id, m := range before.members {
+		if _, ok := after.members[id]; !ok {
+			f.log.Info("upstream gone", "upstream", id, "service", m.Service, "revision", f.registry.Revision())
+		}
+	}
+}
+
 func (f *Follower) member(k Known) membership.Member {
 	m := membership.Member{Instance: membership.Instance{
 		Name:       k.ID,
@@ -227,6 +258,7 @@
 	f.registry.Lost()
 	if f.awaySince.IsZero() && ctx.Err() == nil {
 		f.awaySince = time.Now()
+		f.away.Store(f.awaySince.UnixMilli())
 		f.log.Warn("store lost", "err", err, "revision", f.registry.Revision())
 	}
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -19,7 +19,8 @@
 
 	Callers netip.AddrPort // TCP, HTTP from callers
 	Peers   netip.AddrPort // TCP, requests from other sidecars; the same port on all
-	Ready   netip.AddrPort // TCP, readiness and metrics
+	Ready   netip.AddrPort // TCP, readiness
+	Metrics netip.AddrPort // TCP, metrics; the zero value for none
 
 	Upstream netip.AddrPort
 	Slots    int
@@ -54,7 +55,8 @@
 
 	address("listen", "callers", required, "TCP address for HTTP from callers", func(s *Sidecar) *netip.AddrPort { return &s.Callers }),
 	address("listen", "peers", required, "TCP address for requests from other sidecars, the same port on every machine", func(s *Sidecar) *netip.AddrPort { return &s.Peers }),
-	address("listen", "ready", required, "TCP address for readiness and metrics", func(s *Sidecar) *netip.AddrPort { return &s.Ready }),
+	address("listen", "ready", required, "TCP address for readiness", func(s *Sidecar) *netip.AddrPort { return &s.Ready }),
+	address("listen", "metrics", "", "TCP address for metrics in the Prometheus text format; none by default", func(s *Sidecar) *netip.AddrPort { return &s.Metrics }),
 
 	address("upstream", "address", required, "HTTP address of the upstream beside the sidecar", func(s *Sidecar) *netip.AddrPort { return &s.Upstream }),
 	count("upstream", "slots", "requests", "12", "requests the upstream works on at once, until the store tells", func(s *Sidecar) *int { return &s.Slots }),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,10 +55,15 @@
 	leaving  atomic.Bool
 }
 
-// servers are the three listening sides.
+// servers are the listening sides; metrics may be without a listener.
 type servers struct {
-	callers, peers, ready *http1.Server
-	listeners             []net.Listener
+	callers, peers, ready, metrics *http1.Server
+	listeners                      []net.Listener
+}
+
+// all returns the servers in the order of their listeners.
+func (s servers) all() []*http1.Server {
+	return []*http1.Server{s.callers, s.peers, s.ready, s.metrics}[:len(s.listeners)]
 }
 
 // Sizes and limits of the request path.
@@ -156,7 +161,12 @@
 	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
 	s.servers.peers = http1.NewServer(http1.Config{Handler: proxy.NewPeerHandler(s.backend)})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
-	for _, addr := range []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready} {
+	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.metrics.Handler()})
+	addresses := []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready}
+	if s.cfg.Metrics.IsValid() {
+		addresses = append(addresses, s.cfg.Metrics)
+	}
+	for _, addr := range addresses {
 		l, err := net.Listen("tcp", addr.String())
 		if err != nil {
 			return errors.Wrap(err, "listen")
@@ -174,7 +184,7 @@
 
 // closeAll closes listeners and connections at once.
 func (s *Sidecar) closeAll() {
-	for _, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
+	for _, server := range s.servers.all() {
 		server.Close()
 	}
 }
@@ -213,7 +223,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.Handle("/metrics", s.metrics.Handler())
 	return mux
 }
 
@@ -228,8 +237,8 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group sync.WaitGroup
-	failed := make(chan error, 3)
-	for i, server := range []*http1.Server{s.servers.callers, s.servers.peers, s.servers.ready} {
+	failed := make(chan error, len(s.servers.listeners))
+	for i, server := range s.servers.all() {
 		listener := s.servers.listeners[i]
 		group.Go(func() { failed <- server.Serve(listener) })
 	}
@@ -293,8 +302,23 @@
 			s.hop.Sweep(now)
 			s.upstream.Sweep(now)
 			s.frontend.Prune()
+			s.gauges()
 		}
 	}
 }
 
 func upstreamURL(a netip.AddrPort) *url.URL { return &url.URL{Scheme: "http", Host: a.String()} }
+
+// gauges updates what is measured now and then.
+func (s *Sidecar) gauges() {
+	load := s.backend.Load()
+	m := s.metrics.Scope
+	m.Gauge("slots").Update(float64(load.Slots))
+	m.Gauge("slots_in_use").Update(float64(load.InUse))
+	m.Gauge("requests_waiting").Update(float64(load.Waiting))
+	m.Gauge("requests_in_flight").Update(float64(s.frontend.InFlight()))
+	m.Gauge("caller_connections").Update(float64(s.servers.callers.Conns()))
+	m.Gauge("table_edition").Update(float64(s.holder.ID().Edition))
+	m.Gauge("store_away_seconds").Update(s.follower.AwayFor(time.Now()).Seconds())
+	m.Gauge("upstream_connections_made").Update(float64(s.upstream.Dialed()))
+}
