--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -52,12 +52,15 @@
 	return strconv.Itoa(int(math.Ceil(after.Seconds())))
 }
 
-// Belongs reports whether an upstream's answer is to the request.
+// Belongs reports whether an upstream's answer is to the request. A refusal may
+// come without an id, as what refuses need not have read the request; an answer
+// to another request bears that one's id.
 func (d Dialect) Belongs(req *http.Request, resp *http.Response) bool {
 	if d.RequestID == "" {
 		return true
 	}
-	return resp.Header.Get(d.RequestID) == req.Header.Get(d.RequestID)
+	id := resp.Header.Get(d.RequestID)
+	return id == req.Header.Get(d.RequestID) || id == "" && d.notExecuted(resp)
 }
 
 // genuine reports whether an answer is the upstream's own. Only successes need
