--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -234,6 +234,7 @@
 	for f.sidecars[0].Ready() {
 		time.Sleep(time.Millisecond)
 	}
+	time.Sleep(100 * time.Millisecond) // far past the announcement of 1 ms
 	close(release)
 	for range 8 {
 		assert.Equal(t, <-got, http.StatusOK)
