--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -26,7 +26,7 @@
 		Flags:     fs,
 		Exec: func(ctx context.Context, args []string) error {
 			if *reference {
-				return printReference(out)
+				return printReference(out, settings.Fields())
 			}
 			if *file == "" || len(args) > 0 {
 				return usagef("node needs --config FILE and no arguments")
@@ -58,11 +58,11 @@
 
 // printReference writes the settings as a Markdown table; docs/SETTINGS.md is
 // made from it.
-func printReference(out IO) error {
+func printReference[T any](out IO, fields []settings.Field[T]) error {
 	if _, err := fmt.Fprintln(out.Out, "| setting | unit | default | meaning |\n|---|---|---|---|"); err != nil {
 		return err
 	}
-	for _, f := range settings.Fields() {
+	for _, f := range fields {
 		def := "`" + f.Default + "`"
 		switch {
 		case f.Required:
--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -20,6 +20,7 @@
 	fs := ff.NewFlagSet("sidecar")
 	file := fs.String('c', "config", "", "INI file with the sidecar's settings")
 	check := fs.BoolLong("check", "report every finding and start nothing")
+	reference := fs.BoolLong("reference", "print all settings with unit, default and meaning")
 	set := fs.StringListLong("set", "override: section.key=value (repeatable)")
 	return &ff.Command{
 		Name:      "sidecar",
@@ -27,6 +28,9 @@
 		ShortHelp: "run the process beside one upstream on the users' platform",
 		Flags:     fs,
 		Exec: func(ctx context.Context, args []string) error {
+			if *reference {
+				return printReference(out, settings.SidecarFields())
+			}
 			if *file == "" || len(args) > 0 {
 				return usagef("sidecar needs --config FILE and no arguments")
 			}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -77,12 +77,38 @@
 func TestReferencePageNamesEverySetting(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	assert.NilError(t, err)
-	for _, f := range Fields() {
-		assert.Assert(t, strings.Contains(string(page), "| `"+f.Section+"."+f.Key+"` | "+f.Unit+" |"), "docs/SETTINGS.md lacks %s.%s", f.Section, f.Key)
-		assert.Assert(t, strings.Contains(string(page), f.Doc))
+	onPage(t, string(page), Fields())
+	_, sidecars, ok := strings.Cut(string(page), "## Settings of a sidecar")
+	assert.Assert(t, ok)
+	onPage(t, sidecars, SidecarFields())
+}
+
+func onPage[T any](t *testing.T, page string, fields []Field[T]) {
+	t.Helper()
+	for _, f := range fields {
+		assert.Assert(t, strings.Contains(page, "| `"+f.Section+"."+f.Key+"` | "+f.Unit+" |"), "docs/SETTINGS.md lacks %s.%s", f.Section, f.Key)
+		assert.Assert(t, strings.Contains(page, f.Doc))
 	}
 }
 
+// The template of the deploy file is a whole and valid settings file once its
+// placeholders are filled in.
+func TestDeployTemplate(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/sidecar.ini")
+	assert.NilError(t, err)
+	filled := strings.NewReplacer(
+		"{{Node}}", "n", "{{Service}}", "s", "{{Zone}}", "z", "{{Region}}", "r", "{{Ip}}", "10.0.0.1",
+		"{{Listen.Outbound}}", "10.0.0.1:1", "{{Listen.Inbound}}", "10.0.0.1:2", "{{Listen.Ready}}", "10.0.0.1:3",
+		"{{AppAddr}}", "10.0.0.1:4", "{{Platform.Address}}", "10.0.0.2:5",
+	).Replace(string(raw))
+	cfg, err := ParseSidecar("sidecar.ini", []byte(filled))
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.Store.String(), "10.0.0.2:5")
+	assert.Equal(t, cfg.Metrics.String(), "10.0.0.1:9464")
+	_, err = ParseSidecar("sidecar.ini", raw)
+	assert.ErrorContains(t, err, "sidecar.ini:10: listen.callers")
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(goodFile))
 	f.Add([]byte("[a\nb=\n%(x)s"))
