--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -61,7 +61,7 @@
 	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(n *Node) *int { return &n.MaxInFlight }),
 	count("requests", "max_connections", "connections", "128", "request connections kept to other nodes, about 70 KB each", func(n *Node) *int { return &n.MaxConnections }),
 	duration("requests", "connection_idle", "30s", "time after which an unused request connection is closed", func(n *Node) *time.Duration { return &n.ConnectionIdle }),
-	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.1", Doc: "further tries earned by each request", set: setRatio},
+	ratio("requests", "retry_ratio", "retries per request", "0.1", "further tries earned by each request", func(n *Node) *float64 { return &n.RetryRatio }),
 
 	duration("ledger", "window", "2m", "time for which a key is remembered, and for which a started node refuses keys that carry no time", func(n *Node) *time.Duration { return &n.LedgerWindow }),
 	duration("ledger", "skew", "2s", "clock difference allowed for in keys that carry their time", func(n *Node) *time.Duration { return &n.LedgerSkew }),
@@ -148,13 +148,15 @@
 	})
 }
 
-func setRatio(n *Node, v string) error {
-	r, err := strconv.ParseFloat(v, 64)
-	if err != nil || !(r >= 0 && r <= 1) {
-		return errors.Newf("%q is not a number from 0 to 1", v)
-	}
-	n.RetryRatio = r
-	return nil
+func ratio[T any](section, key, unit, def, doc string, at func(*T) *float64) Field[T] {
+	return newField(section, key, unit, def, doc, func(n *T, v string) error {
+		r, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(r >= 0 && r <= 1) {
+			return errors.Newf("%q is not a number from 0 to 1", v)
+		}
+		*at(n) = r
+		return nil
+	})
 }
 
 func setSeeds(n *Node, v string) error {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,7 +65,7 @@
 
 	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
 	count("requests", "buffer_limit", "bytes", "524288", "longest request body kept for a further try; more can be tried again, fewer takes less memory", func(s *Sidecar) *int { return &s.BufferLimit }),
-	{Section: "requests", Key: "retry_ratio", Unit: "retries per request", Default: "0.15", Doc: "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", set: setSidecarRatio},
+	ratio("requests", "retry_ratio", "retries per request", "0.15", "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", func(s *Sidecar) *float64 { return &s.RetryRatio }),
 	count("requests", "retry_reserve", "retries", "3", "further tries saved up by one sidecar; times the number of sidecars it must stay under what the platform allows", func(s *Sidecar) *int { return &s.RetryReserve }),
 
 	duration("shutdown", "announce", "2500ms", "time between announcing the leave and refusing new work; two missed readiness checks of a second each, and some", func(s *Sidecar) *time.Duration { return &s.DrainAnnounce }),
@@ -80,15 +79,6 @@
 	choice("log", "format", "json", []string{"text", "json"}, "form of the log lines", func(s *Sidecar) *string { return &s.LogFormat }),
 }
 
-func setSidecarRatio(s *Sidecar, v string) error {
-	r, err := strconv.ParseFloat(v, 64)
-	if err != nil || !(r >= 0 && r <= 1) {
-		return errors.Newf("%q is not a number from 0 to 1", v)
-	}
-	s.RetryRatio = r
-	return nil
-}
-
 // LoadSidecar reads the file of a sidecar; see Load.
 func LoadSidecar(file string, overrides ...Overrides) (*Sidecar, error) {
 	raw, err := os.ReadFile(file)
