Take tables as spreadsheets save them; name the column that was meant

A mark is taken and none written, such names are findings with their place, and a mistyped column is one finding that names the nearest missing one. The test that expected 'unknown column' for 'kindweight' expects the fuller message now, and that it is the only finding. The optional columns are compared by 'table diff', and have tests.

--- a/internal/table/diff.go
+++ b/internal/table/diff.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/csv"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -40,7 +41,7 @@
 	}
 	var out []Change
 	for _, k := range order {
-		for _, col := range Header[1:] {
+		for _, col := range slices.Concat(Header[1:], Optional) {
 			before, after := oldRows[k][col], newRows[k][col]
 			if before != after {
 				out = append(out, Change{Row: k.row, Name: k.name, Column: col, Old: before, New: after})
@@ -51,7 +52,7 @@
 }
 
 func rowsByKey(raw []byte) (map[rowKey]map[Column]string, []rowKey, error) {
-	recs, err := csv.NewReader(bytes.NewReader(raw)).ReadAll()
+	recs, err := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(raw, byteOrderMark))).ReadAll()
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/table/edit.go
+++ b/internal/table/edit.go
@@ -23,7 +23,7 @@
 // one. It leaves all other lines as they are. The result is not checked: call
 // Parse on it.
 func Set(raw []byte, edits ...Edit) ([]byte, error) {
-	recs, err := csv.NewReader(bytes.NewReader(raw)).ReadAll()
+	recs, err := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(raw, byteOrderMark))).ReadAll()
 	if err != nil {
 		return nil, errors.Wrap(err, "read table")
 	}
--- a/internal/table/finding.go
+++ b/internal/table/finding.go
@@ -16,6 +16,7 @@
 	RuleHeader      Rule = "header"
 	RuleRowType     Rule = "row-type"
 	RuleEdition     Rule = "edition"
+	RuleName        Rule = "name"
 	RuleMissing     Rule = "missing"
 	RuleUnused      Rule = "unused-column"
 	RuleNumber      Rule = "number"
--- a/internal/table/parse.go
+++ b/internal/table/parse.go
@@ -9,8 +9,10 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 
+	"github.com/agnivade/levenshtein"
 	"github.com/cockroachdb/errors"
 )
 
@@ -40,10 +42,13 @@
 	return t, nil
 }
 
+// byteOrderMark is what spreadsheets put before CSV in UTF-8.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // decode turns CSV into typed rows and collects the defects of single cells.
 func decode(raw []byte) (*Table, Findings) {
 	var fs Findings
-	r := csv.NewReader(bytes.NewReader(raw))
+	r := csv.NewReader(bytes.NewReader(bytes.TrimPrefix(raw, byteOrderMark)))
 	r.FieldsPerRecord = -1
 	r.ReuseRecord = true
 	head, err := r.Read()
@@ -79,28 +84,55 @@
 	return t, fs
 }
 
+// headerIndex returns the place of each column, and whether the header is good.
 func headerIndex(head []string, fs *Findings) (map[Column]int, bool) {
 	index := make(map[Column]int, len(head))
-	good := true
+	var unknown []Column
+	before := len(*fs)
 	for i, h := range head {
 		col := Column(strings.TrimSpace(h))
-		if !slices.Contains(Header, col) && !slices.Contains(Optional, col) {
-			add(fs, 1, col, RuleHeader, "unknown column")
-			good = false
-		}
 		if _, twice := index[col]; twice {
 			add(fs, 1, col, RuleHeader, "column stands twice")
-			good = false
+		}
+		if !slices.Contains(Header, col) && !slices.Contains(Optional, col) {
+			unknown = append(unknown, col)
 		}
 		index[col] = i
 	}
+	var missing []Column
 	for _, col := range Header {
 		if _, ok := index[col]; !ok {
-			add(fs, 1, col, RuleHeader, "column is missing")
-			good = false
+			missing = append(missing, col)
+		}
+	}
+	for _, col := range unknown {
+		missing = addUnknown(fs, col, missing)
+	}
+	for _, col := range missing {
+		add(fs, 1, col, RuleHeader, "column is missing")
+	}
+	return index, len(*fs) == before
+}
+
+// mistyped is the largest edit distance at which an unknown column is taken for
+// a missing one.
+const mistyped = 2
+
+// addUnknown reports an unknown column, as one finding with the missing one that
+// it most likely means, and returns the columns still missing.
+func addUnknown(fs *Findings, col Column, missing []Column) []Column {
+	nearest, least := -1, mistyped+1
+	for i, m := range missing {
+		if d := levenshtein.ComputeDistance(string(col), string(m)); d < least {
+			nearest, least = i, d
 		}
 	}
-	return index, good
+	if nearest < 0 {
+		add(fs, 1, col, RuleHeader, "unknown column")
+		return missing
+	}
+	add(fs, 1, col, RuleHeader, "unknown column, did you mean %q?", missing[nearest])
+	return slices.Delete(missing, nearest, nearest+1)
 }
 
 // cells reads the typed cells of one record and collects findings.
@@ -129,6 +161,19 @@
 	return strings.Clone(s)
 }
 
+// name reads the name of a row. Spreadsheets take names that begin like a
+// formula for one, and control characters spoil terminals and logs.
+func (c *cells) name() string {
+	s := c.required(ColName)
+	if strings.ContainsAny(s[:min(len(s), 1)], "=+-@") {
+		add(c.fs, c.row, ColName, RuleName, "%q begins like a formula", s)
+	}
+	if strings.ContainsFunc(s, unicode.IsControl) {
+		add(c.fs, c.row, ColName, RuleName, "%q holds a control character", s)
+	}
+	return s
+}
+
 // number reads a finite value from 0 to maxNumber; an empty cell gives def.
 func (c *cells) number(col Column, def float64) float64 {
 	s := c.text(col)
@@ -209,7 +254,7 @@
 func (c *cells) service() Service {
 	return Service{
 		Row:         c.row,
-		Name:        c.required(ColName),
+		Name:        c.name(),
 		Rate:        c.number(ColRate, 0),
 		Concurrency: c.integer(ColConcurrency, 0),
 	}
@@ -218,7 +263,7 @@
 func (c *cells) upstream() Upstream {
 	return Upstream{
 		Row:         c.row,
-		Name:        c.required(ColName),
+		Name:        c.name(),
 		Service:     c.required(ColService),
 		Weight:      c.number(ColWeight, 1),
 		Rate:        c.number(ColRate, 0),
@@ -230,7 +275,7 @@
 	service, split := c.shares()
 	return Route{
 		Row:        c.row,
-		Name:       c.required(ColName),
+		Name:       c.name(),
 		Service:    service,
 		Upstream:   strings.Clone(c.text(ColUpstream)),
 		Prefix:     c.required(ColPrefix),
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -44,7 +45,10 @@
 		{"no edition", "table,7,,,,,,,,,,,,\n", "", Finding{0, ColRow, RuleEdition, `want exactly one "table" row, found 0`}},
 		{"idempotent", ",yes", ",", Finding{6, ColIdempotent, RuleIdempotency, `"" is neither yes nor no`}},
 		{"prefix", "/tariff", "tariff", Finding{6, ColPrefix, RulePrefix, `"tariff" does not start with a slash`}},
-		{"header", "kind_weight", "kindweight", Finding{1, "kindweight", RuleHeader, "unknown column"}},
+		{"header", "kind_weight", "kindweight", Finding{1, "kindweight", RuleHeader, `unknown column, did you mean "kind_weight"?`}},
+		{"strange column", "kind_weight", "worth", Finding{1, "worth", RuleHeader, "unknown column"}},
+		{"formula", "upstream,tariff-2", "upstream,=cmd|x", Finding{5, ColName, RuleName, `"=cmd|x" begins like a formula`}},
+		{"control character", "upstream,tariff-2", "upstream,tariff\x07", Finding{5, ColName, RuleName, `"tariff\a" holds a control character`}},
 		{"encoding", "lookup", "\xff", Finding{0, "", RuleEncoding, "the file is not UTF-8 text"}},
 		{"retries", "2000,1", "2000,9", Finding{6, ColRetries, RuleRange, "9 is more than 5"}},
 	}
@@ -70,6 +74,46 @@
 	assert.Equal(t, len(fs), 3, "%v", fs)
 }
 
+// A mistyped column is one finding, not an unknown and a missing one.
+func TestMistypedColumnIsOneFinding(t *testing.T) {
+	_, fs := Parse([]byte(strings.Replace(goodTable, "kind_weight", "kindweight", 1)))
+	assert.Equal(t, len(fs), 1, "%v", fs)
+	_, fs = Parse([]byte(strings.Replace(goodTable, "kind_weight", "worth", 1)))
+	assert.Equal(t, len(fs), 2, "%v", fs)
+}
+
+// A spreadsheet's byte order mark and line ends are no findings, and are not
+// written again.
+func TestSpreadsheetFile(t *testing.T) {
+	raw := []byte("\xef\xbb\xbf" + strings.ReplaceAll(goodTable, "\n", "\r\n"))
+	tbl, fs := Parse(raw)
+	assert.Equal(t, len(fs), 0, "%v", fs)
+	assert.Equal(t, tbl.Edition, uint64(7))
+	next, err := Set(raw, Edit{RowUpstream, "tariff-1", ColWeight, "4"})
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.HasPrefix(next, []byte("row,")))
+}
+
+// Host, objective, priority and split are read where their columns stand.
+func TestOptionalColumns(t *testing.T) {
+	raw := strings.Replace(goodTable, "idempotent", "idempotent,host,objective_ms,priority,split", 1)
+	raw = strings.Replace(raw, "route,lookup,tariff,", "route,lookup,,", 1)
+	raw = strings.Replace(raw, ",yes", ",yes,Shop.example,400,2,tariff=90 tariff=10", 1)
+	tbl, fs := Parse([]byte(raw))
+	assert.Equal(t, len(fs), 0, "%v", fs)
+	r := tbl.Routes[0]
+	assert.Equal(t, r.Host, "shop.example")
+	assert.Equal(t, r.Objective, 400*time.Millisecond)
+	assert.Equal(t, r.Priority, 2)
+	assert.DeepEqual(t, r.Split, []Share{{"tariff", 90}, {"tariff", 10}})
+	assert.Equal(t, r.Service, "tariff")
+	for split, rule := range map[string]Rule{"toll=1": RuleReference, "tariff": RuleNumber, "tariff=-1": RuleNumber} {
+		_, fs := Parse([]byte(strings.Replace(raw, "tariff=90 tariff=10", split, 1)))
+		assert.Assert(t, len(fs) > 0, split)
+		assert.Equal(t, fs[0].Rule, rule)
+	}
+}
+
 func TestParseAllWeightsZero(t *testing.T) {
 	raw := strings.NewReplacer(",,1,,12", ",,0,,12", "2.5", "0").Replace(goodTable)
 	_, fs := Parse([]byte(raw))
@@ -141,3 +185,12 @@
 		EditionOf(raw)
 	})
 }
+
+func TestDiffOfOptionalColumns(t *testing.T) {
+	from := strings.ReplaceAll(strings.TrimSuffix(goodTable, "\n"), "\n", ",\n")
+	from = strings.Replace(from, "idempotent,", "idempotent,priority", 1) + "1\n"
+	from = strings.Replace(from, ",yes1", ",yes,1", 1)
+	changes, err := Diff([]byte(from), []byte(strings.Replace(from, ",yes,1", ",yes,2", 1)))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, changes, []Change{{RowRoute, "lookup", ColPriority, "1", "2"}})
+}
