Bound the bodies that are kept for a further try

Cause: each request may keep 512 KB of body and 4,096 may be in progress: 2 GB on a machine of 284 MB if upstreams stall under uploads. Change: beyond a quarter of the memory limit only bodies of up to 32 KB are kept, longer ones stream.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -70,6 +70,17 @@
 	return notRun(http.StatusBadRequest, retry.Refused, reasonBadRequest, 0)
 }
 
+// bufferLimit is the longest body that is kept now.
+func (f *Frontend) bufferLimit() int64 {
+	if f.cfg.BufferTotal > 0 && f.buffered.Load() >= f.cfg.BufferTotal {
+		return min(f.cfg.BufferLimit, defaultBufferLimit)
+	}
+	return f.cfg.BufferLimit
+}
+
+// kept is the number of bytes held for a further try.
+func (b *requestBody) kept() int64 { return int64(len(b.buffered)) }
+
 // replayable reports whether the body can be sent again.
 func (b *requestBody) replayable() bool { return b.stream == nil || !b.touched.Load() }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -45,11 +45,13 @@
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
 	var err error
 	_ = http.NewResponseController(w).SetReadDeadline(x.deadline)
-	x.body, err = newRequestBody(x.req, x.f.cfg.BufferLimit, x.f.cfg.BodyLimit())
+	x.body, err = newRequestBody(x.req, x.f.bufferLimit(), x.f.cfg.BodyLimit())
 	if err != nil {
 		x.finish(w, x.f.answer(bodyProblem(err), x.req))
 		return
 	}
+	x.f.buffered.Add(x.body.kept())
+	defer func() { x.f.buffered.Add(-x.body.kept()) }()
 	x.f.earn(x.service.Name)
 	x.noWait = x.mayGoElsewhere() && x.f.takeSpare()
 	var last *http.Response // of the try before; nil for none
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -31,6 +31,7 @@
 	ready    func() bool
 
 	inFlight    atomic.Int64
+	buffered    atomic.Int64 // bytes of bodies kept
 	maxInFlight int64
 
 	mu      sync.Mutex // guards what follows
@@ -55,6 +56,10 @@
 	// Longer ones stream and can be tried again only while untouched. Default
 	// 32 KB.
 	BufferLimit int64
+	// BufferTotal is the sum of kept bodies, in bytes, from which on only bodies
+	// of up to 32 KB are kept. It bounds the memory that slow upstreams make
+	// uploads take. Default 0: no bound.
+	BufferTotal int64
 	// WholeAnswers is the longest answer, in bytes, that is read to its end
 	// before any of it is passed on, so that one that is cut can still be tried
 	// again or reported. Default 0: every answer streams.
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -128,3 +128,31 @@
 		assert.Equal(t, n, 1, "asked for %s", name)
 	}
 }
+
+// Beyond the total, long bodies are streamed in place of kept; what was kept is
+// given back when the request ends.
+func TestKeptBodiesAreBounded(t *testing.T) {
+	snap, err := snapshot.Build(standin.Kerbline().Table())
+	assert.NilError(t, err)
+	h := &snapshot.Holder{}
+	h.Advance(snap)
+	members := func(name string) (membership.Member, bool) {
+		return membership.Member{Instance: membership.Instance{Name: name}}, true
+	}
+	const long = 40 << 10
+	var f *Frontend
+	var limits []int64
+	s := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
+		limits = append(limits, f.bufferLimit(), f.buffered.Load())
+		return answer(r)
+	}}}
+	f = NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: retry.DefaultPolicy(), Seed: 1, BufferLimit: long, BufferTotal: long},
+		h, members, s, NewMetrics(tally.NoopScope), func() bool { return true })
+	for _, n := range []int{long, 100} {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/payments/x", strings.NewReader(strings.Repeat("b", n))))
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, f.buffered.Load(), int64(0))
+	}
+	assert.DeepEqual(t, limits, []int64{defaultBufferLimit, long, long, 100})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,6 +83,9 @@
 	// peerNotice is how long before it refuses work a leaving node tells its
 	// peers with each answer: a few answers to each of them.
 	peerNotice = 500 * time.Millisecond
+	// bufferShare is the part of the memory limit that kept bodies may take, as a
+	// divisor.
+	bufferShare = 4
 	// freeTries is retry.Policy.FreeTries: one more node is asked.
 	freeTries = 1
 	// handOverShare is the number of slots for which one request more is handed
@@ -148,6 +151,7 @@
 		MaxInFlight:   s.cfg.MaxInFlight,
 		Dialect:       s.platform.Dialect,
 		BufferLimit:   int64(s.cfg.BufferLimit),
+		BufferTotal:   int64(s.cfg.MemoryLimit) << 20 / bufferShare,
 		WholeAnswers:  wholeAnswers,
 		IgnoreKeys:    true,
 		Record:        newRecorder(s.log).record,
