Hold the route's number of upstreams, also where it is one

Cause, found by reading: a route that allows one upstream a request (no retries) was still tried a second time, as the product always allows one more after a try that did not run, and the count of tries that reach an upstream took that over. An idempotent request with a lost answer ran twice where once was allowed. Change: where tries that end at a node are counted apart, the route's number holds for upstreams. The test ran 2 for 1 before, for lost answers and for rejections.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -143,9 +143,15 @@
 	return x.body.replayable() && ctx.Err() == nil
 }
 
-// retries is the number of further tries. Where the first one is known not to
-// have run, one more is always allowed, as the budget permits.
-func (x *exchange) retries() int { return max(x.route.Retries, 1) }
+// retries is the number of further tries. Where those that end at a node are
+// not counted apart, one more is always allowed after a try that did not run, as
+// the budget permits; otherwise the route's number holds for upstreams.
+func (x *exchange) retries() int {
+	if x.f.cfg.Retry.FreeTries > 0 {
+		return x.route.Retries
+	}
+	return max(x.route.Retries, 1)
+}
 
 // finish sends the response to the caller and counts the request.
 func (x *exchange) finish(w http.ResponseWriter, resp *http.Response) {
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -282,3 +282,33 @@
 	f.upstreams[1].mu.Unlock()
 	assert.Assert(t, share > n/10 && share < n*3/10, "%d of %d", share, n)
 }
+
+// A route that allows one upstream a request is never sent to a second one, also
+// where nothing ran.
+func TestRouteWithoutRetries(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	f.store.change(func(u *discovery.Update) {
+		d := document(2)
+		for i := range d.Table.Routes {
+			d.Table.Routes[i].Retries = 0
+		}
+		u.Document = d
+	})
+	for f.sidecars[0].holder.ID().Edition < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for name, handle := range map[string]func(*upstream, http.ResponseWriter, *http.Request){
+		"lost": abort,
+		"rejected": func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testDialect.NotExecuted, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		f.misbehave(handle)
+		for range 5 {
+			req := f.request(0, "GET", "/read/x", "")
+			f.send(req)
+			assert.Equal(t, f.ran(req), 1, name)
+		}
+	}
+}
