--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -40,7 +40,7 @@
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
 	if problem := c.unusable(resp); problem != nil {
-		_ = resp.Body.Close()
+		drop(resp)
 		cancel()
 		return nil, problem
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -105,13 +106,19 @@
 	x.finish(w, last)
 }
 
-// drop ends a response that is not passed on.
+// drop ends a response that is not passed on. A short one is read to its end, so
+// that its connection can be used again.
 func drop(resp *http.Response) {
-	if resp != nil {
-		_ = resp.Body.Close()
+	if resp == nil {
+		return
 	}
+	_, _ = io.CopyN(io.Discard, resp.Body, dropLimit)
+	_ = resp.Body.Close()
 }
 
+// dropLimit is the longest rest of a dropped response that is read.
+const dropLimit = 4 << 10
+
 // remaining is the time left for another try: to find a slot while no upstream
 // has seen the request, otherwise until the deadline.
 func (x *exchange) remaining(class retry.Class) time.Duration {
@@ -161,7 +168,7 @@
 	}
 	if x.mayHaveRun && Outcome(outcome) == OutcomeNotRun {
 		// The last try did not run, an earlier one may have.
-		_ = resp.Body.Close()
+		drop(resp)
 		resp = x.f.answer(unknownOutcome(http.StatusBadGateway, resp.Header.Get(HeaderReason)), x.req)
 		outcome = string(OutcomeUnknown)
 	}
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -312,3 +312,22 @@
 		}
 	}
 }
+
+// A refusal, by an upstream or by a node, does not cost a connection.
+func TestRefusalsKeepConnections(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testDialect.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "no")
+	})
+	const n = 30
+	for range n {
+		f.send(f.request(0, "GET", "/read/x", ""))
+	}
+	dialed := f.sidecars[0].hop.Dialed()
+	for _, s := range f.sidecars {
+		dialed += s.upstream.Dialed()
+	}
+	assert.Assert(t, dialed < n/3, "%d connections for %d requests", dialed, n)
+}
