--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -99,7 +99,7 @@
 	filled := strings.NewReplacer(
 		"{{Node}}", "n", "{{Service}}", "s", "{{Zone}}", "z", "{{Region}}", "r", "{{Ip}}", "10.0.0.1",
 		"{{Listen.Outbound}}", "10.0.0.1:1", "{{Listen.Inbound}}", "10.0.0.1:2", "{{Listen.Ready}}", "10.0.0.1:3",
-		"{{AppAddr}}", "10.0.0.1:4", "{{Platform.Address}}", "10.0.0.2:5",
+		"{{AppAddr}}", "10.0.0.1:4", "{{Platform.Address}}", "10.0.0.2:5", "{{Bounds.GraceS}}", "6",
 	).Replace(string(raw))
 	cfg, err := ParseSidecar("sidecar.ini", []byte(filled))
 	assert.NilError(t, err)
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -69,7 +69,7 @@
 	count("requests", "retry_reserve", "retries", "3", "further tries saved up by one sidecar; times the number of sidecars it must stay under what the platform allows", func(s *Sidecar) *int { return &s.RetryReserve }),
 
 	duration("shutdown", "announce", "2500ms", "time between announcing the leave and refusing new work; two missed readiness checks of a second each, and some", func(s *Sidecar) *time.Duration { return &s.DrainAnnounce }),
-	duration("shutdown", "timeout", "5700ms", "longest time from the signal to the end; what it cuts is reported", func(s *Sidecar) *time.Duration { return &s.DrainTimeout }),
+	duration("shutdown", "timeout", "6s", "time from the signal until the process is killed; what still runs at seven eighths of it is cut and reported", func(s *Sidecar) *time.Duration { return &s.DrainTimeout }),
 
 	count("memory", "limit", "MiB", "64", "size from which the garbage collector works harder to stay under it", func(s *Sidecar) *int { return &s.MemoryLimit }),
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,6 +230,16 @@
 	return mux
 }
 
+// The course of a shutdown, in parts of the time that the process is given: the
+// announcement ends at four eighths at the latest, so that requests which came
+// last can still run, and the process ends an eighth before it is killed, as
+// timers are late on a slow machine.
+const (
+	drainParts  = 8
+	announceEnd = 4
+	drainEnd    = 7
+)
+
 // Timing of the background work.
 const (
 	sweepInterval = time.Second
@@ -267,13 +277,14 @@
 // drain ends the work of this node without cutting a request.
 func (s *Sidecar) drain() {
 	began := time.Now()
-	end := began.Add(s.cfg.DrainTimeout)
+	end := began.Add(s.cfg.DrainTimeout * drainEnd / drainParts)
+	announce := min(s.cfg.DrainAnnounce, s.cfg.DrainTimeout*announceEnd/drainParts)
 	s.leaving.Store(true)
 	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
 	// The upstream's slots are used as long as callers may still come.
-	time.Sleep(s.cfg.DrainAnnounce - min(s.cfg.DrainAnnounce, peerNotice))
+	time.Sleep(announce - min(announce, peerNotice))
 	s.backend.SetLeaving(true)
-	time.Sleep(min(s.cfg.DrainAnnounce, peerNotice))
+	time.Sleep(min(announce, peerNotice))
 	s.backend.SetDraining(true)
 	s.servers.callers.Drain()
 	s.servers.peers.Drain()
