Use a restarted node's upstream again after a second

Cause, found by reading: the word of a node that drains kept its upstream out for ten seconds. On the users' platform a process restarts within two or three beside the same upstream, and the store says nothing of it, so the upstream stood idle for the rest. Change: the memory is a setting of the choice, one second in a sidecar. A test of whole sidecars fails with ten; the router's state machine draws the memory, the choice by time and told waits.

--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -40,6 +40,11 @@
 	// SlowStartFloor is the part of its weight that a new instance starts with.
 	// Default 0.2.
 	SlowStartFloor float64
+	// DrainMemory is how long an upstream whose node told that it drains gets no
+	// further request on that word alone. Longer than the membership view needs
+	// for the news, where the word means that the instance leaves; about a second
+	// where only the node restarts and the view will say nothing. Default 10 s.
+	DrainMemory time.Duration
 	// ByTime chooses the least expected time over all upstreams in place of the
 	// lesser load of two. It needs told service times.
 	ByTime bool
@@ -63,6 +68,7 @@
 		Silence:          300 * time.Millisecond,
 		SlowStart:        10 * time.Second,
 		SlowStartFloor:   0.2,
+		DrainMemory:      10 * time.Second,
 		FarPrice:         0.3,
 	}
 }
@@ -156,12 +162,8 @@
 	return min(1, cfg.SlowStartFloor+(1-cfg.SlowStartFloor)*max(part, 0))
 }
 
-// drainMemory is how long an upstream that refused as draining gets no further
-// request on that word alone; by then the membership view has the news.
-const drainMemory = 10 * time.Second
-
-func (e *evidence) toldDraining(now time.Time) bool {
-	return e.told.Draining && now.Sub(e.toldAt) < drainMemory
+func (e *evidence) toldDraining(cfg Config, now time.Time) bool {
+	return e.told.Draining && now.Sub(e.toldAt) < cfg.DrainMemory
 }
 
 // silenceFactor is the multiple of the smoothed latency that counts as silence.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -153,7 +153,7 @@
 		return ZeroWeight
 	case m.Status == membership.Gone:
 		return InstanceGone
-	case m.Status == membership.Departing || e.toldDraining(now):
+	case m.Status == membership.Departing || e.toldDraining(r.cfg, now):
 		return InstanceLeaving
 	case contains(req.Tried, u.Name):
 		return AlreadyTried
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -25,9 +25,11 @@
 	now     time.Time
 }
 
-func newBed(n int) *bed {
+func newBed(n int) *bed { return newBedWith(DefaultConfig(), n) }
+
+func newBedWith(cfg Config, n int) *bed {
 	b := &bed{
-		router:  NewRouter(DefaultConfig(), membership.Instance{Name: "self", DataCentre: "dc0", Region: "r0"}),
+		router:  NewRouter(cfg, membership.Instance{Name: "self", DataCentre: "dc0", Region: "r0"}),
 		service: &snapshot.Service{Service: table.Service{Name: "s"}},
 		members: make(map[string]membership.Member),
 		rnd:     rand.New(rand.NewPCG(1, 2)),
@@ -48,7 +50,7 @@
 }
 
 func (b *bed) pick(tried ...string) (Candidate, bool) {
-	return b.router.Pick(b.now, b.rnd, Request{Service: b.service, Tried: tried}, b.lookup)
+	return b.router.Pick(b.now, b.rnd, Request{Service: b.service, Tried: tried, Kind: "k", Patience: 60 * time.Millisecond}, b.lookup)
 }
 
 func (b *bed) setStatus(name string, st membership.Status) {
@@ -75,7 +77,10 @@
 // used, one is found, however bad the evidence.
 func TestRouterAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newBed(rapid.IntRange(1, 5).Draw(t, "upstreams"))
+		cfg := DefaultConfig()
+		cfg.ByTime = rapid.Bool().Draw(t, "by time")
+		cfg.DrainMemory = rapid.SampledFrom([]time.Duration{time.Second, 10 * time.Second}).Draw(t, "drain memory")
+		b := newBedWith(cfg, rapid.IntRange(1, 5).Draw(t, "upstreams"))
 		name := rapid.Map(rapid.IntRange(0, len(b.service.Upstreams)-1), func(i int) string { return fmt.Sprintf("u%d", i) })
 		draining := make(map[string]time.Time)
 		flight := make(map[string]int)
@@ -83,7 +88,7 @@
 			m, ok := b.members[n]
 			at, told := draining[n]
 			return !ok || m.Status == membership.Gone || m.Status == membership.Departing ||
-				(told && b.now.Sub(at) < drainMemory) || weight(b, n) == 0
+				(told && b.now.Sub(at) < cfg.DrainMemory) || weight(b, n) == 0
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(t *rapid.T) {
@@ -105,8 +110,14 @@
 					t.Skip("none in flight")
 				}
 				flight[n]--
-				told := &Told{InUse: rapid.IntRange(0, 9).Draw(t, "in use"), Slots: 4, Draining: rapid.IntRange(0, 9).Draw(t, "drains") == 0}
-				b.router.End(b.now, b.rnd, n, Outcome{Failed: rapid.Bool().Draw(t, "failed"), Told: told})
+				told := &Told{
+					InUse:    rapid.IntRange(0, 9).Draw(t, "in use"),
+					Slots:    4,
+					Service:  time.Duration(rapid.IntRange(0, 500).Draw(t, "service")) * time.Millisecond,
+					Wait:     time.Duration(rapid.IntRange(0, 200).Draw(t, "wait")) * time.Millisecond,
+					Draining: rapid.IntRange(0, 9).Draw(t, "drains") == 0,
+				}
+				b.router.End(b.now, b.rnd, n, Outcome{Failed: rapid.Bool().Draw(t, "failed"), Told: told, Kind: "k"})
 				delete(draining, n)
 				if told.Draining {
 					draining[n] = b.now
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -331,3 +331,25 @@
 	}
 	assert.Assert(t, dialed < n/3, "%d connections for %d requests", dialed, n)
 }
+
+// A process that restarts beside its upstream gets work again soon after it is
+// back, although the store says nothing of it.
+func TestRestartedNodeGetsWorkAgain(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	gone := f.sidecars[1]
+	gone.backend.SetLeaving(true)
+	served := func() int {
+		f.upstreams[1].mu.Lock()
+		defer f.upstreams[1].mu.Unlock()
+		return len(f.upstreams[1].ran)
+	}
+	for served() == 0 { // its answer tells that it leaves
+		f.send(f.request(0, "GET", "/read/x", ""))
+	}
+	gone.backend.SetLeaving(false)
+	before := served()
+	for end := time.Now().Add(6 * time.Second); served() == before; {
+		assert.Assert(t, time.Now().Before(end), "no request in six seconds")
+		f.send(f.request(0, "GET", "/read/x", ""))
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -86,6 +86,10 @@
 	// bufferShare is the part of the memory limit that kept bodies may take, as a
 	// divisor.
 	bufferShare = 4
+	// drainMemory is routing.Config.DrainMemory. A process that drains is back
+	// within a second or two, beside the same upstream; upstreams that leave are
+	// told by the store.
+	drainMemory = time.Second
 	// freeTries is retry.Policy.FreeTries: one more node is asked.
 	freeTries = 1
 	// handOverShare is the number of slots for which one request more is handed
@@ -137,7 +141,7 @@
 	policy := retry.DefaultPolicy()
 	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), freeTries
 	choice := routing.DefaultConfig()
-	choice.ByTime = true
+	choice.ByTime, choice.DrainMemory = true, drainMemory
 	s.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Self: membership.Instance{
 			Name:       s.cfg.Name,
