--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -54,19 +54,27 @@
 
 // serve sends one request through a frontend over a scripted way.
 func serve(t *testing.T, s *scripted, method, path string) *httptest.ResponseRecorder {
+	t.Helper()
+	f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy()}, everyMember, s)
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, httptest.NewRequest(method, path, nil))
+	return w
+}
+
+// newTestFrontend returns a frontend on the stand-in's table.
+func newTestFrontend(t *testing.T, cfg FrontendConfig, members routing.Members, s *scripted) *Frontend {
 	t.Helper()
 	snap, err := snapshot.Build(standin.Kerbline().Table())
 	assert.NilError(t, err)
 	h := &snapshot.Holder{}
 	h.Advance(snap)
-	members := func(name string) (membership.Member, bool) {
-		return membership.Member{Instance: membership.Instance{Name: name}}, true
-	}
-	f := NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: retry.DefaultPolicy(), Seed: 1}, h, members, s,
-		NewMetrics(tally.NoopScope), func() bool { return true })
-	w := httptest.NewRecorder()
-	f.ServeHTTP(w, httptest.NewRequest(method, path, nil))
-	return w
+	cfg.Routing, cfg.Seed = routing.DefaultConfig(), 1
+	return NewFrontend(cfg, h, members, s, NewMetrics(tally.NoopScope), func() bool { return true })
+}
+
+// everyMember takes every name for a living instance.
+func everyMember(name string) (membership.Member, bool) {
+	return membership.Member{Instance: membership.Instance{Name: name}}, true
 }
 
 // Once a try may have run, a later refusal does not make the request "not run".
@@ -108,10 +116,6 @@
 // When no upstream may be used, the request is answered at once: choosing again
 // would only spin until the deadline.
 func TestNoUpstreamIsChosenOnce(t *testing.T) {
-	snap, err := snapshot.Build(standin.Kerbline().Table())
-	assert.NilError(t, err)
-	h := &snapshot.Holder{}
-	h.Advance(snap)
 	asked := make(map[string]int)
 	none := func(name string) (membership.Member, bool) {
 		asked[name]++
@@ -119,8 +123,7 @@
 	}
 	policy := retry.DefaultPolicy()
 	policy.FreeTries = 1
-	f := NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: policy, Seed: 1}, h, none, &scripted{},
-		NewMetrics(tally.NoopScope), func() bool { return true })
+	f := newTestFrontend(t, FrontendConfig{Retry: policy}, none, &scripted{})
 	w := httptest.NewRecorder()
 	f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
@@ -132,13 +135,6 @@
 // Beyond the total, long bodies are streamed in place of kept; what was kept is
 // given back when the request ends.
 func TestKeptBodiesAreBounded(t *testing.T) {
-	snap, err := snapshot.Build(standin.Kerbline().Table())
-	assert.NilError(t, err)
-	h := &snapshot.Holder{}
-	h.Advance(snap)
-	members := func(name string) (membership.Member, bool) {
-		return membership.Member{Instance: membership.Instance{Name: name}}, true
-	}
 	const long = 40 << 10
 	var f *Frontend
 	var limits []int64
@@ -146,8 +142,7 @@
 		limits = append(limits, f.bufferLimit(), f.buffered.Load())
 		return answer(r)
 	}}}
-	f = NewFrontend(FrontendConfig{Routing: routing.DefaultConfig(), Retry: retry.DefaultPolicy(), Seed: 1, BufferLimit: long, BufferTotal: long},
-		h, members, s, NewMetrics(tally.NoopScope), func() bool { return true })
+	f = newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), BufferLimit: long, BufferTotal: long}, everyMember, s)
 	for _, n := range []int{long, 100} {
 		w := httptest.NewRecorder()
 		f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/payments/x", strings.NewReader(strings.Repeat("b", n))))
