--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -37,9 +37,6 @@
 // Lost notes that the store did not answer.
 func (r *Registry) Lost() { r.away = true }
 
-// Away reports whether the store's last answer was a failure.
-func (r *Registry) Away() bool { return r.away }
-
 // Replace takes over a whole listing and reports whether anything changed.
 func (r *Registry) Replace(now time.Time, u Update) bool {
 	r.reached(now)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -175,16 +175,6 @@
 	}
 }
 
-// Forget closes the idle connections to an address.
-func (c *Client) Forget(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cc := range c.idle[addr] {
-		_ = cc.nc.Close()
-	}
-	delete(c.idle, addr)
-}
-
 // Close closes all idle connections.
 func (c *Client) Close() { c.Sweep(time.Now().Add(c.cfg.IdleTimeout + time.Hour)) }
 
