Read the store by a few sidecars, tell the others

Cause: every sidecar watched the store.

Change: in each data centre one node of 24 reads; the others ask two readers for news, which tell how old they are; a node whose news are older than 1.3 s reads the store itself. Ends of entries are remembered.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -2,10 +2,16 @@
 // upstreams that are alive, and builds from both the snapshot that routing
 // reads.
 //
+// Calls of the store are priced and limited, so a few readers in each data
+// centre watch it and all other nodes get News from two of them. News tells how
+// old it is. A node that has none fresh enough reads the store itself.
+//
 // Registry decides what is believed and is pure: time is passed in. Follower,
-// the edge, calls the Source. The invariants: an older version of an entry never
-// replaces a newer one, and an upstream that vanished while the store could not
-// be reached is given LapseGrace to appear again.
+// the edge, calls the Source and the Peers. The invariants: an older version of
+// an entry never replaces a newer one, an upstream that vanished while the store
+// could not be reached is given LapseGrace to appear again, and no node that can
+// reach the store believes what is older than Config.NewsMaxAge for longer than
+// a call takes.
 package discovery
 
 import (
@@ -21,16 +27,19 @@
 
 // Upstream is one published process of a service.
 type Upstream struct {
-	ID         string // one process; a restarted one has another
-	Service    string
-	Address    netip.AddrPort
-	DataCentre string
-	Slots      int // requests it works on at once
-	Leaving    bool
+	ID         string         `cbor:"1,keyasint"` // one process; a restarted one has another
+	Service    string         `cbor:"2,keyasint"`
+	Address    netip.AddrPort `cbor:"3,keyasint"`
+	DataCentre string         `cbor:"4,keyasint"`
+	Slots      int            `cbor:"5,keyasint"` // requests it works on at once
+	Leaving    bool           `cbor:"6,keyasint,omitempty"`
 	// Cold is how long it stays slow after its start, from the time of Revision.
-	Cold time.Duration
+	Cold time.Duration `cbor:"7,keyasint,omitempty"`
 	// Revision orders the versions of the entry.
-	Revision uint64
+	Revision uint64 `cbor:"8,keyasint"`
+	// Lapsed is set in news only: the entry has vanished with an outage of the
+	// store and is believed for this time still.
+	Lapsed time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Document is one published version of the table.
@@ -52,8 +61,8 @@
 
 // Removal says that an upstream is no longer published.
 type Removal struct {
-	ID       string
-	Revision uint64
+	ID       string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
 }
 
 // Update is what a call of the Source brought.
@@ -77,4 +86,6 @@
 	// Watch waits until something has changed since the revision, or for the
 	// given time, and returns the changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error)
+	// Decode reads a document from its published bytes.
+	Decode(raw []byte) (*Document, error)
 }
--- /dev/null
+++ b/internal/discovery/follow_peers.go
@@ -0,0 +1,198 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// newsSlots is the number of nodes whose news are followed at once.
+const newsSlots = 2
+
+// peerLink is what one slot knows of the node that it follows.
+type peerLink struct {
+	source    membership.Instance
+	cursor    Cursor
+	wantTable bool
+	failing   bool
+}
+
+// followPeers asks one source after another for its news, until ctx ends.
+func (f *Follower) followPeers(ctx context.Context, slot int) {
+	var link peerLink
+	for ctx.Err() == nil {
+		source, ok := f.sourceAt(slot)
+		if !ok {
+			wait(ctx, rolePoll)
+			continue
+		}
+		if source.Peer != link.source.Peer {
+			link = peerLink{source: source}
+		}
+		announced, err := f.askOnce(ctx, slot, &link)
+		if err != nil {
+			f.peerFailed(ctx, &link, err)
+			wait(ctx, f.cfg.NewsRetry+rand.N(f.cfg.NewsRetry+1))
+			continue
+		}
+		if announced.Newer(f.holds()) && !link.wantTable {
+			// The first source sends the table; this one does if that fails.
+			wait(ctx, f.cfg.TableGrace)
+		}
+		link.wantTable = announced.Newer(f.holds())
+	}
+}
+
+// sourceAt returns the node that a slot follows now; none for a reader that
+// reaches the store.
+func (f *Follower) sourceAt(slot int) (membership.Instance, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slot >= len(f.sources) || !f.listed || f.reader && f.awaySince.IsZero() {
+		return membership.Instance{}, false
+	}
+	return f.sources[slot], true
+}
+
+// askOnce asks for news and takes them over. It returns the version of the table
+// that the source holds.
+func (f *Follower) askOnce(ctx context.Context, slot int, link *peerLink) (version.ID, error) {
+	call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
+	defer cancel()
+	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable}
+	n, err := f.peers.Ask(call, link.source.Peer, ask)
+	if err != nil {
+		return version.ID{}, err
+	}
+	if link.failing {
+		link.failing = false
+		f.log.Info("news regained", "source", link.source.Name, "age", n.Age)
+	}
+	if err := f.takeNews(time.Now(), link.source.Name, n); err != nil {
+		return version.ID{}, err
+	}
+	link.cursor = n.Cursor
+	return n.Table, nil
+}
+
+func (f *Follower) peerFailed(ctx context.Context, link *peerLink, err error) {
+	if link.failing || ctx.Err() != nil {
+		return
+	}
+	link.failing = true
+	f.log.Warn("news lost", "source", link.source.Name, "err", err)
+}
+
+// holds returns the version of the table in force.
+func (f *Follower) holds() version.ID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holdsLocked()
+}
+
+func (f *Follower) holdsLocked() version.ID {
+	if f.document == nil {
+		return version.ID{}
+	}
+	return f.document.ID
+}
+
+// takeNews takes over what another node believes. Where that node holds a newer
+// table than this one does then, this one is not current.
+func (f *Follower) takeNews(now time.Time, from string, n News) error {
+	doc, err := f.restore(n)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := f.takeDocument(doc, from)
+	behind := n.Table.Newer(f.holdsLocked())
+	u := Update{Revision: n.Revision, Upstreams: n.Upstreams, Removed: n.Removed}
+	changed = f.registry.Merge(now, u, n.Whole, !behind) || changed
+	changed = f.registry.Expire(now) || changed
+	if changed {
+		f.changed()
+	}
+	if at := now.Add(-n.Age); !behind && at.After(f.current) {
+		f.current = at
+		f.registry.Reached(at)
+	}
+	f.announce()
+	return nil
+}
+
+// restore returns the table that came with news; nil if none did.
+func (f *Follower) restore(n News) (*Document, error) {
+	if len(n.Document) == 0 {
+		return nil, nil
+	}
+	raw, err := inflate(n.Document)
+	if err != nil {
+		return nil, err
+	}
+	return f.source.Decode(raw)
+}
+
+// NewsAfter returns what is believed here and not known to the asking node, as
+// soon as there is anything, or this node learns that there is not. After
+// Config.NewsWait it returns what there is.
+func (f *Follower) NewsAfter(ctx context.Context, ask Ask) (News, error) {
+	timer := time.NewTimer(f.cfg.NewsWait)
+	defer timer.Stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.current
+	for waited := false; !waited && !f.hasNews(ask) && !f.current.After(before); {
+		tick := f.tick
+		f.mu.Unlock()
+		select {
+		case <-tick:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+		if err := ctx.Err(); err != nil {
+			return News{}, err
+		}
+	}
+	return f.news(time.Now(), ask)
+}
+
+// hasNews reports whether the asking node lacks something. The lock is held.
+func (f *Follower) hasNews(ask Ask) bool {
+	return ask.After.Epoch != f.epoch || ask.After.Sequence < f.registry.Sequence() || f.holdsLocked().Newer(ask.Table)
+}
+
+// news builds the news for a question. The lock is held.
+func (f *Follower) news(now time.Time, ask Ask) (News, error) {
+	after := ask.After.Sequence
+	if ask.After.Epoch != f.epoch {
+		after = 0
+	}
+	u, whole := f.registry.Since(now, after)
+	n := News{
+		Cursor:    Cursor{Epoch: f.epoch, Sequence: f.registry.Sequence()},
+		Revision:  u.Revision,
+		Age:       now.Sub(f.current),
+		Table:     f.holdsLocked(),
+		Whole:     whole,
+		Upstreams: u.Upstreams,
+		Removed:   u.Removed,
+	}
+	if !ask.WantTable || !n.Table.Newer(ask.Table) {
+		return n, nil
+	}
+	if f.deflated == nil {
+		var err error
+		if f.deflated, err = deflate(f.document.Raw); err != nil {
+			return News{}, err
+		}
+	}
+	n.Document = f.deflated
+	return n, nil
+}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,65 +17,65 @@
 	"github.com/walldrift/walldrift/internal/table"
 )
 
-// Config holds the settings of a Follower.
-type Config struct {
-	// WatchWait is the longest wait of one watch. Longer costs fewer calls,
-	// shorter notices a silent store sooner. Default 2 s.
-	WatchWait time.Duration
-	// MinGap is the least time between the starts of two calls. Changes that come
-	// in series are fetched together: longer costs fewer calls, shorter has them
-	// in force sooner. Default 500 ms, a quarter of what the platform allows.
-	MinGap time.Duration
-	// CallTimeout bounds a call beyond its wait. Default 800 ms.
-	CallTimeout time.Duration
-	// BackoffMin and BackoffMax bound the wait after a failed call, drawn at
-	// random between half and the whole of a value that doubles. The longest
-	// keeps a change within a second of the store's return. Default 60 ms and
-	// 400 ms.
-	BackoffMin, BackoffMax time.Duration
-	// PeerPort is the port of the nodes beside the upstreams, for requests.
-	PeerPort uint16
-}
-
-// DefaultConfig returns the defaults given at the fields.
-func DefaultConfig() Config {
-	return Config{
-		WatchWait:   2 * time.Second,
-		MinGap:      500 * time.Millisecond,
-		CallTimeout: 800 * time.Millisecond,
-		BackoffMin:  60 * time.Millisecond,
-		BackoffMax:  400 * time.Millisecond,
-	}
-}
-
 // Directory is one immutable state of the discovered upstreams.
 type Directory struct {
 	members   map[string]membership.Member
 	byAddress map[netip.AddrPort]Known
 }
 
-// Follower keeps the snapshot in force up to date with a Source.
+// At returns the upstream published at an address.
+func (d *Directory) At(a netip.AddrPort) (Known, bool) {
+	k, ok := d.byAddress[a]
+	return k, ok
+}
+
+// Follower keeps the snapshot in force up to date with a Source and with the
+// news of other nodes.
 type Follower struct {
 	cfg      Config
 	source   Source
+	peers    Peers
 	holder   *snapshot.Holder
 	log      *log.Logger
-	registry *Registry
 	onChange func(*Directory)
+	epoch    uint64 // of this run, for cursors
+
+	dir    atomic.Pointer[Directory]
+	limits atomic.Pointer[CallerLimits]
+	calls  atomic.Int64 // of the store
+	away   atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
 
+	mu        sync.Mutex // guards what follows
+	registry  *Registry
 	document  *Document
+	deflated  []byte // document, for other nodes; nil until one asks
 	listed    bool
 	awaySince time.Time
-	away      atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
-	dir       atomic.Pointer[Directory]
-	limits    atomic.Pointer[CallerLimits]
-	builds    uint64
+	// current is the newest time at which all that the store held was known.
+	current time.Time
+	tick    chan struct{} // closed when current or belief has moved
+	reader  bool          // this node reads the store for others
+	sources []membership.Instance
+	reading bool // the store is read now, for whatever reason
+	builds  uint64
 }
 
 // NewFollower returns a follower that puts snapshots in force in holder and
-// calls onChange with each new directory.
-func NewFollower(cfg Config, source Source, holder *snapshot.Holder, logger *log.Logger, onChange func(*Directory)) *Follower {
-	f := &Follower{cfg: cfg, source: source, holder: holder, log: logger, registry: NewRegistry(), onChange: onChange}
+// calls onChange with each new directory. With nil peers it always reads the
+// store itself.
+func NewFollower(cfg Config, source Source, peers Peers, holder *snapshot.Holder, logger *log.Logger, onChange func(*Directory)) *Follower {
+	f := &Follower{
+		cfg:      cfg,
+		source:   source,
+		peers:    peers,
+		holder:   holder,
+		log:      logger,
+		registry: NewRegistry(),
+		onChange: onChange,
+		epoch:    rand.Uint64(),
+		tick:     make(chan struct{}),
+		reader:   true, // until the first listing tells
+	}
 	f.dir.Store(&Directory{})
 	f.limits.Store(&CallerLimits{})
 	return f
@@ -88,7 +90,8 @@
 // Limits returns the limits on callers in force.
 func (f *Follower) Limits() CallerLimits { return *f.limits.Load() }
 
-// AwayFor returns how long the store has not answered; 0 if it does.
+// AwayFor returns how long the store has not answered this node; 0 if it did
+// when it was last called.
 func (f *Follower) AwayFor(now time.Time) time.Duration {
 	ms := f.away.Load()
 	if ms == 0 {
@@ -97,16 +100,48 @@
 	return now.Sub(time.UnixMilli(ms))
 }
 
-// At returns the upstream published at an address.
-func (d *Directory) At(a netip.AddrPort) (Known, bool) {
-	k, ok := d.byAddress[a]
-	return k, ok
+// Calls returns the number of calls of the store so far.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
+// Status tells where a follower stands.
+type Status struct {
+	Reader  bool          // reads the store for others
+	Sources []string      // nodes whose news it follows
+	Age     time.Duration // since it last knew all that was published
+}
+
+// Status returns where the follower stands.
+func (f *Follower) Status(now time.Time) Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := Status{Reader: f.reader, Age: now.Sub(f.current)}
+	for _, in := range f.sources {
+		s.Sources = append(s.Sources, in.Name)
+	}
+	return s
 }
 
-// Run follows the source until ctx ends.
+// Run follows the source and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	if f.peers != nil {
+		for slot := range newsSlots {
+			group.Go(func() { f.followPeers(ctx, slot) })
+		}
+	}
+	f.followStore(ctx)
+	group.Wait()
+}
+
+// followStore reads the store as long as this node is a reader or has no fresh
+// news.
+func (f *Follower) followStore(ctx context.Context) {
 	backoff := f.cfg.BackoffMin
 	for ctx.Err() == nil {
+		if idle := f.idleFor(time.Now()); idle > 0 {
+			wait(ctx, idle)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx)
 		switch {
@@ -114,31 +149,79 @@
 			backoff = f.cfg.BackoffMin
 			wait(ctx, f.cfg.MinGap-time.Since(began))
 		case errors.Is(err, ErrHistoryGone):
-			f.listed = false
-			f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
+			f.relist()
 		default:
 			f.lost(ctx, err)
 			f.pause(ctx, backoff)
-			backoff = min(2*backoff, f.cfg.BackoffMax)
+			backoff = min(2*backoff, f.backoffMax())
 		}
 	}
 }
 
-// step makes one call and takes over what it brought.
-func (f *Follower) step(ctx context.Context) error {
-	longest := f.cfg.WatchWait
+// idleFor returns how long the store need not be read; 0 if it must be now. It
+// also takes out upstreams whose time is over while the store is not read.
+func (f *Follower) idleFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fresh := f.cfg.NewsMaxAge - now.Sub(f.current)
+	idle := !f.reader && f.listed && fresh > 0
+	f.noteReading(now, !idle)
+	if !idle {
+		return 0
+	}
+	if f.registry.Expire(now) {
+		f.changed()
+	}
 	if at, ok := f.registry.NextExpiry(); ok {
-		longest = min(longest, max(time.Until(at), time.Millisecond))
+		fresh = min(fresh, at.Sub(now))
 	}
-	var u Update
-	var err error
+	return min(max(fresh, time.Millisecond), rolePoll)
+}
+
+// rolePoll is how often a node that is idle looks whether it has become a
+// reader.
+const rolePoll = 200 * time.Millisecond
+
+// noteReading logs when this node begins or stops to read the store.
+func (f *Follower) noteReading(now time.Time, reading bool) {
+	if reading == f.reading {
+		return
+	}
+	f.reading = reading
+	f.log.Info("store reading", "reading", reading, "reader", f.reader, "news_age", now.Sub(f.current), "revision", f.registry.Revision())
+}
+
+// backoffMax is short only for a reader that has no fresh news either: the
+// others need not be the first to see the store's return.
+func (f *Follower) backoffMax() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reader && time.Since(f.current) > f.cfg.NewsMaxAge {
+		return f.cfg.BackoffMax
+	}
+	return f.cfg.FollowerBackoffMax
+}
+
+// relist makes the next step list all that is published.
+func (f *Follower) relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+	f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
+}
+
+// step makes one call and takes over what it brought.
+func (f *Follower) step(ctx context.Context) error {
+	after, whole, longest := f.nextCall(time.Now())
 	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout+longest)
 	defer cancel()
-	whole := !f.listed
+	var u Update
+	var err error
+	f.calls.Add(1)
 	if whole {
 		u, err = f.source.List(call)
 	} else {
-		u, err = f.source.Watch(call, f.registry.Revision(), longest)
+		u, err = f.source.Watch(call, after, longest)
 	}
 	if err != nil {
 		return err
@@ -147,12 +230,23 @@
 	return nil
 }
 
-func (f *Follower) take(now time.Time, u Update, whole bool) {
-	if !f.awaySince.IsZero() {
-		f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
-		f.awaySince = time.Time{}
-		f.away.Store(0)
+// nextCall returns the revision to watch from, whether to list in place of
+// that, and the longest wait.
+func (f *Follower) nextCall(now time.Time) (after uint64, whole bool, longest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest = f.cfg.WatchWait
+	if at, ok := f.registry.NextExpiry(); ok {
+		longest = min(longest, max(at.Sub(now), time.Millisecond))
 	}
+	return f.registry.Revision(), !f.listed, longest
+}
+
+// take takes over an answer of the store.
+func (f *Follower) take(now time.Time, u Update, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained(now, u)
 	for _, finding := range u.Findings {
 		f.log.Warn("published entry left out", "finding", finding)
 	}
@@ -164,19 +258,33 @@
 		changed = f.registry.Apply(now, u)
 	}
 	changed = f.registry.Expire(now) || changed
-	if u.Document != nil && (f.document == nil || u.Document.ID.Newer(f.document.ID)) {
-		f.document = u.Document
-		f.limits.Store(&u.Document.Limits)
-		f.log.Info("table version taken", "version", u.Document.ID, "routes", len(u.Document.Table.Routes), "revision", u.Revision)
-		changed = true
-	}
+	changed = f.takeDocument(u.Document, "store") || changed
+	f.current = now
 	if changed {
-		f.publish()
+		f.changed()
 	}
+	f.announce()
 }
 
-// publish builds directory and snapshot and puts both in force.
-func (f *Follower) publish() {
+// takeDocument puts a newer table in force, and reports whether it is one.
+func (f *Follower) takeDocument(d *Document, from string) bool {
+	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
+		return false
+	}
+	f.document, f.deflated = d, nil
+	f.limits.Store(&d.Limits)
+	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "revision", f.registry.Revision())
+	return true
+}
+
+// announce wakes those who wait for news. The lock is held.
+func (f *Follower) announce() {
+	close(f.tick)
+	f.tick = make(chan struct{})
+}
+
+// changed puts a changed belief in force. The lock is held.
+func (f *Follower) changed() {
 	known := f.registry.Upstreams()
 	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
 	for _, k := range known {
@@ -187,6 +295,7 @@
 	}
 	f.logChanges(f.dir.Load(), dir)
 	f.dir.Store(dir)
+	f.chooseRole(dir)
 	f.onChange(dir)
 	if f.document == nil {
 		return
@@ -201,6 +310,40 @@
 	f.holder.Advance(snap)
 }
 
+// chooseRole computes whether this node reads the store for others, and whose
+// news it follows.
+func (f *Follower) chooseRole(dir *Directory) {
+	if f.peers == nil {
+		return
+	}
+	members := make([]membership.Member, 0, len(dir.members))
+	for _, m := range dir.members {
+		members = append(members, m)
+	}
+	self := membership.Instance{DataCentre: f.cfg.DataCentre}
+	if own, ok := dir.At(f.cfg.Self); ok {
+		self.Name = own.ID
+	}
+	reader := slices.Contains(membership.Readers(self.DataCentre, members, f.cfg.NodesPerReader), self.Name)
+	f.sources = nil
+	for _, name := range membership.NewsSources(self, members, f.cfg.NodesPerReader) {
+		f.sources = append(f.sources, dir.members[name].Instance)
+	}
+	reader = reader || len(f.sources) == 0
+	if reader != f.reader {
+		f.reader = reader
+		f.log.Info("reader of the store", "reader", reader, "sources", names(f.sources))
+	}
+}
+
+func names(ins []membership.Instance) []string {
+	out := make([]string, len(ins))
+	for i, in := range ins {
+		out[i] = in.Name
+	}
+	return out
+}
+
 // logChanges writes a line for each upstream that is believed otherwise than
 // before.
 func (f *Follower) logChanges(before, after *Directory) {
@@ -254,7 +397,19 @@
 	return &out
 }
 
+// regained notes that the store answers. The lock is held.
+func (f *Follower) regained(now time.Time, u Update) {
+	if f.awaySince.IsZero() {
+		return
+	}
+	f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
+	f.awaySince = time.Time{}
+	f.away.Store(0)
+}
+
 func (f *Follower) lost(ctx context.Context, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.registry.Lost()
 	if f.awaySince.IsZero() && ctx.Err() == nil {
 		f.awaySince = time.Now()
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -61,6 +61,13 @@
 	}
 }
 
+func (s *fakeSource) Decode(raw []byte) (*Document, error) {
+	if len(raw) != 1 {
+		return nil, errors.New("no test document")
+	}
+	return testDocument(uint64(raw[0])), nil
+}
+
 // calls returns the listings and the looks of watches so far.
 func (s *fakeSource) calls() (lists, watches int) {
 	s.mu.Lock()
@@ -77,7 +84,7 @@
 func testDocument(edition uint64) *Document {
 	t := &table.Table{Edition: edition, Services: []table.Service{{Name: "s"}},
 		Routes: []table.Route{{Name: "r", Prefix: "/", Service: "s", Timeout: time.Second}}}
-	return &Document{ID: version.Of(edition, nil), Table: t}
+	return &Document{ID: version.Of(edition, nil), Table: t, Raw: []byte{byte(edition)}}
 }
 
 func published(id string, revision uint64) Upstream {
@@ -87,7 +94,7 @@
 // follow runs a follower inside a synctest bubble until the test ends.
 func follow(t *testing.T, source Source) (*Follower, *snapshot.Holder) {
 	holder := &snapshot.Holder{}
-	f := NewFollower(DefaultConfig(), source, holder, log.New(io.Discard), func(*Directory) {})
+	f := NewFollower(DefaultConfig(), source, nil, holder, log.New(io.Discard), func(*Directory) {})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
--- /dev/null
+++ b/internal/discovery/news.go
@@ -0,0 +1,85 @@
+package discovery
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	kflate "github.com/klauspost/compress/flate"
+
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// Cursor marks how much of a node's news another one has.
+type Cursor struct {
+	// Epoch tells one run of the node from another.
+	Epoch    uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Ask asks a node for its news.
+type Ask struct {
+	After Cursor     `cbor:"1,keyasint"`
+	Table version.ID `cbor:"2,keyasint"` // held by the asking node
+	// WantTable asks for the newer table itself, not only for its ID.
+	WantTable bool `cbor:"3,keyasint,omitempty"`
+}
+
+// News is what a node believes and the asking one does not know yet. Fields that
+// are not known are passed over, so that a fleet is upgraded node by node.
+type News struct {
+	Cursor Cursor `cbor:"1,keyasint"`
+	// Revision is that of the store, up to which the sender knows all.
+	Revision uint64 `cbor:"2,keyasint"`
+	// Age is how long ago that was certainly all that there was.
+	Age   time.Duration `cbor:"3,keyasint"`
+	Table version.ID    `cbor:"4,keyasint"` // held by the sender
+	// Document is the sender's table, deflated; empty if not asked for or known.
+	Document []byte `cbor:"5,keyasint,omitempty"`
+	// Whole says that Upstreams has all that the sender believes.
+	Whole     bool       `cbor:"6,keyasint,omitempty"`
+	Upstreams []Upstream `cbor:"7,keyasint,omitempty"`
+	Removed   []Removal  `cbor:"8,keyasint,omitempty"`
+}
+
+// maxNews bounds the encoded news that is read: a table that does not compress
+// and some thousand upstreams.
+const maxNews = table.MaxBytes + 1<<20
+
+// encode and decode wrap the codec's errors with what they concern.
+func encode(what string, v any) ([]byte, error) {
+	raw, err := cbor.Marshal(v)
+	return raw, errors.Wrap(err, what)
+}
+
+func decode(what string, r io.Reader, into any) error {
+	raw, err := io.ReadAll(io.LimitReader(r, maxNews))
+	if err != nil {
+		return errors.Wrap(err, what)
+	}
+	return errors.Wrap(cbor.Unmarshal(raw, into), what)
+}
+
+// deflate compresses a table. The stateless coder keeps no memory between
+// tables, which come seldom.
+func deflate(raw []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := kflate.StatelessDeflate(&out, raw, true, nil)
+	return out.Bytes(), errors.Wrap(err, "deflate table")
+}
+
+// inflate undoes deflate.
+func inflate(b []byte) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), table.MaxBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "inflate table")
+	}
+	if len(raw) > table.MaxBytes {
+		return nil, errors.Newf("table of more than %d bytes", table.MaxBytes)
+	}
+	return raw, nil
+}
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -11,77 +11,181 @@
 // two seconds, and the rest is for the way of the news.
 const LapseGrace = 2200 * time.Millisecond
 
+// tombstoneLife is how long the end of an upstream is remembered, so that a
+// node which lags behind cannot bring it back: far beyond the age of any news
+// that is still passed on.
+const tombstoneLife = time.Minute
+
 // Registry holds what is believed about the upstreams. Not safe for concurrent
 // use.
 type Registry struct {
 	revision uint64
 	known    map[string]entry
+	gone     map[string]tombstone
 	away     bool      // the last call failed
 	returned time.Time // when a call succeeded after a failure
+
+	sequence uint64 // counts the changes of belief
+	// forgotten is the sequence of the newest tombstone that was forgotten.
+	forgotten uint64
 }
 
 type entry struct {
 	Upstream
 	seen time.Time // when this version of the entry came
-	// lapsed is when the entry vanished with the store's return; zero if it is
-	// published.
-	lapsed time.Time
+	// lapsed is the revision at which the entry vanished with the store's return,
+	// and expires until when it is believed; zero if it is published.
+	lapsed   uint64
+	expires  time.Time
+	sequence uint64 // of the last change
+}
+
+// replacedBy reports whether the word of a source that knows the store up to a
+// revision replaces the entry: a later version, or the same one that has vanished
+// or, by word not older than its end, is published again.
+func (e entry) replacedBy(up Upstream, revision uint64) bool {
+	switch {
+	case up.Revision != e.Revision:
+		return up.Revision > e.Revision
+	case e.lapsed == 0:
+		return up.Lapsed > 0
+	}
+	return up.Lapsed == 0 && revision >= e.lapsed
+}
+
+// tombstone remembers the end of an upstream.
+type tombstone struct {
+	revision uint64
+	at       time.Time
+	sequence uint64
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{known: make(map[string]entry)} }
+func NewRegistry() *Registry {
+	return &Registry{known: make(map[string]entry), gone: make(map[string]tombstone)}
+}
 
-// Revision returns the store's revision of the last update.
+// Revision returns the store's revision up to which all is known.
 func (r *Registry) Revision() uint64 { return r.revision }
 
+// Sequence counts the changes of belief, for Since.
+func (r *Registry) Sequence() uint64 { return r.sequence }
+
 // Lost notes that the store did not answer.
 func (r *Registry) Lost() { r.away = true }
 
-// Replace takes over a whole listing and reports whether anything changed.
+// Replace takes over a whole listing of the store and reports whether anything
+// changed.
 func (r *Registry) Replace(now time.Time, u Update) bool {
-	r.reached(now)
+	r.Reached(now)
 	if u.Revision < r.revision {
 		return false // a stale answer
 	}
 	changed := r.take(now, u)
-	listed := make(map[string]bool, len(u.Upstreams))
-	for _, up := range u.Upstreams {
-		listed[up.ID] = true
+	for _, id := range r.unlisted(u) {
+		changed = r.vanish(now, id, u.Revision) || changed
 	}
-	for id := range r.known {
-		if !listed[id] {
-			changed = r.vanish(now, id) || changed
+	return changed
+}
+
+// Apply takes over changes of the store and reports whether anything changed.
+func (r *Registry) Apply(now time.Time, u Update) bool {
+	r.Reached(now)
+	changed := r.take(now, u)
+	for _, gone := range u.Removed {
+		if r.ends(now, gone) {
+			changed = r.vanish(now, gone.ID, gone.Revision) || changed
 		}
 	}
 	return changed
 }
 
-// Apply takes over changes and reports whether anything changed.
-func (r *Registry) Apply(now time.Time, u Update) bool {
-	r.reached(now)
+// ends reports whether a removal ends an entry that is known. One that came and
+// went unseen here is remembered, as another node may tell of it late.
+func (r *Registry) ends(now time.Time, gone Removal) bool {
+	e, ok := r.known[gone.ID]
+	if !ok && gone.Revision > r.gone[gone.ID].revision {
+		r.remove(now, gone.ID, gone.Revision)
+	}
+	return ok && gone.Revision > e.Revision
+}
+
+// Merge takes over what another node believes and reports whether anything
+// changed. That node has given vanished upstreams their time already. With whole
+// the update lists all that it believes. It advances Revision only if complete
+// says that nothing of the update is missing.
+func (r *Registry) Merge(now time.Time, u Update, whole, complete bool) bool {
+	before := r.revision
 	changed := r.take(now, u)
 	for _, gone := range u.Removed {
-		if e, ok := r.known[gone.ID]; ok && gone.Revision > e.Revision {
-			changed = r.vanish(now, gone.ID) || changed
+		if r.ends(now, gone) {
+			r.remove(now, gone.ID, gone.Revision)
+			changed = true
 		}
 	}
+	if whole {
+		for _, id := range r.unlisted(u) {
+			r.remove(now, id, u.Revision)
+			changed = true
+		}
+	}
+	if !complete {
+		r.revision = before
+	}
 	return changed
 }
 
-func (r *Registry) reached(now time.Time) {
-	if r.away {
-		r.away, r.returned = false, now
+// Reached notes that the store answers, or did so to another node. After an outage, what lapsed before it
+// is given the same time as what lapsed in it.
+func (r *Registry) Reached(now time.Time) {
+	if !r.away {
+		return
 	}
+	r.away, r.returned = false, now
+	for id, e := range r.known {
+		if e.lapsed != 0 {
+			e.expires = now.Add(LapseGrace)
+			r.known[id] = e
+		}
+	}
+}
+
+// unlisted returns the known upstreams that a whole listing lacks. Those that
+// were published after it are no matter of the listing.
+func (r *Registry) unlisted(u Update) []string {
+	listed := make(map[string]bool, len(u.Upstreams))
+	for _, up := range u.Upstreams {
+		listed[up.ID] = true
+	}
+	var out []string
+	for id, e := range r.known {
+		if !listed[id] && e.Revision <= u.Revision {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 func (r *Registry) take(now time.Time, u Update) bool {
 	changed := false
 	for _, up := range u.Upstreams {
 		old, ok := r.known[up.ID]
-		if ok && old.Revision >= up.Revision && old.lapsed.IsZero() {
+		if ok && !old.replacedBy(up, u.Revision) {
+			continue
+		}
+		if t, ok := r.gone[up.ID]; ok && t.revision >= up.Revision {
 			continue
 		}
-		r.known[up.ID] = entry{Upstream: up, seen: now}
+		r.sequence++
+		e := entry{Upstream: up, seen: now, sequence: r.sequence}
+		if ok && old.Revision == up.Revision {
+			e.seen = old.seen
+		}
+		if up.Lapsed > 0 {
+			e.lapsed, e.expires, e.Lapsed = max(u.Revision, 1), now.Add(up.Lapsed), 0
+		}
+		r.known[up.ID] = e
+		delete(r.gone, up.ID)
 		changed = true
 	}
 	r.revision = max(r.revision, u.Revision)
@@ -90,29 +194,43 @@
 
 // vanish takes an upstream out, at once if it was leaving or the store was
 // there all the time, otherwise after LapseGrace.
-func (r *Registry) vanish(now time.Time, id string) bool {
+func (r *Registry) vanish(now time.Time, id string, revision uint64) bool {
 	e := r.known[id]
 	if !e.Leaving && !r.returned.IsZero() && now.Before(r.returned.Add(LapseGrace)) {
-		if e.lapsed.IsZero() {
-			e.lapsed = now
+		if e.lapsed == 0 {
+			r.sequence++
+			e.lapsed, e.expires, e.sequence = max(revision, 1), r.returned.Add(LapseGrace), r.sequence
 			r.known[id] = e
 		}
 		return false
 	}
-	delete(r.known, id)
+	r.remove(now, id, revision)
 	return true
 }
 
-// Expire takes out the upstreams that did not appear again in time, and reports
-// whether there were any.
+// remove takes an upstream out and remembers its end.
+func (r *Registry) remove(now time.Time, id string, revision uint64) {
+	r.sequence++
+	delete(r.known, id)
+	r.gone[id] = tombstone{revision: revision, at: now, sequence: r.sequence}
+}
+
+// Expire takes out the upstreams that did not appear again in time and forgets
+// old tombstones. It reports whether belief has changed.
 func (r *Registry) Expire(now time.Time) bool {
-	if r.returned.IsZero() || r.away || now.Before(r.returned.Add(LapseGrace)) {
+	for id, t := range r.gone {
+		if now.Sub(t.at) > tombstoneLife {
+			r.forgotten = max(r.forgotten, t.sequence)
+			delete(r.gone, id)
+		}
+	}
+	if r.away {
 		return false
 	}
 	changed := false
 	for id, e := range r.known {
-		if !e.lapsed.IsZero() {
-			delete(r.known, id)
+		if e.lapsed != 0 && !now.Before(e.expires) {
+			r.remove(now, id, e.lapsed)
 			changed = true
 		}
 	}
@@ -121,12 +239,36 @@
 
 // NextExpiry returns when Expire has to be called; false if it need not.
 func (r *Registry) NextExpiry() (time.Time, bool) {
+	var next time.Time
 	for _, e := range r.known {
-		if !e.lapsed.IsZero() {
-			return r.returned.Add(LapseGrace), true
+		if e.lapsed != 0 && (next.IsZero() || e.expires.Before(next)) {
+			next = e.expires
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Since returns what has changed after a sequence. With whole it returns all
+// that is believed, since the sequence is 0 or the changes are not remembered.
+func (r *Registry) Since(now time.Time, sequence uint64) (u Update, whole bool) {
+	u.Revision = r.revision
+	whole = sequence == 0 || sequence < r.forgotten
+	for _, e := range r.known {
+		if !whole && e.sequence <= sequence {
+			continue
+		}
+		up := e.Upstream
+		if e.lapsed != 0 {
+			up.Lapsed = max(e.expires.Sub(now), time.Millisecond)
+		}
+		u.Upstreams = append(u.Upstreams, up)
+	}
+	for id, t := range r.gone {
+		if whole || t.sequence > sequence {
+			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision})
 		}
 	}
-	return time.Time{}, false
+	return u, whole
 }
 
 // Known is an upstream with the time when its entry came.
--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -147,15 +147,3 @@
 	candidates := append(slices.Clone(theirs[start:]), theirs[:start]...)
 	return []Slot{{Candidates: candidates[:min(candidatesPerSlot, len(candidates))]}}
 }
-
-// ReaderRank returns the place of self among the nodes of its data centre
-// that may watch the platform, from 0.
-func ReaderRank(self Instance, members []Member) int {
-	var names []string
-	for _, m := range members {
-		if m.DataCentre == self.DataCentre && (m.Status == Alive || m.Name == self.Name) {
-			names = append(names, m.Name)
-		}
-	}
-	return slices.Index(rank("readers of "+self.DataCentre, names), self.Name)
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -107,6 +107,8 @@
 	assert.Equal(t, cfg.Metrics.String(), "10.0.0.1:9464")
 	_, err = ParseSidecar("sidecar.ini", raw)
 	assert.ErrorContains(t, err, "sidecar.ini:10: listen.callers")
+	_, err = ParseSidecar("sidecar.ini", []byte(filled), Overrides{"store.watch_wait": "2s"})
+	assert.ErrorContains(t, err, "store.watch_wait: 2s is not less than store.news_max_age")
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -26,6 +27,9 @@
 
 	Store     netip.AddrPort
 	WatchWait time.Duration
+	// NewsMaxAge and NodesPerReader are as in discovery.Config.
+	NewsMaxAge     time.Duration
+	NodesPerReader int
 
 	MaxInFlight  int
 	BufferLimit  int
@@ -61,7 +65,9 @@
 	count("upstream", "slots", "requests", "12", "requests the upstream works on at once, until the store tells", func(s *Sidecar) *int { return &s.Slots }),
 
 	address("store", "address", required, "address of the store that publishes tables and upstreams", func(s *Sidecar) *netip.AddrPort { return &s.Store }),
-	duration("store", "watch_wait", "2s", "longest wait of one watch; longer costs fewer calls, shorter notices a silent store sooner", func(s *Sidecar) *time.Duration { return &s.WatchWait }),
+	duration("store", "watch_wait", "700ms", "longest wait of one watch of a reader; longer costs fewer calls, but must end well within news_max_age", func(s *Sidecar) *time.Duration { return &s.WatchWait }),
+	duration("store", "news_max_age", "1300ms", "age of the newest news at which a sidecar turns from its readers to the store itself; longer forgives slower readers, shorter leaves cut ones sooner", func(s *Sidecar) *time.Duration { return &s.NewsMaxAge }),
+	count("store", "nodes_per_reader", "sidecars", "24", "sidecars of a data centre for which one of them reads the store; more costs fewer calls, fewer spreads the news over more machines", func(s *Sidecar) *int { return &s.NodesPerReader }),
 
 	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
 	count("requests", "buffer_limit", "bytes", "524288", "longest request body kept for a further try; more can be tried again, fewer takes less memory", func(s *Sidecar) *int { return &s.BufferLimit }),
@@ -90,7 +96,15 @@
 
 // ParseSidecar is LoadSidecar for bytes already read.
 func ParseSidecar(file string, raw []byte, overrides ...Overrides) (*Sidecar, error) {
-	return parse(sidecarFields, file, raw, overrides)
+	s, err := parse(sidecarFields, file, raw, overrides)
+	if err != nil {
+		return nil, err
+	}
+	if s.WatchWait >= s.NewsMaxAge {
+		return nil, Findings{{File: file, Key: "store.watch_wait",
+			Message: fmt.Sprintf("%v is not less than store.news_max_age, %v: every sidecar would read the store", s.WatchWait, s.NewsMaxAge)}}
+	}
+	return s, nil
 }
 
 // SidecarEnvironment returns the overrides of a sidecar's settings in the
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/discovery"
@@ -38,9 +40,10 @@
 
 // memoryStore is a discovery.Source in memory.
 type memoryStore struct {
-	mu      sync.Mutex
-	update  discovery.Update
-	changed chan struct{}
+	mu       sync.Mutex
+	update   discovery.Update
+	changed  chan struct{}
+	watching int // watches in progress
 }
 
 func newMemoryStore(doc *discovery.Document) *memoryStore {
@@ -58,6 +61,8 @@
 func (m *memoryStore) Watch(ctx context.Context, after uint64, wait time.Duration) (discovery.Update, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	m.count(1)
+	defer m.count(-1)
 	for {
 		m.mu.Lock()
 		u, changed := m.update, m.changed
@@ -76,6 +81,27 @@
 	}
 }
 
+func (m *memoryStore) count(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watching += n
+}
+
+func (m *memoryStore) watches() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watching
+}
+
+func (m *memoryStore) Decode(raw []byte) (*discovery.Document, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.update.Document == nil || !bytes.Equal(raw, m.update.Document.Raw) {
+		return nil, errors.New("not the published table")
+	}
+	return m.update.Document, nil
+}
+
 // change edits the published state.
 func (m *memoryStore) change(edit func(*discovery.Update)) {
 	m.mu.Lock()
@@ -153,7 +179,8 @@
 	}
 	t := &table.Table{Edition: edition, Services: []table.Service{{Name: "shop"}},
 		Routes: []table.Route{route("read", "/read/", true), route("write", "/write/", false)}}
-	return &discovery.Document{ID: version.Of(edition, []byte{byte(edition)}), Table: t}
+	raw := []byte{byte(edition)}
+	return &discovery.Document{ID: version.Of(edition, raw), Table: t, Raw: raw}
 }
 
 func startFleet(t testing.TB, n int, work time.Duration) *fleet {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -116,10 +116,6 @@
 }
 
 func (s *Sidecar) build() {
-	follow := discovery.DefaultConfig()
-	follow.WatchWait, follow.PeerPort = s.cfg.WatchWait, s.cfg.Peers.Port()
-	s.follower = discovery.NewFollower(follow, s.platform.Source(s.cfg.Store.String()), s.holder, s.log, s.directoryChanged)
-
 	requests := proxy.NewMetrics(s.metrics.Scope)
 	toUpstream := http1.DefaultClientConfig()
 	toUpstream.DialTimeout = dialTimeout
@@ -128,6 +124,7 @@
 	toPeers := http1.DefaultClientConfig()
 	toPeers.Expect, toPeers.DialTimeout = expectFrom, dialTimeout
 	s.hop = http1.NewClient(toPeers)
+	s.follower = s.newFollower()
 	s.backend = proxy.NewBackend(proxy.BackendConfig{
 		Upstream:     upstreamURL(s.cfg.Upstream),
 		Slots:        s.cfg.Slots,
@@ -164,10 +161,31 @@
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
 }
 
+func (s *Sidecar) newFollower() *discovery.Follower {
+	cfg := discovery.DefaultConfig()
+	cfg.WatchWait, cfg.NewsMaxAge, cfg.NodesPerReader = s.cfg.WatchWait, s.cfg.NewsMaxAge, s.cfg.NodesPerReader
+	cfg.Self, cfg.DataCentre, cfg.PeerPort = s.cfg.Upstream, s.cfg.DataCentre, s.cfg.Peers.Port()
+	source := s.platform.Source(s.cfg.Store.String())
+	return discovery.NewFollower(cfg, source, discovery.PeerClient{Transport: s.hop}, s.holder, s.log, s.directoryChanged)
+}
+
+// peerHandler serves other sidecars: their requests and their questions for
+// news.
+func (s *Sidecar) peerHandler() http.Handler {
+	news, requests := discovery.NewsHandler(s.follower), proxy.NewPeerHandler(s.backend)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(discovery.HeaderNews) != "" {
+			news.ServeHTTP(w, r)
+			return
+		}
+		requests.ServeHTTP(w, r)
+	})
+}
+
 // bind opens the sockets.
 func (s *Sidecar) bind() error {
 	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
-	s.servers.peers = http1.NewServer(http1.Config{Handler: proxy.NewPeerHandler(s.backend)})
+	s.servers.peers = http1.NewServer(http1.Config{Handler: s.peerHandler()})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
 	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.metrics.Handler()})
 	addresses := []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready}
@@ -326,6 +344,14 @@
 	}
 }
 
+// boolGauge is 1 for true.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func upstreamURL(a netip.AddrPort) *url.URL { return &url.URL{Scheme: "http", Host: a.String()} }
 
 // gauges updates what is measured now and then.
@@ -338,6 +364,10 @@
 	m.Gauge("requests_in_flight").Update(float64(s.frontend.InFlight()))
 	m.Gauge("caller_connections").Update(float64(s.servers.callers.Conns()))
 	m.Gauge("table_edition").Update(float64(s.holder.ID().Edition))
+	follow := s.follower.Status(time.Now())
+	m.Gauge("store_reader").Update(boolGauge(follow.Reader))
+	m.Gauge("store_calls").Update(float64(s.follower.Calls()))
+	m.Gauge("news_age_seconds").Update(follow.Age.Seconds())
 	m.Gauge("store_away_seconds").Update(s.follower.AwayFor(time.Now()).Seconds())
 	m.Gauge("upstream_connections_made").Update(float64(s.upstream.Dialed()))
 }
