Show fleet, table and choice on a sidecar

Change: the sidecar's metrics address serves the paths of a node's admin address. A survey asks each sidecar over the pooled connections. Paths and forms that stood in the node's package are in internal/admin, once; table.Format writes the published table as rows, read back to the same table by a property test.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
-	"github.com/walldrift/walldrift/internal/node"
+	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/platform"
 	"github.com/walldrift/walldrift/internal/standin"
 	"github.com/walldrift/walldrift/internal/table"
@@ -119,7 +119,7 @@
 	}
 	for i, n := range c.plan.Nodes {
 		var st selfStatus
-		if err := c.getJSON(ctx, "http://"+n.Admin+node.PathSelf, &st); err != nil {
+		if err := c.getJSON(ctx, "http://"+n.Admin+admin.PathSelf, &st); err != nil {
 			return nil, errors.Wrap(err, n.Name)
 		}
 		pid, err := ReadPID(c.cfg.Dir, n.Name)
@@ -217,7 +217,7 @@
 func (c *control) awaitNode(ctx context.Context, n PlanNode, want string, published time.Time) (time.Duration, bool) {
 	for time.Since(published) < c.cfg.Settle && ctx.Err() == nil {
 		var st selfStatus
-		err := c.getJSON(ctx, "http://"+n.Admin+node.PathSelf, &st)
+		err := c.getJSON(ctx, "http://"+n.Admin+admin.PathSelf, &st)
 		if err == nil && st.Node.Table == want {
 			return time.UnixMicro(st.SinceMicros).Sub(published), true
 		}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
-	"github.com/walldrift/walldrift/internal/node"
+	"github.com/walldrift/walldrift/internal/admin"
 )
 
 // adminTimeout bounds a question to a node's admin address.
@@ -30,7 +30,7 @@
 		ShortHelp: "ask any node for the version that every node holds, and why",
 		Flags:     fs,
 		Exec: func(ctx context.Context, _ []string) error {
-			raw, err := askAdmin(ctx, *addr, node.PathFleet)
+			raw, err := askAdmin(ctx, *addr, admin.PathFleet)
 			if err != nil {
 				return err
 			}
@@ -111,7 +111,7 @@
 			if len(args) != 1 {
 				return usagef("explain needs one SERVICE")
 			}
-			raw, err := askAdmin(ctx, *addr, node.PathExplain+args[0])
+			raw, err := askAdmin(ctx, *addr, admin.PathExplain+args[0])
 			if err != nil {
 				return err
 			}
@@ -125,7 +125,7 @@
 }
 
 func printExplanation(w io.Writer, raw []byte) error {
-	var rows []node.Explanation
+	var rows []admin.Explanation
 	if err := json.Unmarshal(raw, &rows); err != nil {
 		return errors.Wrap(err, "explain")
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,7 +49,9 @@
 	mu        sync.Mutex // guards what follows
 	registry  *Registry
 	document  *Document
-	deflated  []byte // document, for other nodes; nil until one asks
+	since     time.Time // when document came
+	from      string    // where it came from
+	deflated  []byte    // document, for other nodes; nil until one asks
 	listed    bool
 	awaySince time.Time
 	// current is the newest time at which all that the store held was known.
@@ -87,6 +90,11 @@
 	return m, ok
 }
 
+// Members returns all that is believed of the upstreams.
+func (f *Follower) Members() []membership.Member {
+	return slices.Collect(maps.Values(f.dir.Load().members))
+}
+
 // Limits returns the limits on callers in force.
 func (f *Follower) Limits() CallerLimits { return *f.limits.Load() }
 
@@ -108,13 +116,23 @@
 	Reader  bool          // reads the store for others
 	Sources []string      // nodes whose news it follows
 	Age     time.Duration // since it last knew all that was published
+	// TableAge is the time since the table in force came, and TableFrom where it
+	// came from: SourceStore or the node whose news had it.
+	TableAge  time.Duration
+	TableFrom string
 }
 
+// SourceStore is the Status.TableFrom of a table read from the store.
+const SourceStore = "store"
+
 // Status returns where the follower stands.
 func (f *Follower) Status(now time.Time) Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Status{Reader: f.reader, Age: now.Sub(f.current)}
+	s := Status{Reader: f.reader, Age: now.Sub(f.current), TableFrom: f.from}
+	if !f.since.IsZero() {
+		s.TableAge = now.Sub(f.since)
+	}
 	for _, in := range f.sources {
 		s.Sources = append(s.Sources, in.Name)
 	}
@@ -258,7 +276,7 @@
 		changed = f.registry.Apply(now, u)
 	}
 	changed = f.registry.Expire(now) || changed
-	changed = f.takeDocument(u.Document, "store") || changed
+	changed = f.takeDocument(u.Document, SourceStore) || changed
 	f.current = now
 	if changed {
 		f.changed()
@@ -272,6 +290,7 @@
 		return false
 	}
 	f.document, f.deflated = d, nil
+	f.since, f.from = time.Now(), from
 	f.limits.Store(&d.Limits)
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "revision", f.registry.Revision())
 	return true
@@ -316,10 +335,7 @@
 	if f.peers == nil {
 		return
 	}
-	members := make([]membership.Member, 0, len(dir.members))
-	for _, m := range dir.members {
-		members = append(members, m)
-	}
+	members := slices.Collect(maps.Values(dir.members))
 	self := membership.Instance{DataCentre: f.cfg.DataCentre}
 	if own, ok := dir.At(f.cfg.Self); ok {
 		self.Name = own.ID
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -7,24 +7,12 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/distribution"
-	"github.com/walldrift/walldrift/internal/routing"
 )
 
-// Admin paths.
-const (
-	PathHealth  = "/healthz"
-	PathReady   = "/readyz"
-	PathMetrics = "/metrics"
-	PathSelf    = "/status"
-	PathFleet   = "/fleet"
-	PathTable   = "/table"
-	PathExplain = "/explain/"
-	PathProfile = "/debug/pprof/"
-)
-
-// SelfStatus is the answer of PathSelf.
+// SelfStatus is the answer of admin.PathSelf.
 type SelfStatus struct {
 	Node  distribution.NodeStatus `json:"node"`
 	Ready bool                    `json:"ready"`
@@ -38,27 +26,18 @@
 	Findings string `json:"findings,omitempty"`
 }
 
-// Explanation is the answer of PathExplain for one upstream.
-type Explanation struct {
-	Upstream   string  `json:"upstream"`
-	DataCentre string  `json:"dc"`
-	Excluded   string  `json:"excluded,omitempty"`
-	Weight     float64 `json:"weight"`
-	Cost       float64 `json:"cost"`
-}
-
 func (n *Node) adminHandler() http.Handler {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
-	e.GET(PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET(PathReady, n.getReady)
-	e.GET(PathMetrics, echo.WrapHandler(n.metrics.Handler()))
-	e.GET(PathSelf, n.getSelf)
-	e.GET(PathFleet, n.getFleet)
-	e.GET(PathTable, n.getTable)
-	e.GET(PathExplain+":service", n.getExplain)
-	e.GET(PathProfile+"profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
-	e.GET(PathProfile+"*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+	e.GET(admin.PathHealth, func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET(admin.PathReady, n.getReady)
+	e.GET(admin.PathMetrics, echo.WrapHandler(n.metrics.Handler()))
+	e.GET(admin.PathSelf, n.getSelf)
+	e.GET(admin.PathFleet, n.getFleet)
+	e.GET(admin.PathTable, n.getTable)
+	e.GET(admin.PathExplain+":service", n.getExplain)
+	e.GET(admin.PathProfile+"profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	e.GET(admin.PathProfile+"*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	return e
 }
 
@@ -116,19 +95,5 @@
 	if !ok {
 		return echo.NewHTTPError(http.StatusNotFound, "no such service")
 	}
-	out := make([]Explanation, len(all))
-	for i, cand := range all {
-		out[i] = explain(cand)
-	}
-	return c.JSON(http.StatusOK, out)
-}
-
-func explain(c routing.Candidate) Explanation {
-	return Explanation{
-		Upstream:   c.Upstream.Name,
-		DataCentre: c.Instance.DataCentre,
-		Excluded:   string(c.Excluded),
-		Weight:     c.Weight,
-		Cost:       c.Cost,
-	}
+	return c.JSON(http.StatusOK, admin.Explain(all))
 }
--- /dev/null
+++ b/internal/sidecar/admin.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/distribution"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// headerStatus marks a request between sidecars as one for the status.
+const headerStatus = "Walldrift-Status"
+
+// Bounds of a survey of the fleet.
+const (
+	// surveyTimeout is how long a sidecar may take to tell its status: some
+	// hundred times what it needs.
+	surveyTimeout = time.Second
+	// surveyWidth is the number of sidecars asked at once.
+	surveyWidth = 32
+)
+
+// adminHandler serves operators on the metrics address.
+func (s *Sidecar) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(admin.PathHealth, func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc(admin.PathReady, s.getReady)
+	mux.Handle(admin.PathMetrics, s.metrics.Handler())
+	mux.HandleFunc(admin.PathSelf, func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.status(time.Now())) })
+	mux.HandleFunc(admin.PathFleet, func(w http.ResponseWriter, r *http.Request) { s.writeJSON(w, s.survey(r.Context())) })
+	mux.HandleFunc(admin.PathTable, s.getTable)
+	mux.HandleFunc(admin.PathExplain+"{service}", s.getExplain)
+	mux.HandleFunc(admin.PathProfile+"profile", pprof.Profile)
+	mux.HandleFunc(admin.PathProfile, pprof.Index)
+	return mux
+}
+
+func (s *Sidecar) getReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Sidecar) writeJSON(w http.ResponseWriter, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		s.log.Error("admin answer not written", "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw) // an operator who has left asks again
+}
+
+// getTable answers with the table in force as operators know it, whatever form
+// it was published in, with the discovered upstreams as rows.
+func (s *Sidecar) getTable(w http.ResponseWriter, _ *http.Request) {
+	snap := s.holder.Current()
+	if snap == nil {
+		http.Error(w, "no table", http.StatusNotFound)
+		return
+	}
+	raw, err := table.Format(snap.Table)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/csv; charset=utf-8")
+	_, _ = w.Write(raw)
+}
+
+func (s *Sidecar) getExplain(w http.ResponseWriter, r *http.Request) {
+	all, ok := s.frontend.Explain(r.PathValue("service"))
+	if !ok {
+		http.Error(w, "no such service", http.StatusNotFound)
+		return
+	}
+	s.writeJSON(w, admin.Explain(all))
+}
+
+// status tells operators which version this sidecar holds, and why.
+func (s *Sidecar) status(now time.Time) distribution.NodeStatus {
+	f := s.follower.Status(now)
+	st := distribution.NodeStatus{
+		Name:       s.cfg.Name,
+		DataCentre: s.cfg.DataCentre,
+		Table:      s.holder.ID(),
+		HeldFor:    uint64(f.TableAge.Milliseconds()),
+		From:       f.TableFrom,
+		Reader:     f.Reader,
+		SourceAge:  uint64(f.Age.Milliseconds()),
+		Links:      len(f.Sources),
+	}
+	if st.Table.IsZero() {
+		st.Waiting = "a first table"
+	}
+	return st
+}
+
+// tellStatus answers another sidecar's survey.
+func (s *Sidecar) tellStatus(w http.ResponseWriter) {
+	raw, err := cbor.Marshal(s.status(time.Now()))
+	if err != nil {
+		s.log.Error("status not told", "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // the survey says that there was no answer
+}
+
+// survey asks every sidecar that is known for its status.
+func (s *Sidecar) survey(ctx context.Context) []distribution.NodeStatus {
+	members := s.follower.Members()
+	out := make([]distribution.NodeStatus, len(members))
+	var group sync.WaitGroup
+	places := make(chan struct{}, surveyWidth)
+	for i, m := range members {
+		group.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			out[i] = s.askStatus(ctx, m)
+		})
+	}
+	group.Wait()
+	slices.SortFunc(out, func(a, b distribution.NodeStatus) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// askStatus returns a sidecar's status, or one that says that it did not answer.
+func (s *Sidecar) askStatus(ctx context.Context, m membership.Member) distribution.NodeStatus {
+	st, err := s.fetchStatus(ctx, m)
+	if err != nil {
+		return distribution.NodeStatus{Name: "beside " + m.Name, DataCentre: m.DataCentre, Waiting: err.Error()}
+	}
+	return st
+}
+
+func (s *Sidecar) fetchStatus(ctx context.Context, m membership.Member) (st distribution.NodeStatus, err error) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Peer.String()+"/", nil)
+	if err != nil {
+		return st, errors.Wrap(err, "ask for status")
+	}
+	req.Header.Set(headerStatus, "1")
+	resp, err := s.hop.RoundTrip(req)
+	if err != nil {
+		return st, errors.Wrap(err, "no answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return st, errors.Wrap(cbor.NewDecoder(resp.Body).Decode(&st), "status")
+}
--- /dev/null
+++ b/internal/sidecar/admin_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// get returns a page of the admin address of sidecar i.
+func (f *fleet) get(i int, path string) []byte {
+	f.t.Helper()
+	l := f.sidecars[i].servers.listeners
+	resp, err := http.Get("http://" + l[len(l)-1].Addr().String() + path)
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(f.t, resp.StatusCode, http.StatusOK)
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+	return raw
+}
+
+// Operators see the fleet, the table and the choice from any sidecar, as from a
+// node.
+func TestAdminAddress(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	f.publish(2)
+	for f.holding(2) < 3 {
+		f.get(0, admin.PathReady)
+	}
+	var rows []struct{ Name, Table, Waiting string }
+	assert.NilError(t, json.Unmarshal(f.get(0, admin.PathFleet), &rows))
+	assert.Equal(t, len(rows), 3)
+	for _, r := range rows {
+		assert.Equal(t, r.Table, f.sidecars[0].holder.ID().String(), "%s: %s", r.Name, r.Waiting)
+	}
+	tbl, findings := table.Parse(f.get(1, admin.PathTable))
+	assert.Equal(t, len(findings), 0, "%v", findings)
+	assert.Equal(t, tbl.Edition, uint64(2))
+	assert.Equal(t, len(tbl.Upstreams), 3)
+	var all []admin.Explanation
+	assert.NilError(t, json.Unmarshal(f.get(2, admin.PathExplain+"shop"), &all))
+	assert.Equal(t, len(all), 3)
+	f.stops[1]()
+	assert.NilError(t, <-f.done[1])
+	assert.NilError(t, json.Unmarshal(f.get(0, admin.PathFleet), &rows))
+	silent := 0
+	for _, r := range rows {
+		if r.Waiting != "" {
+			silent++
+		}
+	}
+	assert.Equal(t, silent, 1, "one sidecar is gone")
+}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -218,8 +218,8 @@
 }
 
 func (f *fleet) addSidecar(ip string, i, peers int) {
-	ini := fmt.Sprintf("[instance]\nname=node-%d\nservice=shop\ndata_centre=a\nregion=r\n[listen]\ncallers=%s:0\npeers=%s:%d\nready=%s:0\n"+
-		"[upstream]\naddress=%s\n[store]\naddress=127.0.0.1:1\n[shutdown]\nannounce=1ms\ntimeout=3s\n", i, ip, ip, peers, ip, f.upstreams[i].addr)
+	ini := fmt.Sprintf("[instance]\nname=node-%d\nservice=shop\ndata_centre=a\nregion=r\n[listen]\ncallers=%s:0\npeers=%s:%d\nready=%s:0\nmetrics=%s:0\n"+
+		"[upstream]\naddress=%s\n[store]\naddress=127.0.0.1:1\n[shutdown]\nannounce=1ms\ntimeout=3s\n", i, ip, ip, peers, ip, ip, f.upstreams[i].addr)
 	cfg, err := settings.ParseSidecar("test.ini", []byte(ini))
 	assert.NilError(f.t, err)
 	p := Platform{Dialect: testDialect, ReadyPath: "/ready", Source: func(string) discovery.Source { return f.store }}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -170,15 +170,18 @@
 }
 
 // peerHandler serves other sidecars: their requests and their questions for
-// news.
+// news and status.
 func (s *Sidecar) peerHandler() http.Handler {
 	news, requests := discovery.NewsHandler(s.follower), proxy.NewPeerHandler(s.backend)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(discovery.HeaderNews) != "" {
+		switch {
+		case r.Header.Get(discovery.HeaderNews) != "":
 			news.ServeHTTP(w, r)
-			return
+		case r.Header.Get(headerStatus) != "":
+			s.tellStatus(w)
+		default:
+			requests.ServeHTTP(w, r)
 		}
-		requests.ServeHTTP(w, r)
 	})
 }
 
@@ -187,7 +190,7 @@
 	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
 	s.servers.peers = http1.NewServer(http1.Config{Handler: s.peerHandler()})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
-	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.metrics.Handler()})
+	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.adminHandler()})
 	addresses := []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready}
 	if s.cfg.Metrics.IsValid() {
 		addresses = append(addresses, s.cfg.Metrics)
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -194,3 +194,43 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, changes, []Change{{RowRoute, "lookup", ColPriority, "1", "2"}})
 }
+
+// What Format writes is read back to the same table.
+func TestFormatIsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b-1", "c"}
+		in := &Table{Edition: rapid.Uint64Range(1, MaxEdition).Draw(t, "edition")}
+		for _, n := range names {
+			in.Services = append(in.Services, Service{Name: n, Rate: rapid.Float64Range(0, 1e6).Draw(t, "rate"), Concurrency: rapid.IntRange(0, 2_000_000).Draw(t, "concurrency")})
+			in.Upstreams = append(in.Upstreams, Upstream{Name: n + "-up", Service: n, Weight: rapid.Float64Range(0.1, 9).Draw(t, "weight")})
+		}
+		service := rapid.SampledFrom(names)
+		for i := range rapid.IntRange(0, 4).Draw(t, "routes") {
+			r := Route{
+				Name: fmt.Sprintf("r%d", i), Service: service.Draw(t, "service"), Host: rapid.SampledFrom([]string{"", "x.example"}).Draw(t, "host"),
+				Prefix: fmt.Sprintf("/p%d/", i), Methods: []string{}, Kind: "k,\"1\"", KindWeight: rapid.Float64Range(0, 9).Draw(t, "kind weight"),
+				Timeout: time.Duration(rapid.IntRange(1, 60_000).Draw(t, "timeout")) * time.Millisecond, Retries: rapid.IntRange(0, 5).Draw(t, "retries"),
+				Idempotent: rapid.Bool().Draw(t, "idempotent"), Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+				Objective: time.Duration(rapid.IntRange(0, 60_000).Draw(t, "objective")) * time.Millisecond,
+			}
+			if rapid.Bool().Draw(t, "split") {
+				r.Split = []Share{{Service: r.Service, Weight: 0.5}, {Service: service.Draw(t, "other"), Weight: 90}}
+			}
+			in.Routes = append(in.Routes, r)
+		}
+		raw, err := Format(in)
+		assert.NilError(t, err)
+		out, findings := Parse(raw)
+		assert.Equal(t, len(findings), 0, "%v", findings)
+		for i := range out.Services {
+			out.Services[i].Row = 0
+		}
+		for i := range out.Upstreams {
+			out.Upstreams[i].Row = 0
+		}
+		for i := range out.Routes {
+			out.Routes[i].Row = 0
+		}
+		assert.DeepEqual(t, out, in)
+	})
+}
