--- /dev/null
+++ b/internal/discovery/directory.go
@@ -0,0 +1,134 @@
+package discovery
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// Directory is one immutable state of the discovered upstreams.
+type Directory struct {
+	members   map[string]membership.Member
+	byAddress map[netip.AddrPort]Known
+}
+
+// At returns the upstream published at an address.
+func (d *Directory) At(a netip.AddrPort) (Known, bool) {
+	k, ok := d.byAddress[a]
+	return k, ok
+}
+
+// changed puts a changed belief in force. The lock is held.
+func (f *Follower) changed() {
+	known := f.registry.Upstreams()
+	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
+	for _, k := range known {
+		dir.members[k.ID] = f.member(k)
+		if old, ok := dir.byAddress[k.Address]; !ok || old.Revision < k.Revision {
+			dir.byAddress[k.Address] = k
+		}
+	}
+	f.logChanges(f.dir.Load(), dir)
+	f.dir.Store(dir)
+	f.chooseRole(dir)
+	f.onChange(dir)
+	if f.document == nil {
+		return
+	}
+	f.builds++
+	snap, err := snapshot.FromTable(withUpstreams(f.document.Table, known), f.document.ID, f.document.Raw)
+	if err != nil {
+		f.log.Error("table version refused", "version", f.document.ID, "err", err)
+		return
+	}
+	snap.Directory = f.builds
+	f.holder.Advance(snap)
+}
+
+// chooseRole computes whether this node reads the store for others, and whose
+// news it follows.
+func (f *Follower) chooseRole(dir *Directory) {
+	if f.peers == nil {
+		return
+	}
+	members := slices.Collect(maps.Values(dir.members))
+	self := membership.Instance{DataCentre: f.cfg.DataCentre}
+	if own, ok := dir.At(f.cfg.Self); ok {
+		self.Name = own.ID
+	}
+	reader := slices.Contains(membership.Readers(self.DataCentre, members, f.cfg.NodesPerReader), self.Name)
+	f.sources = nil
+	for _, name := range membership.NewsSources(self, members, f.cfg.NodesPerReader) {
+		f.sources = append(f.sources, dir.members[name].Instance)
+	}
+	reader = reader || len(f.sources) == 0
+	if reader != f.reader {
+		f.reader = reader
+		f.log.Info("reader of the store", "reader", reader, "sources", names(f.sources))
+	}
+}
+
+func names(ins []membership.Instance) []string {
+	out := make([]string, len(ins))
+	for i, in := range ins {
+		out[i] = in.Name
+	}
+	return out
+}
+
+// logChanges writes a line for each upstream that is believed otherwise than
+// before.
+func (f *Follower) logChanges(before, after *Directory) {
+	for id, m := range after.members {
+		old, ok := before.members[id]
+		switch {
+		case !ok:
+			f.log.Info("upstream joined", "upstream", id, "service", m.Service, "status", m.Status, "peer", m.Peer, "revision", f.registry.Revision())
+		case old.Status != m.Status:
+			f.log.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status, "revision", f.registry.Revision())
+		}
+	}
+	for id, m := range before.members {
+		if _, ok := after.members[id]; !ok {
+			f.log.Info("upstream gone", "upstream", id, "service", m.Service, "revision", f.registry.Revision())
+		}
+	}
+}
+
+func (f *Follower) member(k Known) membership.Member {
+	m := membership.Member{Instance: membership.Instance{
+		Name:       k.ID,
+		Service:    k.Service,
+		DataCentre: k.DataCentre,
+		Peer:       netip.AddrPortFrom(k.Address.Addr(), f.cfg.PeerPort),
+		State:      membership.Live,
+	}}
+	if k.Cold > 0 {
+		m.Generation = uint64(k.Seen.UnixMilli())
+	}
+	if k.Leaving {
+		m.State, m.Status = membership.Leaving, membership.Departing
+	}
+	return m
+}
+
+// withUpstreams adds the discovered upstreams to the table's rows, all with the
+// same weight.
+func withUpstreams(t *table.Table, known []Known) *table.Table {
+	out := *t
+	out.Upstreams = make([]table.Upstream, 0, len(known))
+	services := make(map[string]bool, len(t.Services))
+	for _, s := range t.Services {
+		services[s.Name] = true
+	}
+	for _, k := range known {
+		if services[k.Service] {
+			out.Upstreams = append(out.Upstreams, table.Upstream{Name: k.ID, Service: k.Service, Weight: 1, Concurrency: k.Slots})
+		}
+	}
+	return &out
+}
--- /dev/null
+++ b/internal/discovery/follow_store.go
@@ -0,0 +1,198 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// followStore reads the store as long as this node is a reader or has no fresh
+// news.
+func (f *Follower) followStore(ctx context.Context) {
+	backoff := f.cfg.BackoffMin
+	for ctx.Err() == nil {
+		if idle := f.idleFor(time.Now()); idle > 0 {
+			wait(ctx, idle)
+			continue
+		}
+		began := time.Now()
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			backoff = f.cfg.BackoffMin
+			wait(ctx, f.cfg.MinGap-time.Since(began))
+		case errors.Is(err, ErrHistoryGone):
+			f.relist()
+		default:
+			f.lost(ctx, err)
+			f.pause(ctx, backoff)
+			backoff = min(2*backoff, f.backoffMax())
+		}
+	}
+}
+
+// idleFor returns how long the store need not be read; 0 if it must be now. It
+// also takes out upstreams whose time is over while the store is not read.
+func (f *Follower) idleFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fresh := f.cfg.NewsMaxAge - now.Sub(f.current)
+	idle := !f.reader && f.listed && fresh > 0
+	f.noteReading(now, !idle)
+	if !idle {
+		return 0
+	}
+	if f.registry.Expire(now) {
+		f.changed()
+	}
+	if at, ok := f.registry.NextExpiry(); ok {
+		fresh = min(fresh, at.Sub(now))
+	}
+	return min(max(fresh, time.Millisecond), rolePoll)
+}
+
+// rolePoll is how often a node that is idle looks whether it has become a
+// reader.
+const rolePoll = 200 * time.Millisecond
+
+// noteReading logs when this node begins or stops to read the store.
+func (f *Follower) noteReading(now time.Time, reading bool) {
+	if reading == f.reading {
+		return
+	}
+	f.reading = reading
+	f.log.Info("store reading", "reading", reading, "reader", f.reader, "news_age", now.Sub(f.current), "revision", f.registry.Revision())
+}
+
+// backoffMax is short only for a reader that has no fresh news either: the
+// others need not be the first to see the store's return.
+func (f *Follower) backoffMax() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reader && time.Since(f.current) > f.cfg.NewsMaxAge {
+		return f.cfg.BackoffMax
+	}
+	return f.cfg.FollowerBackoffMax
+}
+
+// relist makes the next step list all that is published.
+func (f *Follower) relist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+	f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
+}
+
+// step makes one call and takes over what it brought.
+func (f *Follower) step(ctx context.Context) error {
+	after, whole, longest := f.nextCall(time.Now())
+	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout+longest)
+	defer cancel()
+	var u Update
+	var err error
+	f.calls.Add(1)
+	if whole {
+		u, err = f.source.List(call)
+	} else {
+		u, err = f.source.Watch(call, after, longest)
+	}
+	if err != nil {
+		return err
+	}
+	f.take(time.Now(), u, whole)
+	return nil
+}
+
+// nextCall returns the revision to watch from, whether to list in place of
+// that, and the longest wait.
+func (f *Follower) nextCall(now time.Time) (after uint64, whole bool, longest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest = f.cfg.WatchWait
+	if at, ok := f.registry.NextExpiry(); ok {
+		longest = min(longest, max(at.Sub(now), time.Millisecond))
+	}
+	return f.registry.Revision(), !f.listed, longest
+}
+
+// take takes over an answer of the store.
+func (f *Follower) take(now time.Time, u Update, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained(now, u)
+	for _, finding := range u.Findings {
+		f.log.Warn("published entry left out", "finding", finding)
+	}
+	changed := false
+	if whole {
+		changed = f.registry.Replace(now, u)
+		f.listed = true
+	} else {
+		changed = f.registry.Apply(now, u)
+	}
+	changed = f.registry.Expire(now) || changed
+	changed = f.takeDocument(u.Document, SourceStore) || changed
+	f.current = now
+	if changed {
+		f.changed()
+	}
+	f.announce()
+}
+
+// takeDocument puts a newer table in force, and reports whether it is one.
+func (f *Follower) takeDocument(d *Document, from string) bool {
+	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
+		return false
+	}
+	f.document, f.deflated = d, nil
+	f.since, f.from = time.Now(), from
+	f.limits.Store(&d.Limits)
+	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "revision", f.registry.Revision())
+	return true
+}
+
+// announce wakes those who wait for news. The lock is held.
+func (f *Follower) announce() {
+	close(f.tick)
+	f.tick = make(chan struct{})
+}
+
+// regained notes that the store answers. The lock is held.
+func (f *Follower) regained(now time.Time, u Update) {
+	if f.awaySince.IsZero() {
+		return
+	}
+	f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
+	f.awaySince = time.Time{}
+	f.away.Store(0)
+}
+
+func (f *Follower) lost(ctx context.Context, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registry.Lost()
+	if f.awaySince.IsZero() && ctx.Err() == nil {
+		f.awaySince = time.Now()
+		f.away.Store(f.awaySince.UnixMilli())
+		f.log.Warn("store lost", "err", err, "revision", f.registry.Revision())
+	}
+}
+
+// pause waits for a random part of d, half of it at least.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	wait(ctx, d/2+rand.N(d/2+1))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/discovery/tell.go
@@ -0,0 +1,66 @@
+package discovery
+
+import (
+	"context"
+	"time"
+)
+
+// NewsAfter returns what is believed here and not known to the asking node, as
+// soon as there is anything, or this node learns that there is not. After
+// Config.NewsWait it returns what there is.
+func (f *Follower) NewsAfter(ctx context.Context, ask Ask) (News, error) {
+	timer := time.NewTimer(f.cfg.NewsWait)
+	defer timer.Stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.current
+	for waited := false; !waited && !f.hasNews(ask) && !f.current.After(before); {
+		tick := f.tick
+		f.mu.Unlock()
+		select {
+		case <-tick:
+		case <-timer.C:
+			waited = true
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+		if err := ctx.Err(); err != nil {
+			return News{}, err
+		}
+	}
+	return f.news(time.Now(), ask)
+}
+
+// hasNews reports whether the asking node lacks something. The lock is held.
+func (f *Follower) hasNews(ask Ask) bool {
+	return ask.After.Epoch != f.epoch || ask.After.Sequence < f.registry.Sequence() || f.holdsLocked().Newer(ask.Table)
+}
+
+// news builds the news for a question. The lock is held.
+func (f *Follower) news(now time.Time, ask Ask) (News, error) {
+	after := ask.After.Sequence
+	if ask.After.Epoch != f.epoch {
+		after = 0
+	}
+	u, whole := f.registry.Since(now, after)
+	n := News{
+		Cursor:    Cursor{Epoch: f.epoch, Sequence: f.registry.Sequence()},
+		Revision:  u.Revision,
+		Age:       now.Sub(f.current),
+		Table:     f.holdsLocked(),
+		Whole:     whole,
+		Upstreams: u.Upstreams,
+		Removed:   u.Removed,
+	}
+	if !ask.WantTable || !n.Table.Newer(ask.Table) {
+		return n, nil
+	}
+	if f.deflated == nil {
+		var err error
+		if f.deflated, err = deflate(f.document.Raw); err != nil {
+			return News{}, err
+		}
+	}
+	n.Document = f.deflated
+	return n, nil
+}
