Let nodes that are cut off together keep each other's upstreams

Ruled out: stale readers (news were fresh), calls of the store (fewer).

Change: an upstream that vanished by another node's word without having been leaving is believed until the store has answered this node, by a read that may be stale and costs a tenth. A node whose last call failed goes on calling until one succeeds.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -86,6 +86,9 @@
 	// Watch waits until something has changed since the revision, or for the
 	// given time, and returns the changes.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error)
+	// Check costs little and fails if the store does not answer this node. It
+	// tells nothing else.
+	Check(ctx context.Context) error
 	// Decode reads a document from its published bytes.
 	Decode(raw []byte) (*Document, error)
 }
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -119,7 +119,6 @@
 	}
 	if at := now.Add(-n.Age); !behind && at.After(f.current) {
 		f.current = at
-		f.registry.Reached(at)
 	}
 	f.announce()
 	return nil
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -18,7 +18,7 @@
 			continue
 		}
 		began := time.Now()
-		err := f.step(ctx)
+		err := f.call(ctx)
 		switch {
 		case err == nil:
 			backoff = f.cfg.BackoffMin
@@ -39,7 +39,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fresh := f.cfg.NewsMaxAge - now.Sub(f.current)
-	idle := !f.reader && f.listed && fresh > 0
+	idle := f.mayIdle(fresh) && f.awaySince.IsZero() && !f.registry.Unconfirmed()
 	f.noteReading(now, !idle)
 	if !idle {
 		return 0
@@ -53,6 +53,9 @@
 	return min(max(fresh, time.Millisecond), rolePoll)
 }
 
+// mayIdle reports whether news of the given time left keep this node up to date.
+func (f *Follower) mayIdle(fresh time.Duration) bool { return !f.reader && f.listed && fresh > 0 }
+
 // rolePoll is how often a node that is idle looks whether it has become a
 // reader.
 const rolePoll = 200 * time.Millisecond
@@ -85,6 +88,31 @@
 	f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
 }
 
+// call makes one call of the store: one that only shows that it answers, where
+// news tell the rest, otherwise a step.
+func (f *Follower) call(ctx context.Context) error {
+	f.mu.Lock()
+	check := f.mayIdle(f.cfg.NewsMaxAge - time.Since(f.current))
+	f.mu.Unlock()
+	if !check {
+		return f.step(ctx)
+	}
+	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout)
+	defer cancel()
+	f.calls.Add(1)
+	if err := f.source.Check(call); err != nil {
+		return err
+	}
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regained(now, Update{Revision: f.registry.Revision()})
+	if f.registry.Confirm(now) {
+		f.changed()
+	}
+	return nil
+}
+
 // step makes one call and takes over what it brought.
 func (f *Follower) step(ctx context.Context) error {
 	after, whole, longest := f.nextCall(time.Now())
@@ -132,6 +160,7 @@
 	} else {
 		changed = f.registry.Apply(now, u)
 	}
+	changed = f.registry.Confirm(now) || changed
 	changed = f.registry.Expire(now) || changed
 	changed = f.takeDocument(u.Document, SourceStore) || changed
 	f.current = now
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -61,6 +61,12 @@
 	}
 }
 
+func (s *fakeSource) Check(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fail
+}
+
 func (s *fakeSource) Decode(raw []byte) (*Document, error) {
 	if len(raw) != 1 {
 		return nil, errors.New("no test document")
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -33,8 +33,9 @@
 type entry struct {
 	Upstream
 	seen time.Time // when this version of the entry came
-	// lapsed is the revision at which the entry vanished with the store's return,
-	// and expires until when it is believed; zero if it is published.
+	// lapsed is the revision at which the entry vanished; zero if it is
+	// published. It is believed until expires or, where that is zero, until the
+	// end is confirmed.
 	lapsed   uint64
 	expires  time.Time
 	sequence uint64 // of the last change
@@ -111,22 +112,23 @@
 }
 
 // Merge takes over what another node believes and reports whether anything
-// changed. That node has given vanished upstreams their time already. With whole
-// the update lists all that it believes. It advances Revision only if complete
-// says that nothing of the update is missing.
+// changed. With whole the update lists all that it believes. It advances
+// Revision only if complete says that nothing of the update is missing.
+//
+// An upstream that vanished without leaving is believed until Confirm: its entry
+// also ends if its machine cannot reach the store, and where this node cannot
+// either, the two may still serve each other.
 func (r *Registry) Merge(now time.Time, u Update, whole, complete bool) bool {
 	before := r.revision
 	changed := r.take(now, u)
 	for _, gone := range u.Removed {
 		if r.ends(now, gone) {
-			r.remove(now, gone.ID, gone.Revision)
-			changed = true
+			changed = r.hearEnd(now, gone.ID, gone.Revision) || changed
 		}
 	}
 	if whole {
 		for _, id := range r.unlisted(u) {
-			r.remove(now, id, u.Revision)
-			changed = true
+			changed = r.hearEnd(now, id, u.Revision) || changed
 		}
 	}
 	if !complete {
@@ -135,7 +137,55 @@
 	return changed
 }
 
-// Reached notes that the store answers, or did so to another node. After an outage, what lapsed before it
+// hearEnd takes an upstream out on another node's word, at once if it was
+// leaving, otherwise when the end is confirmed.
+func (r *Registry) hearEnd(now time.Time, id string, revision uint64) bool {
+	e := r.known[id]
+	if e.Leaving {
+		r.remove(now, id, revision)
+		return true
+	}
+	if e.lapsed == 0 {
+		r.lapse(e, revision, time.Time{})
+	}
+	return false
+}
+
+// lapse notes that an entry has vanished and is believed on.
+func (r *Registry) lapse(e entry, revision uint64, expires time.Time) {
+	r.sequence++
+	e.lapsed, e.expires, e.sequence = max(revision, 1), expires, r.sequence
+	r.known[e.ID] = e
+}
+
+// Unconfirmed reports whether upstreams are believed that vanished by the word
+// of other nodes.
+func (r *Registry) Unconfirmed() bool {
+	for _, e := range r.known {
+		if e.unconfirmed() {
+			return true
+		}
+	}
+	return false
+}
+
+func (e entry) unconfirmed() bool { return e.lapsed != 0 && e.expires.IsZero() }
+
+// Confirm takes out the upstreams that vanished by the word of other nodes, as
+// the store answers this one. It reports whether there were any.
+func (r *Registry) Confirm(now time.Time) bool {
+	r.Reached(now)
+	changed := false
+	for id, e := range r.known {
+		if e.unconfirmed() {
+			r.remove(now, id, e.lapsed)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Reached notes that the store answers. After an outage, what lapsed before it
 // is given the same time as what lapsed in it.
 func (r *Registry) Reached(now time.Time) {
 	if !r.away {
@@ -198,9 +248,7 @@
 	e := r.known[id]
 	if !e.Leaving && !r.returned.IsZero() && now.Before(r.returned.Add(LapseGrace)) {
 		if e.lapsed == 0 {
-			r.sequence++
-			e.lapsed, e.expires, e.sequence = max(revision, 1), r.returned.Add(LapseGrace), r.sequence
-			r.known[id] = e
+			r.lapse(e, revision, r.returned.Add(LapseGrace))
 		}
 		return false
 	}
@@ -229,7 +277,7 @@
 	}
 	changed := false
 	for id, e := range r.known {
-		if e.lapsed != 0 && !now.Before(e.expires) {
+		if e.lapsed != 0 && !e.unconfirmed() && !now.Before(e.expires) {
 			r.remove(now, id, e.lapsed)
 			changed = true
 		}
@@ -241,7 +289,7 @@
 func (r *Registry) NextExpiry() (time.Time, bool) {
 	var next time.Time
 	for _, e := range r.known {
-		if e.lapsed != 0 && (next.IsZero() || e.expires.Before(next)) {
+		if e.lapsed != 0 && !e.unconfirmed() && (next.IsZero() || e.expires.Before(next)) {
 			next = e.expires
 		}
 	}
@@ -257,6 +305,10 @@
 		if !whole && e.sequence <= sequence {
 			continue
 		}
+		if e.unconfirmed() {
+			u.Removed = append(u.Removed, Removal{ID: e.ID, Revision: e.lapsed})
+			continue
+		}
 		up := e.Upstream
 		if e.lapsed != 0 {
 			up.Lapsed = max(e.expires.Sub(now), time.Millisecond)
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -93,6 +93,8 @@
 	return m.watching
 }
 
+func (m *memoryStore) Check(context.Context) error { return nil }
+
 func (m *memoryStore) Decode(raw []byte) (*discovery.Document, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
