Count the time on the way to an upstream in the choice

Change: the admitting node tells how long it held a request; the rest of the time of a try was spent on the way. Smoothed, quick to rise, fading within seconds without requests, it is added to the expected time.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -181,6 +181,7 @@
 		b.inflight.Add(-1)
 		resp = b.refuse(req, env, problem)
 	}
+	resp.Header.Set(headerHeld, strconv.FormatInt(time.Since(call.start).Microseconds(), 10))
 	return resp
 }
 
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -117,6 +117,16 @@
 	})
 }
 
+// readWay returns the part of the time of a try that was spent on the way to
+// the admitting node and back; 0 if that is not known.
+func readWay(h http.Header, took time.Duration) time.Duration {
+	held, err := strconv.ParseInt(h.Get(headerHeld), 10, 64)
+	if err != nil || held < 0 {
+		return 0
+	}
+	return max(took-time.Duration(held)*time.Microsecond, 0)
+}
+
 // readLoad reads what an admitting node said of its load, nil if nothing:
 // "in use/slots/waiting/service time/expected wait", times in microseconds, and
 // "/draining" if it leaves.
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -46,6 +46,9 @@
 	headerNoWait     = "Walldrift-No-Wait"
 	headerPatience   = "Walldrift-Patience-Ms"
 	headerLoad       = "Walldrift-Load"
+	// headerHeld is the time that an answer took at the admitting node and the
+	// upstream, in microseconds.
+	headerHeld = "Walldrift-Held-Us"
 )
 
 // Envelope is what a node tells the admitting node about a request.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -218,9 +218,10 @@
 		return x.f.answer(problem, x.req), problem.class
 	}
 	class := classOf(resp.Header)
+	way := readWay(resp.Header, time.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Failed: failed, Told: readLoad(resp.Header), Kind: x.route.Kind})
+		x.f.ended(target.Name, routing.Outcome{Failed: failed, Told: readLoad(resp.Header), Kind: x.route.Kind, Way: way})
 		return resp, class
 	}
 	if resp.Body = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
@@ -232,7 +233,7 @@
 	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
-		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind})
+		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Way: way})
 	}}
 	if x.req.Method == http.MethodHead {
 		resp.Body.(*endingBody).want = -1
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -99,6 +99,36 @@
 	ejected    time.Time // left out until then
 	ejections  int
 	latency    float64 // smoothed seconds to the answer
+	way        float64 // smoothed seconds to its node and back
+	wayAt      time.Time
+}
+
+// Smoothing of the time on the way. A way that fills is noticed within two or
+// three requests; one that empties is found out by those that still come.
+const (
+	wayRise = 0.4
+	wayFall = 0.15
+	// wayMemory is the time after which a way without requests counts for a
+	// third of what it was: queues on a link drain in about a second.
+	wayMemory = time.Second
+)
+
+// noteWay takes a time on the way into the smoothed one.
+func (e *evidence) noteWay(now time.Time, took time.Duration) {
+	old := e.wayTime(now)
+	part := wayFall
+	if took.Seconds() > old {
+		part = wayRise
+	}
+	e.way, e.wayAt = old+part*(took.Seconds()-old), now
+}
+
+// wayTime is the expected time on the way there and back, in seconds.
+func (e *evidence) wayTime(now time.Time) float64 {
+	if e.wayAt.IsZero() {
+		return 0
+	}
+	return e.way * math.Exp(-max(now.Sub(e.wayAt).Seconds(), 0)/wayMemory.Seconds())
 }
 
 // busy estimates the requests at the upstream: what it told, fading with age
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -112,7 +112,7 @@
 	c.Cost = (e.busy(r.cfg, now) + 1) / slots
 	if r.cfg.ByTime {
 		c.Wait = e.wait(now, req.Kind)
-		c.Cost = r.expected(e, c.Cost, slots, c.Wait, m.Instance)
+		c.Cost = r.expected(e, c.Cost, slots, c.Wait, m.Instance) + e.wayTime(now)
 		c.Trial = e.unexplored(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
@@ -337,6 +337,9 @@
 	Latency time.Duration // time to the answer; 0 if there was none
 	Told    *Told         // what its node said with the answer; nil if nothing
 	Kind    string        // class of the request
+	// Way is the part of Latency that was spent neither at the node nor at the
+	// upstream; 0 if it is not known.
+	Way time.Duration
 }
 
 // latencySmoothing is the weight of the newest latency.
@@ -357,6 +360,9 @@
 		e.told, e.toldAt, e.toldFlight = *o.Told, now, e.inFlight
 		e.noteWait(now, o.Kind, o.Told.Wait)
 	}
+	if o.Way > 0 {
+		e.noteWay(now, o.Way)
+	}
 	if o.Latency > 0 {
 		e.latency += latencySmoothing * (o.Latency.Seconds() - e.latency)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -292,3 +292,34 @@
 	}
 	assert.Assert(t, again >= 1)
 }
+
+// An upstream behind a link that is full gets fewer requests than one of equal
+// load, and its share again once the link has drained.
+func TestFullLinkIsLeft(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByTime = true
+	b := newBedWith(cfg, 2)
+	share := func(way time.Duration) int {
+		n := 0
+		for range 200 {
+			c, ok := b.pick()
+			assert.Assert(t, ok)
+			name := c.Instance.Name
+			o := Outcome{Latency: 50 * time.Millisecond, Way: time.Millisecond, Told: &Told{Slots: 4, Service: 50 * time.Millisecond}}
+			if name == "u0" {
+				n++
+				o.Way = way
+			}
+			b.router.Start(b.now, name)
+			b.now = b.now.Add(5 * time.Millisecond)
+			b.router.End(b.now, b.rnd, name, o)
+		}
+		return n
+	}
+	before := share(time.Millisecond)
+	full := share(300 * time.Millisecond)
+	b.now = b.now.Add(3 * time.Second)
+	after := share(time.Millisecond)
+	assert.Assert(t, before > 60 && after > 60, "%d and %d of 200 with a free link", before, after)
+	assert.Assert(t, full < 20, "%d of 200 over a full link", full)
+}
