Take the later of two entries at one address for the one that is there

Cause: after a loss of power every upstream starts anew under another ID at its old address.

Ruled out: full upstreams (nothing in use), cold ones (they answered in 2 ms), late readers (new entries were known).

Change: the registry counts, of the entries at one address, only the one published last.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -28,9 +28,7 @@
 	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
 	for _, k := range known {
 		dir.members[k.ID] = f.member(k)
-		if old, ok := dir.byAddress[k.Address]; !ok || old.Revision < k.Revision {
-			dir.byAddress[k.Address] = k
-		}
+		dir.byAddress[k.Address] = k
 	}
 	f.logChanges(f.dir.Load(), dir)
 	f.dir.Store(dir)
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -329,11 +330,19 @@
 	Seen time.Time
 }
 
-// Upstreams returns the believed upstreams, sorted by ID.
+// Upstreams returns the believed upstreams, sorted by ID. Of two at one address
+// only the one published later is among them: an address serves one process at a
+// time, and the entry of one that ended without a word stays for some seconds.
 func (r *Registry) Upstreams() []Known {
+	latest := make(map[netip.AddrPort]uint64, len(r.known))
+	for _, e := range r.known {
+		latest[e.Address] = max(latest[e.Address], e.Revision)
+	}
 	out := make([]Known, 0, len(r.known))
 	for _, e := range r.known {
-		out = append(out, Known{Upstream: e.Upstream, Seen: e.seen})
+		if !e.Address.IsValid() || e.Revision == latest[e.Address] {
+			out = append(out, Known{Upstream: e.Upstream, Seen: e.seen})
+		}
 	}
 	slices.SortFunc(out, func(a, b Known) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -81,6 +82,22 @@
 	assert.Equal(t, len(ids(r)), 0)
 }
 
+// A process that started at the address of one that ended without a word takes
+// its place before the old entry lapses.
+func TestLaterEntryTakesTheAddress(t *testing.T) {
+	at := func(id string, revision uint64, address string) Upstream {
+		u := up(id, revision)
+		u.Address = netip.MustParseAddrPort(address)
+		return u
+	}
+	r := NewRegistry()
+	r.Replace(start, listed(2, at("old", 1, "10.0.0.1:80"), at("other", 2, "10.0.0.2:80")))
+	r.Apply(start, listed(3, at("new", 3, "10.0.0.1:80")))
+	assert.DeepEqual(t, ids(r), []string{"new", "other"})
+	r.Apply(start, Update{Revision: 4, Removed: []Removal{{ID: "old", Revision: 4}}})
+	assert.DeepEqual(t, ids(r), []string{"new", "other"})
+}
+
 func TestStaleListingChangesNothing(t *testing.T) {
 	r := NewRegistry()
 	r.Replace(start, listed(5, up("a", 5)))
