Count the way of news into their age

Cause: an asking node took news for as old as the sender said when they arrived. Over a full link, or while the asking node is frozen, they are older; with an answer of 1.7 s on the way changes came up to 3.4 s late, past the platform's two seconds.

Change: the sender tells how long it held the question; news count from the time at which the question was sent, plus that, less the age. Later than that the asker reads the store.

--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -63,6 +63,7 @@
 	call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
 	defer cancel()
 	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable}
+	sent := time.Now()
 	n, err := f.peers.Ask(call, link.source.Peer, ask)
 	if err != nil {
 		return version.ID{}, err
@@ -71,7 +72,7 @@
 		link.failing = false
 		f.log.Info("news regained", "source", link.source.Name, "age", n.Age)
 	}
-	if err := f.takeNews(time.Now(), link.source.Name, n); err != nil {
+	if err := f.takeNews(sent.Add(n.Held-n.Age), link.source.Name, n); err != nil {
 		return version.ID{}, err
 	}
 	link.cursor = n.Cursor
@@ -100,9 +101,11 @@
 	return f.document.ID
 }
 
-// takeNews takes over what another node believes. Where that node holds a newer
-// table than this one does then, this one is not current.
-func (f *Follower) takeNews(now time.Time, from string, n News) error {
+// takeNews takes over what another node believes and knew to be all at a time.
+// Where that node holds a newer table than this one does then, this one is not
+// current.
+func (f *Follower) takeNews(at time.Time, from string, n News) error {
+	now := time.Now()
 	doc, err := f.restore(n)
 	if err != nil {
 		return err
@@ -117,7 +120,7 @@
 	if changed {
 		f.changed()
 	}
-	if at := now.Add(-n.Age); !behind && at.After(f.current) {
+	if !behind && at.After(f.current) {
 		f.current = at
 	}
 	f.announce()
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -35,7 +35,8 @@
 	Cursor Cursor `cbor:"1,keyasint"`
 	// Revision is that of the store, up to which the sender knows all.
 	Revision uint64 `cbor:"2,keyasint"`
-	// Age is how long ago that was certainly all that there was.
+	// Age is how long ago, when the sender answered, that was certainly all that
+	// there was.
 	Age   time.Duration `cbor:"3,keyasint"`
 	Table version.ID    `cbor:"4,keyasint"` // held by the sender
 	// Document is the sender's table, deflated; empty if not asked for or known.
@@ -44,6 +45,9 @@
 	Whole     bool       `cbor:"6,keyasint,omitempty"`
 	Upstreams []Upstream `cbor:"7,keyasint,omitempty"`
 	Removed   []Removal  `cbor:"8,keyasint,omitempty"`
+	// Held is how long the sender kept the question, so that the asking node knows
+	// when it was answered at the earliest, whatever the way took.
+	Held time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // maxNews bounds the encoded news that is read: a table that does not compress
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -112,9 +112,10 @@
 	holder   *snapshot.Holder
 
 	mu     sync.Mutex
-	cut    bool // the store does not answer this node
-	silent bool // this node answers nobody
-	dead   bool // this node refuses connections
+	cut    bool          // the store does not answer this node
+	silent bool          // this node answers nobody
+	dead   bool          // this node refuses connections
+	way    time.Duration // that its answers take
 }
 
 func (n *testNode) set(edit func(*testNode)) {
@@ -197,6 +198,10 @@
 	if err != nil {
 		return News{}, err
 	}
+	to.mu.Lock()
+	way := to.way
+	to.mu.Unlock()
+	wait(ctx, way)
 	var out News
 	return out, decode("news", bytes.NewReader(raw), &out)
 }
@@ -325,6 +330,25 @@
 	}
 }
 
+// News that take long on the way, as over a full link or while the asking node
+// stands still, are not taken for fresh.
+func TestNewsOverASlowWayAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFollowers(t, 8, "a", "b")
+		readers, others := f.roles()
+		for _, r := range readers {
+			r.set(func(n *testNode) { n.way = DefaultConfig().NewsTimeout - 100*time.Millisecond })
+		}
+		time.Sleep(10 * time.Second)
+		for edition := uint64(2); edition < 12; edition++ {
+			f.store.publish(edition)
+			time.Sleep(drainBound)
+			assert.Equal(t, f.lacking(others, edition, ""), 0)
+			time.Sleep(300 * time.Millisecond) // meets the questions in other places
+		}
+	})
+}
+
 // While the store is away nothing is forgotten, calls are few, and a change is
 // in force soon after its return.
 func TestNewsOverAnOutage(t *testing.T) {
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -9,6 +9,7 @@
 // soon as there is anything, or this node learns that there is not. After
 // Config.NewsWait it returns what there is.
 func (f *Follower) NewsAfter(ctx context.Context, ask Ask) (News, error) {
+	began := time.Now()
 	timer := time.NewTimer(f.cfg.NewsWait)
 	defer timer.Stop()
 	f.mu.Lock()
@@ -28,7 +29,10 @@
 			return News{}, err
 		}
 	}
-	return f.news(time.Now(), ask)
+	now := time.Now()
+	n, err := f.news(now, ask)
+	n.Held = now.Sub(began)
+	return n, err
 }
 
 // hasNews reports whether the asking node lacks something. The lock is held.
