--- /dev/null
+++ b/internal/discovery/fleet_test.go
@@ -0,0 +1,282 @@
+package discovery
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+// testStore is a store with a history, seen by any number of nodes.
+type testStore struct {
+	mu      sync.Mutex
+	log     []Update // each with one change
+	changed chan struct{}
+	calls   int
+}
+
+func newTestStore() *testStore { return &testStore{changed: make(chan struct{})} }
+
+// write publishes one change under the next revision.
+func (s *testStore) write(edit func(u *Update)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := Update{Revision: uint64(len(s.log) + 1)}
+	edit(&u)
+	s.log = append(s.log, u)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *testStore) put(up Upstream) {
+	s.write(func(u *Update) { up.Revision = u.Revision; u.Upstreams = []Upstream{up} })
+}
+
+func (s *testStore) remove(id string) {
+	s.write(func(u *Update) { u.Removed = []Removal{{ID: id, Revision: u.Revision}} })
+}
+
+func (s *testStore) publish(edition uint64) {
+	s.write(func(u *Update) { u.Document = testDocument(edition) })
+}
+
+// after joins the changes after a revision, and returns what tells the next.
+func (s *testStore) after(revision uint64) (Update, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := Update{Revision: uint64(len(s.log))}
+	last := make(map[string]int)
+	for i, one := range s.log {
+		for _, up := range one.Upstreams {
+			last[up.ID] = i
+		}
+		for _, r := range one.Removed {
+			last[r.ID] = i
+		}
+	}
+	for i, one := range s.log {
+		if one.Revision <= revision {
+			continue
+		}
+		if one.Document != nil {
+			u.Document = one.Document
+		}
+		for _, up := range one.Upstreams {
+			if last[up.ID] == i {
+				u.Upstreams = append(u.Upstreams, up)
+			}
+		}
+		for _, r := range one.Removed {
+			if last[r.ID] == i {
+				u.Removed = append(u.Removed, r)
+			}
+		}
+	}
+	return u, s.changed
+}
+
+func (s *testStore) present() map[string]uint64 {
+	u, _ := s.after(0)
+	out := make(map[string]uint64)
+	for _, up := range u.Upstreams {
+		out[up.ID] = up.Revision
+	}
+	return out
+}
+
+func (s *testStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// testNode is one node with its own way to the store and to others.
+type testNode struct {
+	store    *testStore
+	fleet    *testFleet
+	addr     netip.AddrPort
+	follower *Follower
+	holder   *snapshot.Holder
+
+	mu     sync.Mutex
+	cut    bool          // the store does not answer this node
+	silent bool          // this node answers nobody
+	dead   bool          // this node refuses connections
+	way    time.Duration // that its answers take
+}
+
+func (n *testNode) set(edit func(*testNode)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	edit(n)
+}
+
+func (n *testNode) state() (cut, silent, dead bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut, n.silent, n.dead
+}
+
+func (n *testNode) call(ctx context.Context) error {
+	n.store.mu.Lock()
+	n.store.calls++
+	n.store.mu.Unlock()
+	if cut, _, _ := n.state(); cut {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (n *testNode) List(ctx context.Context) (Update, error) {
+	if err := n.call(ctx); err != nil {
+		return Update{}, err
+	}
+	u, _ := n.store.after(0)
+	u.Removed = nil
+	return u, nil
+}
+
+func (n *testNode) Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error) {
+	if err := n.call(ctx); err != nil {
+		return Update{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		u, changed := n.store.after(after)
+		if cut, _, _ := n.state(); cut {
+			<-ctx.Done()
+			return Update{}, ctx.Err()
+		}
+		if u.Revision > after {
+			return u, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return u, nil
+		case <-ctx.Done():
+			return Update{}, ctx.Err()
+		}
+	}
+}
+
+func (n *testNode) Check(ctx context.Context) error { return n.call(ctx) }
+
+func (n *testNode) Decode(raw []byte) (*Document, error) { return (&fakeSource{}).Decode(raw) }
+
+// Ask asks another node over the codec, as on the wire.
+func (n *testNode) Ask(ctx context.Context, node netip.AddrPort, ask Ask) (News, error) {
+	to := n.fleet.nodes[node.Addr()]
+	_, silent, dead := to.state()
+	if dead {
+		return News{}, errors.New("connection refused")
+	}
+	if silent {
+		<-ctx.Done()
+		return News{}, ctx.Err()
+	}
+	news, err := to.follower.NewsAfter(ctx, ask)
+	if err != nil {
+		return News{}, err
+	}
+	raw, err := encode("news", news)
+	if err != nil {
+		return News{}, err
+	}
+	to.mu.Lock()
+	way := to.way
+	to.mu.Unlock()
+	wait(ctx, way)
+	var out News
+	return out, decode("news", bytes.NewReader(raw), &out)
+}
+
+// testFleet is some nodes in data centres of one region.
+type testFleet struct {
+	store *testStore
+	nodes map[netip.Addr]*testNode
+}
+
+// startFollowers runs perCentre nodes in each data centre until the test ends,
+// and waits until roles are settled.
+func startFollowers(t *testing.T, perCentre int, centres ...string) *testFleet {
+	f := &testFleet{store: newTestStore(), nodes: make(map[netip.Addr]*testNode)}
+	f.store.publish(1)
+	for c, centre := range centres {
+		for i := range perCentre {
+			addr := netip.MustParseAddrPort(fmt.Sprintf("10.%d.0.%d:80", c, i+1))
+			f.store.put(Upstream{ID: fmt.Sprintf("%s-%d", centre, i), Service: "s", Address: addr, DataCentre: centre, Slots: 1})
+			f.nodes[addr.Addr()] = &testNode{store: f.store, fleet: f, addr: addr}
+		}
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	t.Cleanup(func() { stop(); group.Wait() })
+	for _, n := range f.nodes {
+		cfg := DefaultConfig()
+		cfg.Self, cfg.PeerPort = n.addr, 7000
+		for _, up := range f.published() {
+			if up.Address == n.addr {
+				cfg.DataCentre = up.DataCentre
+			}
+		}
+		n.holder = &snapshot.Holder{}
+		n.follower = NewFollower(cfg, n, n, n.holder, log.New(io.Discard), func(*Directory) {})
+	}
+	for _, n := range f.nodes {
+		group.Go(func() { n.follower.Run(ctx) })
+	}
+	time.Sleep(3 * time.Second)
+	return f
+}
+
+func (f *testFleet) published() []Upstream {
+	u, _ := f.store.after(0)
+	return u.Upstreams
+}
+
+// roles returns the readers and the other nodes.
+func (f *testFleet) roles() (readers, others []*testNode) {
+	for _, n := range f.nodes {
+		if n.follower.Status(time.Now()).Reader {
+			readers = append(readers, n)
+		} else {
+			others = append(others, n)
+		}
+	}
+	return readers, others
+}
+
+// lacking counts the nodes that do not hold an edition or still know an
+// upstream.
+func (f *testFleet) lacking(nodes []*testNode, edition uint64, without string) int {
+	n := 0
+	for _, node := range nodes {
+		_, knows := node.follower.Member(without)
+		if node.holder.ID().Edition < edition || knows {
+			n++
+		}
+	}
+	return n
+}
+
+// idOf returns the entry beside a node.
+func (f *testFleet) idOf(n *testNode) string {
+	for _, up := range f.published() {
+		if up.Address == n.addr {
+			return up.ID
+		}
+	}
+	return ""
+}
