--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -299,6 +299,7 @@
 	return nil
 }
 
+// latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
