--- /dev/null
+++ b/internal/proxy/backend_call.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/retry"
+)
+
+// backendCall is one request on its way through the backend.
+type backendCall struct {
+	b       *Backend
+	env     Envelope
+	req     *http.Request
+	start   time.Time
+	key     ledger.Key
+	keyed   bool
+	started time.Time // when the slot was taken
+	left    bool      // the slot was given back
+	remote  bool      // from another node
+	// received is when the body was here, if it was received first.
+	received time.Time
+}
+
+func (c *backendCall) run() (*http.Response, *Problem) {
+	ctx, cancel := context.WithDeadline(c.req.Context(), c.start.Add(c.env.Timeout))
+	resp, problem := c.admitted(ctx, cancel)
+	if problem != nil {
+		cancel()
+	}
+	return resp, problem
+}
+
+func (c *backendCall) admitted(ctx context.Context, cancel context.CancelFunc) (*http.Response, *Problem) {
+	if c.keyed = c.env.Key != "" && !c.env.Idempotent; c.keyed {
+		resp, problem := c.beginKey(ctx)
+		if resp != nil || problem != nil {
+			if resp != nil {
+				c.b.inflight.Add(-1)
+				cancel()
+			}
+			return resp, problem
+		}
+	}
+	problem := c.receive(ctx)
+	if problem == nil {
+		problem = c.enter(ctx)
+	}
+	if problem != nil {
+		c.finishKey(ledger.NotRun, nil)
+		return nil, problem
+	}
+	c.announce()
+	resp, problem := c.dispatch(ctx, cancel)
+	if problem != nil {
+		c.leave()
+		outcome := ledger.Lost
+		if problem.class.NotRun() {
+			outcome = ledger.NotRun
+		}
+		c.finishKey(outcome, nil)
+	}
+	return resp, problem
+}
+
+// enter passes limits and the gate.
+func (c *backendCall) enter(ctx context.Context) *Problem {
+	b := c.b
+	b.mu.Lock()
+	reason, after := b.limits.Start(time.Now())
+	b.mu.Unlock()
+	if reason != admission.ReasonNone {
+		return refusedBy(admission.Verdict{Reason: reason, RetryAfter: max(after, defaultRetryAfter/10)})
+	}
+	if problem := c.linkFull(); problem != nil {
+		b.limitDone()
+		return problem
+	}
+	ticket := &admission.Ticket{
+		Kind:     c.env.queueKind(),
+		Tenant:   c.env.Tenant,
+		Weight:   c.env.KindWeight,
+		Deadline: c.start.Add(c.env.Timeout),
+		NoWait:   c.env.NoWait && c.received.IsZero(),
+	}
+	if patience, bounded := b.patience(c.env); bounded {
+		// A body that is here is not sent again elsewhere for a short wait.
+		ticket.Latest = latest(c.start, c.received).Add(patience)
+	}
+	v := b.gate.Enter(ctx, ticket)
+	b.metrics.queued(c.env.Kind, time.Since(c.start))
+	if !v.Started {
+		b.limitDone()
+		return refusedBy(v)
+	}
+	c.started = time.Now()
+	// The process may have been paused between the grant and now.
+	if !c.started.Before(c.start.Add(c.env.Timeout)) || ctx.Err() != nil {
+		c.leave()
+		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
+	}
+	return nil
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (b *Backend) limitDone() {
+	b.mu.Lock()
+	b.limits.Done()
+	b.mu.Unlock()
+}
+
+// leave gives the slot back, once.
+func (c *backendCall) leave() {
+	if c.left {
+		return
+	}
+	c.left = true
+	c.b.limitDone()
+	c.b.gate.Leave(time.Since(c.started))
+}
+
+// ran takes the time of a request that ran to its end into those of its kind.
+func (c *backendCall) ran() {
+	if c.left {
+		return
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.b.runs.Observe(c.env.Kind, time.Since(c.started))
+}
+
+// announce tells a sender that holds back its body to send it.
+func (c *backendCall) announce() {
+	if f, ok := c.req.Context().Value(admittedHook{}).(func()); ok && c.env.Await {
+		f()
+	}
+}
+
+// admittedHook is the context key of the function called on admission.
+type admittedHook struct{}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -5,15 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
-	"github.com/walldrift/walldrift/internal/ledger"
-	"github.com/walldrift/walldrift/internal/membership"
-	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
-	"github.com/walldrift/walldrift/internal/routing"
 	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/version"
 )
@@ -204,36 +199,6 @@
 	}
 }
 
-// recognise finds out when the caller's first attempt came and so when the
-// request should be answered.
-func (x *exchange) recognise() {
-	if x.route.Objective == 0 {
-		return
-	}
-	x.aim = x.start.Add(x.route.Objective)
-	wait, ok := x.f.cfg.Dialect.callerWait(x.req.Header)
-	if !ok {
-		return
-	}
-	x.expiry = x.start.Add(wait)
-	x.first = x.f.firstAttempt(x.start, x.identity(), x.expiry)
-	x.aim = x.first.Add(x.route.Objective)
-}
-
-// remember notes a request that its caller may send again.
-func (x *exchange) remember(status int) {
-	if x.expiry.IsZero() || x.aim.IsZero() {
-		return
-	}
-	if status >= http.StatusInternalServerError || impliesNotRun(status) {
-		x.f.refused(x.identity(), x.first, x.expiry)
-	}
-}
-
-func (x *exchange) identity() overload.Identity {
-	return overload.Identity{Host: x.req.Host, Method: x.req.Method, Target: x.req.URL.RequestURI()}
-}
-
 // speakTo puts an answer that a node made into the caller's dialect.
 func (x *exchange) speakTo(resp *http.Response) {
 	d := x.f.cfg.Dialect
@@ -244,148 +209,3 @@
 		resp.Header.Set(d.RequestID, x.req.Header.Get(d.RequestID))
 	}
 }
-
-// try makes one try at target and returns its response, made up if there was none.
-func (x *exchange) try(ctx context.Context, target membership.Instance) (*http.Response, retry.Class) {
-	x.tries++
-	x.tried = append(x.tried, target.Name)
-	x.f.began(target.Name)
-	sent := time.Now()
-	resp, class := x.tryAt(ctx, target, sent)
-	x.noteTry(target.Name, sent, class, resp)
-	return resp, class
-}
-
-// tryAt makes one try at an upstream, and tells the router how it ended.
-func (x *exchange) tryAt(ctx context.Context, target membership.Instance, sent time.Time) (*http.Response, retry.Class) {
-	resp, problem := x.send(ctx, target)
-	if problem != nil {
-		x.f.ended(target.Name, routing.Outcome{Failed: ctx.Err() == nil})
-		return x.f.answer(problem, x.req), problem.class
-	}
-	class := classOf(resp.Header)
-	way := readWay(resp.Header, time.Since(sent))
-	if class != retry.Answered {
-		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.late, Way: way})
-		return resp, class
-	}
-	if resp.Body, _ = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
-		x.f.ended(target.Name, routing.Outcome{Failed: true})
-		problem := unknownOutcome(http.StatusBadGateway, reasonLost)
-		return x.f.answer(problem, x.req), problem.class
-	}
-	latency := time.Since(sent)
-	x.f.heard(target.Name)
-	told := readLoad(resp.Header)
-	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
-		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.late, Way: way})
-	}}
-	if x.req.Method == http.MethodHead {
-		resp.Body.(*endingBody).want = -1
-	}
-	return resp, class
-}
-
-// denied reports whether a refusal says that another instance stands at the
-// target's address.
-func denied(h http.Header) bool {
-	reason := h.Get(HeaderReason)
-	return reason == reasonMisdirected || reason == string(admission.ReasonWrongTarget)
-}
-
-// choose picks the upstream of the next try: the key's home for a keyed
-// non-idempotent request, otherwise by the router.
-func (x *exchange) choose() (membership.Instance, *Problem) {
-	if x.homed() {
-		return x.chooseHome()
-	}
-	c, ok := x.pick()
-	if !ok {
-		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
-	}
-	x.place(c)
-	if hopeless(c) {
-		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonBusy, c.Wait)
-	}
-	return c.Instance, nil
-}
-
-// pick asks the router for an upstream that was not tried yet.
-func (x *exchange) pick() (routing.Candidate, bool) {
-	return x.f.pick(routing.Request{
-		Service:  x.service,
-		Pinned:   x.route.Pinned,
-		Tried:    x.tried,
-		Kind:     x.route.Kind,
-		Aim:      x.aim,
-		Returned: x.first.Before(x.start),
-	})
-}
-
-// hopeless reports whether even the best upstream is known to have so many
-// waiting that the request would be refused there.
-func hopeless(c routing.Candidate) bool { return c.Patience > 0 && c.Wait > c.Patience }
-
-// place notes how the request stands to its objective at the chosen upstream.
-func (x *exchange) place(c routing.Candidate) {
-	x.late = c.Late
-	x.env.KindWeight = x.route.KindWeight * overload.Weight(x.route.Priority, x.route.Objective, c.Late)
-	if !x.aim.IsZero() {
-		x.env.Aim = &Aim{Left: c.Left, Late: c.Late}
-	}
-}
-
-func (x *exchange) chooseHome() (membership.Instance, *Problem) {
-	key := ledger.Key{Service: x.env.Service, Tenant: x.env.Tenant, Value: x.env.Key}
-	m, ok := x.f.members(ledger.Home(x.service, key))
-	if !ok || m.Status == membership.Gone {
-		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonHome, defaultRetryAfter)
-	}
-	return m.Instance, nil
-}
-
-// send hands the request to the node beside the target.
-func (x *exchange) send(ctx context.Context, target membership.Instance) (*http.Response, *Problem) {
-	way, err := x.f.dispatch.To(ctx, target)
-	if err != nil {
-		return nil, notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUnreachable, defaultRetryAfter)
-	}
-	admitted := make(chan struct{})
-	out := x.request(ctx, target, admitted)
-	resp, err := way.RoundTrip(out)
-	if err != nil {
-		return nil, sendFailure(ctx, err)
-	}
-	return resp, nil
-}
-
-// request builds the request to the admitting node.
-func (x *exchange) request(ctx context.Context, target membership.Instance, admitted chan struct{}) *http.Request {
-	env := x.env
-	env.Target = target.Name
-	env.Timeout = time.Until(x.deadline)
-	env.Await = x.body.streams()
-	env.Empty = x.body.length == 0
-	env.NoWait = x.noWait
-	if env.Await {
-		ctx = withAdmitted(ctx, sync.OnceFunc(func() { close(admitted) }))
-	}
-	out := x.req.Clone(ctx)
-	out.URL.Scheme = "https"
-	out.URL.Host = target.Name
-	out.Host = x.req.Host
-	out.Body = x.body.open(ctx, admitted)
-	out.ContentLength = x.body.length
-	out.GetBody = nil
-	stripHop(out.Header)
-	env.write(out.Header)
-	d := x.f.cfg.Dialect
-	if d.CallerService != "" {
-		out.Header.Set(d.CallerService, x.f.cfg.CallerService())
-	}
-	if d.ExpectedInstance != "" {
-		out.Header.Del(d.ExpectedInstance)
-	}
-	return out
-}
