--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -18,27 +18,42 @@
 // adminTimeout bounds a question to a node's admin address.
 const adminTimeout = 6 * time.Second
 
-const nodeFlagHelp = "admin address of any node, ip:port"
+// adminQuestion is the flags of a command that asks a node's admin address.
+type adminQuestion struct {
+	addr   *string
+	asJSON *bool
+}
+
+func newAdminQuestion(fs *ff.FlagSet) adminQuestion {
+	return adminQuestion{
+		addr:   fs.String('n', "node", "127.0.0.1:9000", "admin address of any node, ip:port"),
+		asJSON: fs.BoolLong("json", "print JSON"),
+	}
+}
+
+// ask prints the answer at a path, as it is or by printAs.
+func (q adminQuestion) ask(ctx context.Context, out IO, path string, printAs func(io.Writer, []byte) error) error {
+	raw, err := askAdmin(ctx, *q.addr, path)
+	if err != nil {
+		return err
+	}
+	if *q.asJSON {
+		_, err = out.Out.Write(raw)
+		return err
+	}
+	return printAs(out.Out, raw)
+}
 
 func statusCommand(out IO) *ff.Command {
 	fs := ff.NewFlagSet("status")
-	addr := fs.String('n', "node", "127.0.0.1:9000", nodeFlagHelp)
-	asJSON := fs.BoolLong("json", "print JSON")
+	question := newAdminQuestion(fs)
 	return &ff.Command{
 		Name:      "status",
 		Usage:     "walldrift status [--node ip:port] [--json]",
 		ShortHelp: "ask any node for the version that every node holds, and why",
 		Flags:     fs,
 		Exec: func(ctx context.Context, _ []string) error {
-			raw, err := askAdmin(ctx, *addr, admin.PathFleet)
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				_, err = out.Out.Write(raw)
-				return err
-			}
-			return printFleet(out.Out, raw)
+			return question.ask(ctx, out, admin.PathFleet, printFleet)
 		},
 	}
 }
@@ -100,8 +115,7 @@
 
 func explainCommand(out IO) *ff.Command {
 	fs := ff.NewFlagSet("explain")
-	addr := fs.String('n', "node", "127.0.0.1:9000", nodeFlagHelp)
-	asJSON := fs.BoolLong("json", "print JSON")
+	question := newAdminQuestion(fs)
 	return &ff.Command{
 		Name:      "explain",
 		Usage:     "walldrift explain [--node ip:port] [--json] SERVICE",
@@ -111,15 +125,7 @@
 			if len(args) != 1 {
 				return usagef("explain needs one SERVICE")
 			}
-			raw, err := askAdmin(ctx, *addr, admin.PathExplain+args[0])
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				_, err = out.Out.Write(raw)
-				return err
-			}
-			return printExplanation(out.Out, raw)
+			return question.ask(ctx, out, admin.PathExplain+args[0], printExplanation)
 		},
 	}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/periodic"
 )
 
 // Timing of the background work.
@@ -34,7 +36,7 @@
 	failed := make(chan error, 2)
 	var group sync.WaitGroup
 	group.Go(func() { n.service.Run(run) })
-	group.Go(func() { n.sweepLoop(run) })
+	group.Go(func() { periodic.Run(run, sweepInterval, n.sweep) })
 	group.Go(func() { n.healthLoop(run) })
 	group.Go(func() { serve(n.admin.Serve(n.adminListener), failed) })
 	group.Go(func() { serve(n.callers.Serve(n.callersListener), failed) })
@@ -109,19 +111,10 @@
 	}
 }
 
-func (n *Node) sweepLoop(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			n.pool.Sweep(now)
-			n.frontend.Prune()
-			n.gauges()
-		}
-	}
+func (n *Node) sweep(now time.Time) {
+	n.pool.Sweep(now)
+	n.frontend.Prune()
+	n.gauges()
 }
 
 func (n *Node) gauges() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/http1"
+	"github.com/walldrift/walldrift/internal/periodic"
 	"github.com/walldrift/walldrift/internal/proxy"
 	"github.com/walldrift/walldrift/internal/settings"
 	"github.com/walldrift/walldrift/internal/snapshot"
@@ -114,7 +115,7 @@
 		group.Go(func() { failed <- server.Serve(listener) })
 	}
 	group.Go(func() { s.follower.Run(run) })
-	group.Go(func() { s.sweepLoop(run) })
+	group.Go(func() { periodic.Run(run, sweepInterval, s.sweep) })
 	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
 	var err error
 	select {
@@ -131,20 +132,11 @@
 	return errors.CombineErrors(err, s.metrics.Close())
 }
 
-func (s *Sidecar) sweepLoop(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.hop.Sweep(now)
-			s.upstream.Sweep(now)
-			s.frontend.Prune()
-			s.gauges()
-		}
-	}
+func (s *Sidecar) sweep(now time.Time) {
+	s.hop.Sweep(now)
+	s.upstream.Sweep(now)
+	s.frontend.Prune()
+	s.gauges()
 }
 
 // boolGauge is 1 for true.
