Know returns of the same request by many callers apart

A refused request was kept by host, method and target alone, so where many callers send the same target the next refusal replaced it and the return was taken for new. It is kept by the span of its expiry too. Found by reading; the oracle now holds several requests of one identity, and two mutants of the lookup are caught.

--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -10,14 +10,18 @@
 	"pgregory.net/rapid"
 )
 
-// Oracle: a plain list of all refused requests. What is known of a return is its
-// first attempt, as long as its expiry is the same; everything else is new.
+// Oracle: a plain list of all refused requests, several of the same identity among
+// them. What is known of a return is its first attempt; what expires at another
+// time is new.
 func TestReturnsAgainstOracle(t *testing.T) {
-	type known struct{ first, expiry time.Time }
+	type known struct {
+		id            Identity
+		first, expiry time.Time
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		r := NewReturns()
 		at := time.Unix(1000, 0)
-		refused := make(map[Identity]known)
+		var refused []known
 		id := func(t *rapid.T) Identity {
 			return Identity{
 				Host:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"),
@@ -28,27 +32,41 @@
 		ms := func(t *rapid.T, most int) time.Duration {
 			return time.Duration(rapid.IntRange(0, most).Draw(t, "ms")) * time.Millisecond
 		}
+		near := func(i Identity, expiry time.Time, within time.Duration) bool {
+			for _, k := range refused {
+				if k.id == i && k.expiry.Sub(expiry).Abs() <= within {
+					return true
+				}
+			}
+			return false
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"refuse": func(t *rapid.T) {
-				k := known{first: at.Add(-ms(t, 500)), expiry: at.Add(ms(t, 1500))}
-				i := id(t)
-				r.Refused(at, i, k.first, k.expiry)
-				refused[i] = k
+				k := known{id: id(t), first: at.Add(-ms(t, 500)), expiry: at.Add(ms(t, 1500))}
+				if near(k.id, k.expiry, 4*expirySlack) {
+					t.Skip("not told from another one")
+				}
+				r.Refused(at, k.id, k.first, k.expiry)
+				refused = append(refused, k)
 			},
-			"new request of another expiry": func(t *rapid.T) {
-				i := id(t)
-				other := refused[i].expiry.Add(expirySlack + time.Millisecond + ms(t, 1000))
-				assert.Equal(t, r.First(at, i, other), at)
+			"new": func(t *rapid.T) {
+				i, expiry := id(t), at.Add(ms(t, 1500))
+				if near(i, expiry, expirySlack) {
+					t.Skip("a return")
+				}
+				assert.Equal(t, r.First(at, i, expiry), at)
 			},
 			"return": func(t *rapid.T) {
-				i := id(t)
-				k, ok := refused[i]
-				if !ok || at.After(k.expiry) {
-					t.Skip("nothing to return")
+				if len(refused) == 0 {
+					t.Skip("nothing refused")
+				}
+				k := rapid.SampledFrom(refused).Draw(t, "refused")
+				if at.After(k.expiry) {
+					t.Skip("expired")
 				}
-				assert.Equal(t, r.First(at, i, k.expiry.Add(ms(t, 10))), k.first)
+				assert.Equal(t, r.First(at, k.id, k.expiry.Add(ms(t, 20)-expirySlack)), k.first)
 			},
-			"time": func(t *rapid.T) { at = at.Add(ms(t, 700)) },
+			"time": func(t *rapid.T) { at = at.Add(ms(t, 300)) },
 		})
 	})
 }
--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -30,10 +30,23 @@
 // are refused in their place and come back too, and the crowd outlives the burst
 // that made it.
 type Returns struct {
-	refused map[Identity]refusal
+	refused map[slot]refusal
 	swept   time.Time
 }
 
+// slot is the place of a refused request: many callers may send the same request,
+// each with an expiry of its own.
+type slot struct {
+	id Identity
+	// span is the number of the time span of twice expirySlack in which the request
+	// expires.
+	span int64
+}
+
+func slotOf(id Identity, expiry time.Time) slot {
+	return slot{id: id, span: expiry.UnixNano() / int64(2*expirySlack)}
+}
+
 // refusal is what is known of a refused request.
 type refusal struct {
 	first  time.Time // its first attempt
@@ -41,16 +54,19 @@
 }
 
 // NewReturns returns an empty memory.
-func NewReturns() *Returns { return &Returns{refused: make(map[Identity]refusal)} }
+func NewReturns() *Returns { return &Returns{refused: make(map[slot]refusal)} }
 
 // First returns when the request first came: an earlier time if it is the
 // return of a refused one, otherwise now.
 func (r *Returns) First(now time.Time, id Identity, expiry time.Time) time.Time {
-	known, ok := r.refused[id]
-	if !ok || known.expiry.Sub(expiry).Abs() > expirySlack {
-		return now
+	first := now
+	for _, at := range [...]time.Time{expiry.Add(-expirySlack), expiry.Add(expirySlack)} {
+		known, ok := r.refused[slotOf(id, at)]
+		if ok && known.expiry.Sub(expiry).Abs() <= expirySlack && known.first.Before(first) {
+			first = known.first
+		}
 	}
-	return known.first
+	return first
 }
 
 // Refused remembers a request that its caller may send again.
@@ -61,7 +77,7 @@
 	if len(r.refused) >= maxReturns {
 		return
 	}
-	r.refused[id] = refusal{first: first, expiry: expiry}
+	r.refused[slotOf(id, expiry)] = refusal{first: first, expiry: expiry}
 }
 
 // sweepEvery is the time between two removals of expired requests.
@@ -69,9 +85,9 @@
 
 func (r *Returns) sweep(now time.Time) {
 	r.swept = now
-	for id, known := range r.refused {
+	for at, known := range r.refused {
 		if now.Sub(known.expiry) > expirySlack {
-			delete(r.refused, id)
+			delete(r.refused, at)
 		}
 	}
 }
