Refuse what waits for an upstream that leaves

Change: when the own upstream is published as leaving, or no more, its node refuses what waits and what comes (not run; the sender goes elsewhere) until it is published as ready again. Test: TestWaitingRequestLeavesALeavingUpstream, 'too-late' after the whole objective before, 'draining' at once now; TestDismissedGate.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -113,6 +113,18 @@
 	g.draining = on
 }
 
+// Dismiss refuses further requests and those that wait; those that run go on.
+// SetDraining takes requests again.
+func (g *Gate) Dismiss() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for t := range g.waiters {
+		g.queue.Remove(t)
+		g.settle(t, g.queue.Refusal(ReasonDraining))
+	}
+}
+
 // Draining reports whether further requests are refused.
 func (g *Gate) Draining() bool {
 	g.mu.Lock()
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -260,3 +260,26 @@
 	}
 	assert.Equal(t, concurrent, 7)
 }
+
+// Dismissed, a gate refuses what waits and what comes, ends nothing that runs, and
+// takes requests again later.
+func TestDismissedGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(Config{Slots: 1, QueueLimit: 10})
+		assert.Assert(t, g.Enter(t.Context(), &Ticket{Kind: "k"}).Started)
+		waiting := make(chan Verdict, 3)
+		for range 3 {
+			go func() { waiting <- g.Enter(t.Context(), &Ticket{Kind: "k"}) }()
+		}
+		synctest.Wait()
+		g.Dismiss()
+		for range 3 {
+			assert.Equal(t, (<-waiting).Reason, ReasonDraining)
+		}
+		assert.Equal(t, g.Enter(t.Context(), &Ticket{Kind: "k"}).Reason, ReasonDraining)
+		assert.Equal(t, g.Load().InUse, 1)
+		g.Leave(time.Millisecond)
+		g.SetDraining(false)
+		assert.Assert(t, g.Enter(t.Context(), &Ticket{Kind: "k"}).Started)
+	})
+}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -168,6 +168,11 @@
 // SetDraining refuses further work, or takes it again.
 func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
 
+// Dismiss refuses further work and what waits for a slot, as the upstream leaves:
+// a request that waits up to its objective would reach it after all others know
+// that it has left.
+func (b *Backend) Dismiss() { b.gate.Dismiss() }
+
 // SetLeaving tells callers' nodes with each answer that this node leaves soon,
 // while it still takes work.
 func (b *Backend) SetLeaving(on bool) { b.leaving.Store(on) }
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/proxy"
 	"github.com/walldrift/walldrift/internal/table"
@@ -354,3 +355,46 @@
 		f.send(f.request(0, "GET", "/read/x", ""))
 	}
 }
+
+// What waits for a slot of an upstream that leaves is refused at once and may go
+// elsewhere: it reached the upstream later than everybody knew that it had left.
+func TestWaitingRequestLeavesALeavingUpstream(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	f.store.change(func(u *discovery.Update) { // may wait longer than news take
+		u.Document = document(2)
+		for i := range u.Document.Table.Routes {
+			u.Document.Table.Routes[i].Objective = 2 * time.Second
+		}
+	})
+	for f.sidecars[0].holder.ID().Edition < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	release := make(chan struct{})
+	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "ok")
+	})
+	const n = 20
+	reasons := make(chan string, n)
+	for range n {
+		req := f.request(0, "GET", "/read/x", "")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				reasons <- err.Error()
+				return
+			}
+			_ = resp.Body.Close()
+			reasons <- resp.Header.Get(proxy.HeaderReason)
+		}()
+	}
+	backend := f.sidecars[0].backend
+	for backend.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.store.change(func(u *discovery.Update) {
+		u.Upstreams[0].Leaving, u.Upstreams[0].Revision = true, u.Revision
+	})
+	assert.Equal(t, <-reasons, string(admission.ReasonDraining))
+	close(release)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,6 +47,8 @@
 	servers  servers
 	service  atomic.Pointer[string]
 	leaving  atomic.Bool
+	// upstreamReady says that the own upstream is published as ready.
+	upstreamReady atomic.Bool
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -93,6 +95,21 @@
 	if ok && own.Slots > 0 {
 		s.backend.SetSlots(own.Slots + own.Slots/handOverShare)
 	}
+	s.followUpstream(ok && !own.Leaving)
+}
+
+// followUpstream takes work for the own upstream while that is published as
+// ready. One that was published and leaves, or is gone, gets nothing more.
+func (s *Sidecar) followUpstream(ready bool) {
+	if s.upstreamReady.Swap(ready) == ready {
+		return
+	}
+	if ready {
+		s.backend.SetDraining(s.leaving.Load())
+		return
+	}
+	s.log.Info("own upstream leaves", "upstream", s.cfg.Upstream)
+	s.backend.Dismiss()
 }
 
 // Ready reports whether callers may come.
