Requests that do not come back wait as long as they have; small send buffers between nodes

Change: the refused requests of a route that never come back, by what was seen of the route's refused ones, wait until their deadline less their run time. Connections to other nodes get send buffers of 32 KB, so that a long answer holds its turn until its bytes are nearly out.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -34,6 +34,10 @@
 	// one idle longest is closed for a further one. More spares callers new
 	// connections, fewer takes less memory and descriptors. 0 means no bound.
 	MaxIdle int
+	// WriteBuffer is the size of the send buffer of a connection, in bytes. A
+	// smaller one makes a write last until its bytes are nearly out, so that who
+	// writes knows how full the link is. 0 leaves the system's own.
+	WriteBuffer int
 }
 
 // DefaultLimits returns limits for connections between nodes.
@@ -83,6 +87,7 @@
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
+			s.limitWrites(nc)
 			c := newConn(s, nc)
 			if s.add(c) {
 				go c.serve()
@@ -95,6 +100,14 @@
 	}
 }
 
+// limitWrites sets the send buffer of a connection. Without the limit the
+// connection works as well, so a failure changes nothing for its requests.
+func (s *Server) limitWrites(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok && s.cfg.WriteBuffer > 0 {
+		_ = tcp.SetWriteBuffer(s.cfg.WriteBuffer)
+	}
+}
+
 func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -46,7 +46,7 @@
 				if near(k.id, k.expiry, 4*expirySlack) {
 					t.Skip("not told from another one")
 				}
-				r.Refused(at, k.id, k.first, k.expiry)
+				r.Refused(at, "r", k.id, k.first, k.expiry)
 				refused = append(refused, k)
 			},
 			"new": func(t *rapid.T) {
@@ -76,7 +76,7 @@
 	r := NewReturns()
 	at := time.Unix(1000, 0)
 	id := Identity{Host: "h", Method: "GET", Target: "/probe"}
-	r.Refused(at, id, at.Add(-100*time.Millisecond), at.Add(1200*time.Millisecond))
+	r.Refused(at, "r", id, at.Add(-100*time.Millisecond), at.Add(1200*time.Millisecond))
 	assert.Equal(t, r.First(at, id, at.Add(200*time.Millisecond)), at)
 }
 
@@ -85,11 +85,11 @@
 	r := NewReturns()
 	at := time.Unix(1000, 0)
 	for i := range 2 * maxReturns {
-		r.Refused(at, Identity{Target: string(rune(i))}, at, at.Add(time.Second))
+		r.Refused(at, "r", Identity{Target: string(rune(i))}, at, at.Add(time.Second))
 	}
 	assert.Equal(t, len(r.refused), maxReturns)
 	later := at.Add(2 * time.Second)
-	r.Refused(later, Identity{Target: "later"}, later, later.Add(time.Second))
+	r.Refused(later, "r", Identity{Target: "later"}, later, later.Add(time.Second))
 	assert.Equal(t, len(r.refused), 1)
 }
 
@@ -145,3 +145,30 @@
 		assert.Equal(t, Patience(c.left, c.safe, c.slotEvery, c.late), c.want, c.name)
 	}
 }
+
+// Requests whose callers do not come back are known by that, and others are not
+// taken for them however many of theirs are on their last attempt.
+func TestOneShot(t *testing.T) {
+	r := NewReturns()
+	at := time.Unix(1000, 0)
+	for i := range 40 {
+		call, own := Identity{Target: "call" + string(rune(i))}, Identity{Target: "own" + string(rune(i))}
+		expiry := at.Add(200 * time.Millisecond)
+		assert.Assert(t, i > habitMin/2 || !r.OneShot("call"), "known after %d", i)
+		r.Refused(at, "call", call, at, expiry)
+		first := at
+		for range 2 {
+			r.Refused(at, "own", own, first, expiry)
+			at = at.Add(10 * time.Millisecond)
+			assert.Equal(t, r.First(at, own, expiry), first)
+		}
+		r.Refused(at, "own", own, first, expiry) // the last attempt
+		if i%4 == 0 {
+			r.Refused(at, "own", Identity{Target: "left" + string(rune(i))}, at, expiry) // its caller has left
+		}
+		at = at.Add(time.Second)
+	}
+	assert.Assert(t, r.OneShot("call"))
+	assert.Assert(t, !r.OneShot("own"))
+	assert.Assert(t, !r.OneShot("never refused"))
+}
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -161,7 +161,7 @@
 func (r *replay) refuse(t *admission.Ticket, v admission.Verdict) {
 	c := r.waiting[t]
 	delete(r.waiting, t)
-	r.returns.Refused(r.now, c.id, c.first, c.expiry)
+	r.returns.Refused(r.now, "r", c.id, c.first, c.expiry)
 	left := c.expiry.Sub(r.now)
 	if c.retries == 0 || left <= 0 {
 		r.refused++
--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -31,6 +31,7 @@
 // that made it.
 type Returns struct {
 	refused map[slot]refusal
+	habits  map[string]*habit // by route
 	swept   time.Time
 }
 
@@ -49,35 +50,56 @@
 
 // refusal is what is known of a refused request.
 type refusal struct {
+	route  string
 	first  time.Time // its first attempt
 	expiry time.Time // when its caller gives up
+	back   bool      // it came back
 }
 
 // NewReturns returns an empty memory.
-func NewReturns() *Returns { return &Returns{refused: make(map[slot]refusal)} }
+func NewReturns() *Returns {
+	return &Returns{refused: make(map[slot]refusal), habits: make(map[string]*habit)}
+}
 
 // First returns when the request first came: an earlier time if it is the
 // return of a refused one, otherwise now.
 func (r *Returns) First(now time.Time, id Identity, expiry time.Time) time.Time {
 	first := now
 	for _, at := range [...]time.Time{expiry.Add(-expirySlack), expiry.Add(expirySlack)} {
-		known, ok := r.refused[slotOf(id, at)]
-		if ok && known.expiry.Sub(expiry).Abs() <= expirySlack && known.first.Before(first) {
+		place := slotOf(id, at)
+		known, ok := r.refused[place]
+		if !ok || known.expiry.Sub(expiry).Abs() > expirySlack {
+			continue
+		}
+		r.cameBack(place, known)
+		if known.first.Before(first) {
 			first = known.first
 		}
 	}
 	return first
 }
 
-// Refused remembers a request that its caller may send again.
-func (r *Returns) Refused(now time.Time, id Identity, first, expiry time.Time) {
+// cameBack notes the first return of a refused request.
+func (r *Returns) cameBack(at slot, known refusal) {
+	if known.back {
+		return
+	}
+	known.back = true
+	r.refused[at] = known
+	r.habit(known.route).note(true)
+}
+
+// Refused remembers a request of a route that its caller may send again.
+func (r *Returns) Refused(now time.Time, route string, id Identity, first, expiry time.Time) {
 	if now.Sub(r.swept) > sweepEvery {
 		r.sweep(now)
 	}
 	if len(r.refused) >= maxReturns {
 		return
 	}
-	r.refused[slotOf(id, expiry)] = refusal{first: first, expiry: expiry}
+	// A return that is refused again has told already that its caller comes back.
+	back := first.Before(now) && r.refused[slotOf(id, expiry)].back
+	r.refused[slotOf(id, expiry)] = refusal{route: route, first: first, expiry: expiry, back: back}
 }
 
 // sweepEvery is the time between two removals of expired requests.
@@ -87,6 +109,9 @@
 	r.swept = now
 	for at, known := range r.refused {
 		if now.Sub(known.expiry) > expirySlack {
+			if !known.back {
+				r.habit(known.route).note(false)
+			}
 			delete(r.refused, at)
 		}
 	}
--- a/internal/proxy/aim.go
+++ b/internal/proxy/aim.go
@@ -19,8 +19,12 @@
 		return
 	}
 	x.expiry = x.start.Add(wait)
-	x.first = x.f.firstAttempt(x.start, x.identity(), x.expiry)
+	var oneShot bool
+	x.first, oneShot = x.f.firstAttempt(x.start, x.route.Name, x.identity(), x.expiry)
 	x.aim = x.first.Add(x.route.Objective)
+	if oneShot && x.deadline.After(x.aim) {
+		x.aim = x.deadline
+	}
 }
 
 func (x *exchange) identity() overload.Identity {
@@ -33,7 +37,7 @@
 		return
 	}
 	if status >= http.StatusInternalServerError || impliesNotRun(status) {
-		x.f.refused(x.identity(), x.first, x.expiry)
+		x.f.refused(x.route.Name, x.identity(), x.first, x.expiry)
 	}
 }
 
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -103,17 +103,17 @@
 }
 
 // firstAttempt returns when the caller of a request first sent it.
-func (f *Frontend) firstAttempt(now time.Time, id overload.Identity, expiry time.Time) time.Time {
+func (f *Frontend) firstAttempt(now time.Time, route string, id overload.Identity, expiry time.Time) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.returns.First(now, id, expiry)
+	return f.returns.First(now, id, expiry), f.returns.OneShot(route)
 }
 
 // refused remembers a request that its caller may send again.
-func (f *Frontend) refused(id overload.Identity, first, expiry time.Time) {
+func (f *Frontend) refused(route string, id overload.Identity, first, expiry time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.returns.Refused(time.Now(), id, first, expiry)
+	f.returns.Refused(time.Now(), route, id, first, expiry)
 }
 
 func (f *Frontend) again(service string, t retry.Try) retry.Reason {
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -53,6 +53,9 @@
 	// others cover the round trips in which one waits for its sender. Each queues
 	// up to a window of 64 KB, 50 ms on a link of 10 Mbit/s.
 	receivers = 4
+	// peerWriteBuffer is http1.Config.WriteBuffer towards other nodes, in bytes:
+	// with three long answers at once 51 ms of a link of 15 Mbit/s.
+	peerWriteBuffer = 32 << 10
 	// senders is proxy.BackendConfig.Senders, as receivers for what is sent.
 	senders = 3
 	// answerLimit is the longest answer kept for its turn on the link, in bytes.
@@ -139,7 +142,7 @@
 // bind opens the sockets.
 func (s *Sidecar) bind() error {
 	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
-	s.servers.peers = http1.NewServer(http1.Config{Handler: s.peerHandler()})
+	s.servers.peers = http1.NewServer(http1.Config{Handler: s.peerHandler(), WriteBuffer: peerWriteBuffer})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
 	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.adminHandler()})
 	addresses := []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready}
