--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -30,22 +30,22 @@
 // are refused in their place and come back too, and the crowd outlives the burst
 // that made it.
 type Returns struct {
-	refused map[slot]refusal
+	refused map[refusalKey]refusal
 	habits  map[string]*habit // by route
 	swept   time.Time
 }
 
-// slot is the place of a refused request: many callers may send the same request,
+// refusalKey finds a refused request: many callers may send the same request,
 // each with an expiry of its own.
-type slot struct {
+type refusalKey struct {
 	id Identity
 	// span is the number of the time span of twice expirySlack in which the request
 	// expires.
 	span int64
 }
 
-func slotOf(id Identity, expiry time.Time) slot {
-	return slot{id: id, span: expiry.UnixNano() / int64(2*expirySlack)}
+func keyOf(id Identity, expiry time.Time) refusalKey {
+	return refusalKey{id: id, span: expiry.UnixNano() / int64(2*expirySlack)}
 }
 
 // refusal is what is known of a refused request.
@@ -58,7 +58,7 @@
 
 // NewReturns returns an empty memory.
 func NewReturns() *Returns {
-	return &Returns{refused: make(map[slot]refusal), habits: make(map[string]*habit)}
+	return &Returns{refused: make(map[refusalKey]refusal), habits: make(map[string]*habit)}
 }
 
 // First returns when the request first came: an earlier time if it is the
@@ -66,12 +66,12 @@
 func (r *Returns) First(now time.Time, id Identity, expiry time.Time) time.Time {
 	first := now
 	for _, at := range [...]time.Time{expiry.Add(-expirySlack), expiry.Add(expirySlack)} {
-		place := slotOf(id, at)
-		known, ok := r.refused[place]
+		key := keyOf(id, at)
+		known, ok := r.refused[key]
 		if !ok || known.expiry.Sub(expiry).Abs() > expirySlack {
 			continue
 		}
-		r.cameBack(place, known)
+		r.cameBack(key, known)
 		if known.first.Before(first) {
 			first = known.first
 		}
@@ -80,12 +80,12 @@
 }
 
 // cameBack notes the first return of a refused request.
-func (r *Returns) cameBack(at slot, known refusal) {
+func (r *Returns) cameBack(key refusalKey, known refusal) {
 	if known.back {
 		return
 	}
 	known.back = true
-	r.refused[at] = known
+	r.refused[key] = known
 	r.habit(known.route).note(true)
 }
 
@@ -98,8 +98,8 @@
 		return
 	}
 	// A return that is refused again has told already that its caller comes back.
-	back := first.Before(now) && r.refused[slotOf(id, expiry)].back
-	r.refused[slotOf(id, expiry)] = refusal{route: route, first: first, expiry: expiry, back: back}
+	back := first.Before(now) && r.refused[keyOf(id, expiry)].back
+	r.refused[keyOf(id, expiry)] = refusal{route: route, first: first, expiry: expiry, back: back}
 }
 
 // sweepEvery is the time between two removals of expired requests.
--- a/internal/proxy/aim.go
+++ b/internal/proxy/aim.go
@@ -23,6 +23,7 @@
 	x.first, oneShot = x.f.firstAttempt(x.start, x.route.Name, x.identity(), x.expiry)
 	x.aim = x.first.Add(x.route.Objective)
 	if oneShot && x.deadline.After(x.aim) {
+		// Late is better than refused for good.
 		x.aim = x.deadline
 	}
 }
