Say once whether a request is late, and look run times up only where they are used

Found by reading the whole change again; behaviour is the same. - exchange.late repeated the envelope's Aim.Late; both now ask Envelope.late. - ran and leave guarded the same end of a slot twice; leave takes whether the request ran to its end. - Each admission looked up two quantiles of the run times where one or, with a free link, none is needed; the sizes of answers were learnt under the lock on nodes that send none in turn. - One bound for the kinds that are remembered in place of two.

--- a/internal/overload/returns.go
+++ b/internal/overload/returns.go
@@ -98,8 +98,9 @@
 		return
 	}
 	// A return that is refused again has told already that its caller comes back.
-	back := first.Before(now) && r.refused[keyOf(id, expiry)].back
-	r.refused[keyOf(id, expiry)] = refusal{route: route, first: first, expiry: expiry, back: back}
+	key := keyOf(id, expiry)
+	back := first.Before(now) && r.refused[key].back
+	r.refused[key] = refusal{route: route, first: first, expiry: expiry, back: back}
 }
 
 // sweepEvery is the time between two removals of expired requests.
--- a/internal/overload/runtimes.go
+++ b/internal/overload/runtimes.go
@@ -22,8 +22,8 @@
 	// leastRuns is the number of requests, by weight, from which on quantiles are
 	// told.
 	leastRuns = 8
-	// maxRunKinds bounds the kinds remembered.
-	maxRunKinds = 64
+	// maxKinds bounds the kinds whose run times or sizes are remembered.
+	maxKinds = 64
 )
 
 // RunTimes remembers how long requests of each kind held a slot lately. It is
@@ -47,7 +47,7 @@
 func (r *RunTimes) Observe(kind string, took time.Duration) {
 	k, ok := r.kinds[kind]
 	if !ok {
-		if len(r.kinds) >= maxRunKinds {
+		if len(r.kinds) >= maxKinds {
 			return
 		}
 		k = &runTimes{weight: 1}
--- a/internal/overload/sizes.go
+++ b/internal/overload/sizes.go
@@ -4,12 +4,8 @@
 // for concurrent use.
 type Sizes struct{ means map[string]float64 }
 
-const (
-	// sizeSmoothing is the weight of the newest length.
-	sizeSmoothing = 0.1
-	// maxSizeKinds bounds the kinds remembered.
-	maxSizeKinds = 64
-)
+// sizeSmoothing is the weight of the newest length.
+const sizeSmoothing = 0.1
 
 // NewSizes returns an empty memory.
 func NewSizes() *Sizes { return &Sizes{means: make(map[string]float64)} }
@@ -20,7 +16,7 @@
 	switch {
 	case ok:
 		s.means[kind] = mean + sizeSmoothing*(float64(length)-mean)
-	case len(s.means) < maxSizeKinds:
+	case len(s.means) < maxKinds:
 		s.means[kind] = float64(length)
 	}
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -239,16 +239,17 @@
 		text = append(text, "/draining"...)
 	}
 	h.Set(headerLoad, string(text))
-	typical, safe := b.runTimes(env.Kind)
+	typical, safe := b.runTime(env.Kind, overload.TypicalRun), b.runTime(env.Kind, overload.SafeRun)
 	h.Set(headerRuns, strconv.FormatInt(typical.Microseconds(), 10)+"/"+strconv.FormatInt(safe.Microseconds(), 10))
 	setIf(h, HeaderServedBy, b.cfg.Name)
 }
 
-// runTimes returns how long requests of the kind run; 0 if that is not known.
-func (b *Backend) runTimes(kind string) (typical, safe time.Duration) {
+// runTime returns the time within which the share of the requests of the kind
+// run; 0 if that is not known.
+func (b *Backend) runTime(kind string, share float64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.runs.Quantile(kind, overload.TypicalRun), b.runs.Quantile(kind, overload.SafeRun)
+	return b.runs.Quantile(kind, share)
 }
 
 // patience is how long a request may wait for a slot; false if any time.
@@ -256,6 +257,6 @@
 	if env.Aim == nil {
 		return 0, false
 	}
-	_, safe := b.runTimes(env.Kind)
+	safe := b.runTime(env.Kind, overload.SafeRun)
 	return overload.Patience(env.Aim.Left, safe, b.gate.SlotEvery(), env.Aim.Late), true
 }
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -56,7 +56,7 @@
 	c.announce()
 	resp, problem := c.dispatch(ctx, cancel)
 	if problem != nil {
-		c.leave()
+		c.leave(false)
 		outcome := ledger.Lost
 		if problem.class.NotRun() {
 			outcome = ledger.NotRun
@@ -99,7 +99,7 @@
 	c.started = time.Now()
 	// The process may have been paused between the grant and now.
 	if !c.started.Before(c.start.Add(c.env.Timeout)) || ctx.Err() != nil {
-		c.leave()
+		c.leave(false)
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
 	}
 	return nil
@@ -119,24 +119,21 @@
 	b.mu.Unlock()
 }
 
-// leave gives the slot back, once.
-func (c *backendCall) leave() {
+// leave gives the slot back, once. whole says that the request ran to its end, so
+// that its time counts among those of its kind.
+func (c *backendCall) leave(whole bool) {
 	if c.left {
 		return
 	}
 	c.left = true
-	c.b.limitDone()
-	c.b.gate.Leave(time.Since(c.started))
-}
-
-// ran takes the time of a request that ran to its end into those of its kind.
-func (c *backendCall) ran() {
-	if c.left {
-		return
-	}
+	held := time.Since(c.started)
 	c.b.mu.Lock()
-	defer c.b.mu.Unlock()
-	c.b.runs.Observe(c.env.Kind, time.Since(c.started))
+	c.b.limits.Done()
+	if whole {
+		c.b.runs.Observe(c.env.Kind, held)
+	}
+	c.b.mu.Unlock()
+	c.b.gate.Leave(held)
 }
 
 // announce tells a sender that holds back its body to send it.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -55,8 +55,7 @@
 	}
 	if complete {
 		// The upstream is done: its slot need not wait for the caller's link.
-		c.ran()
-		c.leave()
+		c.leave(true)
 	}
 	c.b.stamp(resp.Header, c.env, c.req.ContentLength > receiveFrom)
 	resp.Body = c.inTurn(resp)
@@ -107,10 +106,7 @@
 
 // ended is called once when the answer's body ends.
 func (c *backendCall) ended(resp *http.Response, body *endingBody, whole bool, cancel context.CancelFunc) {
-	if whole {
-		c.ran()
-	}
-	c.leave()
+	c.leave(whole)
 	cancel()
 	if !whole {
 		c.finishKey(ledger.Lost, nil)
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -88,8 +88,12 @@
 	Late bool
 }
 
+// late reports whether the request waits among those that are more likely late
+// than not.
+func (e Envelope) late() bool { return e.Aim != nil && e.Aim.Late }
+
 // queueKind is the kind under which the request waits for a slot.
-func (e Envelope) queueKind() string { return overload.QueueKind(e.Kind, e.Aim != nil && e.Aim.Late) }
+func (e Envelope) queueKind() string { return overload.QueueKind(e.Kind, e.late()) }
 
 // write replaces the headers of the project in h by those of the envelope.
 func (e Envelope) write(h http.Header) {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -28,9 +28,7 @@
 	first, expiry time.Time
 	// aim is when the request should be answered; zero if its route has no
 	// objective.
-	aim time.Time
-	// late says that it waits among those which are more likely late than not.
-	late    bool
+	aim     time.Time
 	tried   []string
 	tries   int
 	arrived int // tries that reached an upstream
@@ -123,7 +121,7 @@
 // remaining is the time left for another try: until its objective while that can
 // be met and no upstream has seen the request, otherwise until the deadline.
 func (x *exchange) remaining(class retry.Class) time.Duration {
-	if x.arrived == 0 && class.NotRun() && !x.aim.IsZero() && !x.late {
+	if x.arrived == 0 && class.NotRun() && !x.aim.IsZero() && !x.env.late() {
 		return time.Until(x.aim)
 	}
 	return time.Until(x.deadline)
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -86,7 +86,7 @@
 		Took:     took,
 		Deadline: x.deadline.Sub(x.start),
 		Age:      x.start.Sub(x.first),
-		Late:     x.late,
+		Late:     x.env.late(),
 		Tries:    x.trail,
 	})
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/overload"
 )
 
 // sendFrom is the length of an answer from which it waits for its turn on the
@@ -24,9 +25,12 @@
 // inTurn returns the answer's body such that a long one to another node waits for
 // its turn on the link.
 func (c *backendCall) inTurn(resp *http.Response) io.ReadCloser {
+	if c.b.sender == nil {
+		return resp.Body
+	}
 	length := resp.ContentLength
 	c.b.learnSize(c.env.Kind, length)
-	if c.b.sender == nil || !c.remote || length < sendFrom {
+	if !c.remote || length < sendFrom {
 		return resp.Body
 	}
 	c.b.kept.Add(length)
@@ -107,9 +111,8 @@
 	if !c.remote || c.env.Aim == nil {
 		return nil
 	}
-	_, safe := c.b.runTimes(c.env.Kind)
 	wait := c.b.sendWait(c.env.Kind)
-	if wait == 0 || wait+safe <= c.env.Aim.Left {
+	if wait == 0 || wait+c.b.runTime(c.env.Kind, overload.SafeRun) <= c.env.Aim.Left {
 		return nil
 	}
 	return refusedBy(admission.Verdict{Reason: admission.ReasonLink, RetryAfter: wait})
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -35,7 +35,7 @@
 	way := readWay(resp.Header, time.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.late, Way: way})
+		x.f.ended(target.Name, routing.Outcome{Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
 		return resp, class
 	}
 	if resp.Body, _ = whole(resp, x.f.cfg.WholeAnswers); resp.Body == nil {
@@ -47,7 +47,7 @@
 	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
-		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.late, Way: way})
+		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.env.late(), Way: way})
 	}}
 	if x.req.Method == http.MethodHead {
 		resp.Body.(*endingBody).want = -1
