Sight: lines tell how old the news were that requests were decided by

Cause looked for: late news of a leaving upstream; the lines could not tell a node that did not know from one that knew and let the request pass, nor what one lost call of the store cost, nor from whom a change was heard. Change: changes of belief and tables carry from and news_age (of what was believed until then); a line for each slow or failed call of the store, for lost news how long the question took; one line when all that a node knows is older than a change may take, one when it no longer is; news_age_ms with each recorded request, read without the follower's lock. A node that never knew anything says none in place of 292 years. No decision is changed.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -51,6 +51,10 @@
 	// Default 250 ms.
 	TableGrace time.Duration
 
+	// ChangeBound is the time in which the platform wants a change in force at
+	// every node that can reach the store. Default 2 s.
+	ChangeBound time.Duration
+
 	// Self is the address of the upstream beside this node, by which it finds its
 	// own entry, and DataCentre its data centre.
 	Self       netip.AddrPort
@@ -74,5 +78,6 @@
 		NewsTimeout:        1800 * time.Millisecond,
 		NewsRetry:          200 * time.Millisecond,
 		TableGrace:         250 * time.Millisecond,
+		ChangeBound:        2 * time.Second,
 	}
 }
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/snapshot"
@@ -22,15 +23,16 @@
 	return k, ok
 }
 
-// changed puts a changed belief in force. The lock is held.
-func (f *Follower) changed() {
+// changed puts a changed belief in force. from is SourceStore or the node that
+// told of the change, empty if only time has passed. The lock is held.
+func (f *Follower) changed(from string) {
 	known := f.registry.Upstreams()
 	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
 	for _, k := range known {
 		dir.members[k.ID] = f.member(k)
 		dir.byAddress[k.Address] = k
 	}
-	f.logChanges(f.dir.Load(), dir)
+	f.logChanges(f.dir.Load(), dir, from)
 	f.dir.Store(dir)
 	f.chooseRole(dir)
 	f.onChange(dir)
@@ -79,20 +81,21 @@
 }
 
 // logChanges writes a line for each upstream that is believed otherwise than
-// before.
-func (f *Follower) logChanges(before, after *Directory) {
+// before, with the age of the news that requests were decided by until then.
+func (f *Follower) logChanges(before, after *Directory, from string) {
+	heard := f.log.With("from", from, "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
 	for id, m := range after.members {
 		old, ok := before.members[id]
 		switch {
 		case !ok:
-			f.log.Info("upstream joined", "upstream", id, "service", m.Service, "status", m.Status, "peer", m.Peer, "revision", f.registry.Revision())
+			heard.Info("upstream joined", "upstream", id, "service", m.Service, "status", m.Status, "peer", m.Peer)
 		case old.Status != m.Status:
-			f.log.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status, "revision", f.registry.Revision())
+			heard.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status)
 		}
 	}
 	for id, m := range before.members {
 		if _, ok := after.members[id]; !ok {
-			f.log.Info("upstream gone", "upstream", id, "service", m.Service, "revision", f.registry.Revision())
+			heard.Info("upstream gone", "upstream", id, "service", m.Service)
 		}
 	}
 }
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -32,9 +32,10 @@
 		if source.Peer != link.source.Peer {
 			link = peerLink{source: source}
 		}
+		asked := time.Now()
 		announced, err := f.askOnce(ctx, slot, &link)
 		if err != nil {
-			f.peerFailed(ctx, &link, err)
+			f.peerFailed(ctx, &link, time.Since(asked), err)
 			wait(ctx, f.cfg.NewsRetry+rand.N(f.cfg.NewsRetry+1))
 			continue
 		}
@@ -79,12 +80,12 @@
 	return n.Table, nil
 }
 
-func (f *Follower) peerFailed(ctx context.Context, link *peerLink, err error) {
+func (f *Follower) peerFailed(ctx context.Context, link *peerLink, took time.Duration, err error) {
 	if link.failing || ctx.Err() != nil {
 		return
 	}
 	link.failing = true
-	f.log.Warn("news lost", "source", link.source.Name, "err", err)
+	f.log.Warn("news lost", "source", link.source.Name, "took", took, "err", err)
 }
 
 // holds returns the version of the table in force.
@@ -118,10 +119,10 @@
 	changed = f.registry.Merge(now, u, n.Whole, !behind) || changed
 	changed = f.registry.Expire(now) || changed
 	if changed {
-		f.changed()
+		f.changed(from)
 	}
-	if !behind && at.After(f.current) {
-		f.current = at
+	if !behind {
+		f.know(at)
 	}
 	f.announce()
 	return nil
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -45,7 +45,7 @@
 		return 0
 	}
 	if f.registry.Expire(now) {
-		f.changed()
+		f.changed("")
 	}
 	if at, ok := f.registry.NextExpiry(); ok {
 		fresh = min(fresh, at.Sub(now))
@@ -66,7 +66,7 @@
 		return
 	}
 	f.reading = reading
-	f.log.Info("store reading", "reading", reading, "reader", f.reader, "news_age", now.Sub(f.current), "revision", f.registry.Revision())
+	f.log.Info("store reading", "reading", reading, "reader", f.reader, "news_age", f.newsAge(now), "revision", f.registry.Revision())
 }
 
 // backoffMax is short only for a reader that has no fresh news either: the
@@ -85,7 +85,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed = false
-	f.log.Info("store dropped its history, listing anew", "revision", f.registry.Revision())
+	f.log.Info("store dropped its history, listing anew", "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
 }
 
 // call makes one call of the store: one that only shows that it answers, where
@@ -100,7 +100,10 @@
 	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout)
 	defer cancel()
 	f.calls.Add(1)
-	if err := f.source.Check(call); err != nil {
+	began := time.Now()
+	err := f.source.Check(call)
+	f.noteCall("check", began, 0, err)
+	if err != nil {
 		return err
 	}
 	now := time.Now()
@@ -108,7 +111,7 @@
 	defer f.mu.Unlock()
 	f.regained(now, Update{Revision: f.registry.Revision()})
 	if f.registry.Confirm(now) {
-		f.changed()
+		f.changed(SourceStore)
 	}
 	return nil
 }
@@ -121,10 +124,13 @@
 	var u Update
 	var err error
 	f.calls.Add(1)
+	began := time.Now()
 	if whole {
 		u, err = f.source.List(call)
+		f.noteCall("list", began, 0, err)
 	} else {
 		u, err = f.source.Watch(call, after, longest)
+		f.noteCall("watch", began, longest, err)
 	}
 	if err != nil {
 		return err
@@ -163,10 +169,10 @@
 	changed = f.registry.Confirm(now) || changed
 	changed = f.registry.Expire(now) || changed
 	changed = f.takeDocument(u.Document, SourceStore) || changed
-	f.current = now
 	if changed {
-		f.changed()
+		f.changed(SourceStore)
 	}
+	f.know(now)
 	f.announce()
 }
 
@@ -178,7 +184,7 @@
 	f.document, f.deflated = d, nil
 	f.since, f.from = time.Now(), from
 	f.limits.Store(&d.Limits)
-	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "revision", f.registry.Revision())
+	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
 	return true
 }
 
@@ -205,7 +211,7 @@
 	if f.awaySince.IsZero() && ctx.Err() == nil {
 		f.awaySince = time.Now()
 		f.away.Store(f.awaySince.UnixMilli())
-		f.log.Warn("store lost", "err", err, "revision", f.registry.Revision())
+		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(f.awaySince), "revision", f.registry.Revision())
 	}
 }
 
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/periodic"
 	"github.com/walldrift/walldrift/internal/snapshot"
 )
 
@@ -30,6 +31,8 @@
 	limits atomic.Pointer[CallerLimits]
 	calls  atomic.Int64 // of the store
 	away   atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
+	// currentAt is current, for those who do not take the lock; nil for none.
+	currentAt atomic.Pointer[time.Time]
 
 	mu        sync.Mutex // guards what follows
 	registry  *Registry
@@ -45,6 +48,7 @@
 	reader  bool          // this node reads the store for others
 	sources []membership.Instance
 	reading bool // the store is read now, for whatever reason
+	stale   bool // news older than the bound were reported
 	builds  uint64
 }
 
@@ -107,6 +111,32 @@
 	TableFrom string
 }
 
+// newsAge is Age for lines, "none" before anything is known. The lock is held.
+func (f *Follower) newsAge(now time.Time) string {
+	if f.current.IsZero() {
+		return "none"
+	}
+	return now.Sub(f.current).String()
+}
+
+// Age returns the time since this node last knew all that was published; 0 if it
+// never did. It never waits for the lock, as requests ask.
+func (f *Follower) Age(now time.Time) time.Duration {
+	at := f.currentAt.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
+// know notes that all that the store held at a time is known. The lock is held.
+func (f *Follower) know(at time.Time) {
+	if at.After(f.current) {
+		f.current = at
+		f.currentAt.Store(&at)
+	}
+}
+
 // SourceStore is the Status.TableFrom of a table read from the store.
 const SourceStore = "store"
 
@@ -124,6 +154,9 @@
 	return s
 }
 
+// staleCheck is how often the age of the news is looked at, for lines alone.
+const staleCheck = 500 * time.Millisecond
+
 // Run follows the source and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -132,6 +165,7 @@
 			group.Go(func() { f.followPeers(ctx, slot) })
 		}
 	}
+	group.Go(func() { periodic.Run(ctx, staleCheck, f.noteAge) })
 	f.followStore(ctx)
 	group.Wait()
 }
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -101,11 +101,16 @@
 func follow(t *testing.T, source Source) (*Follower, *snapshot.Holder) {
 	holder := &snapshot.Holder{}
 	f := NewFollower(DefaultConfig(), source, nil, holder, log.New(io.Discard), func(*Directory) {})
+	f.follow(t)
+	return f, holder
+}
+
+// follow runs the follower until the test ends.
+func (f *Follower) follow(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
 	t.Cleanup(func() { stop(); <-done })
-	return f, holder
 }
 
 func TestSnapshotFollowsTheStore(t *testing.T) {
--- /dev/null
+++ b/internal/discovery/report.go
@@ -0,0 +1,34 @@
+package discovery
+
+import "time"
+
+// slowCall is the time beyond its wait from which a call of the store is worth a
+// line: many times what a healthy store takes.
+const slowCall = 300 * time.Millisecond
+
+// noteCall writes a line for a call of the store that failed or was slow, so that
+// what a lost call cost can be told from what the way to the store costs.
+func (f *Follower) noteCall(call string, began time.Time, wait time.Duration, err error) {
+	took := time.Since(began)
+	if err == nil && took < wait+slowCall {
+		return
+	}
+	f.log.Info("store call slow", "call", call, "took", took, "wait", wait, "err", err)
+}
+
+// noteAge writes a line when the news become older than Config.ChangeBound, in
+// which a change must be in force, and when they no longer are.
+func (f *Follower) noteAge(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stale := f.listed && now.Sub(f.current) > f.cfg.ChangeBound
+	if stale == f.stale {
+		return
+	}
+	f.stale = stale
+	if stale {
+		f.log.Warn("news older than the bound", "news_age", f.newsAge(now), "reader", f.reader, "sources", names(f.sources), "away", !f.awaySince.IsZero(), "revision", f.registry.Revision())
+		return
+	}
+	f.log.Info("news within the bound again", "news_age", f.newsAge(now))
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -75,6 +75,9 @@
 	// CallerService returns the service beside this node, for
 	// Dialect.CallerService.
 	CallerService func() string
+	// NewsAge returns how old the news of the upstreams are, for records. Default:
+	// not known, 0.
+	NewsAge func(now time.Time) time.Duration
 	// BodyLimit returns the longest request body allowed, in bytes; 0 for any.
 	BodyLimit func() int64
 }
@@ -93,6 +96,9 @@
 		service := cfg.Self.Service
 		cfg.CallerService = func() string { return service }
 	}
+	if cfg.NewsAge == nil {
+		cfg.NewsAge = func(time.Time) time.Duration { return 0 }
+	}
 	if cfg.BodyLimit == nil {
 		cfg.BodyLimit = func() int64 { return 0 }
 	}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -24,8 +24,10 @@
 	// Age is the time since the caller's first attempt came, when this one did.
 	Age time.Duration
 	// Late says that it was taken for more likely late than not.
-	Late  bool
-	Tries []TryRecord
+	Late bool
+	// NewsAge is how old the news of the upstreams were when it ended.
+	NewsAge time.Duration
+	Tries   []TryRecord
 }
 
 // TryRecord is one try of a request.
@@ -87,6 +89,7 @@
 		Deadline: x.deadline.Sub(x.start),
 		Age:      x.start.Sub(x.first),
 		Late:     x.env.late(),
+		NewsAge:  x.f.cfg.NewsAge(time.Now()),
 		Tries:    x.trail,
 	})
 }
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -113,6 +113,7 @@
 		IgnoreKeys:    true,
 		Record:        newRecorder(s.log).record,
 		CallerService: func() string { return *s.service.Load() },
+		NewsAge:       s.follower.Age,
 		BodyLimit:     func() int64 { return s.follower.Limits().BodyBytes },
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
 }
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -50,6 +50,7 @@
 		"allowed_ms", millis(rec.Deadline),
 		"age_ms", millis(rec.Age),
 		"late", rec.Late,
+		"news_age_ms", millis(rec.NewsAge),
 		"tries", formatTries(rec.Tries),
 		"left_out", r.missed.Swap(0),
 	)
