Reproduce late news of a leaving: three tests that fail on the code as it is

A node in touch with the store exceeds the bound of 2 s after one failure: a call without an answer while its readers are silent, or at the only reader left while changes come in series; and it has no news at all while it lists anew behind a full link. Its age of news is told as too little: a node that lacks what was published 140 ms ago claims 88 us. What passes as it is: the only reader behind a full link, a check without an answer.

--- /dev/null
+++ b/internal/discovery/bound_test.go
@@ -0,0 +1,162 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/membership"
+)
+
+// A request reached an upstream 2,537 ms after its leaving had been published,
+// over two nodes that both went by older news. Nothing bounded the age of their
+// news: a node whose sources fell silent noticed it after 1.3 s, and one call of
+// the store that got no answer cost it 1.5 s more before it made the next. Behind
+// a full link it was worse. A node whose store had dropped its history asked
+// nobody for news until it had listed all anew, each listing had 0.8 s, and each
+// that was too slow was thrown away and begun again:
+//
+//	 8.286 store lost err="context deadline exceeded"
+//	 9.136 store dropped its history, listing anew
+//	32.188 store reached again away=23.9s
+//
+// What the reader of the store knew was told as younger than it was, besides: an
+// answer counted from when it was read, not from when the store had given it.
+//
+// One failure of any kind on the way of a change, at any moment, must leave it
+// within the bound at every node that can reach the store.
+func TestOneFailureKeepsChangesWithinTheBound(t *testing.T) {
+	unanswered := func(n *testNode) { n.unanswered = 1 }
+	gone := func(n *testNode) { n.cut, n.silent = true, true }
+	for name, c := range map[string]struct {
+		readers, reader, node func(*testNode) // what befalls all but one reader, that one, and one other node
+		onlyNode, readerToo   bool            // which are looked at; otherwise all that do not read
+	}{
+		"a call unanswered, all readers silent": {readers: gone, reader: gone, node: unanswered, onlyNode: true},
+		"a call unanswered at the only reader":  {readers: gone, reader: unanswered, readerToo: true},
+		"the only reader is behind a full link": {readers: gone, reader: func(n *testNode) {
+			n.answers, n.way = 790*time.Millisecond, time.Second
+		}},
+		"a check unanswered": {node: unanswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFollowers(t, 8, "a", "b")
+				readers, others := f.roles()
+				node, leaves := others[0], others[len(others)-1]
+				for edition := uint64(2); edition < 40; edition++ {
+					f.settle(edition)
+					setAll(readers[1:], c.readers)
+					setAll(readers[:1], c.reader)
+					setAll(others[:1], c.node)
+					looked := slices.Clone(others)
+					switch {
+					case c.onlyNode:
+						looked = []*testNode{node}
+					case c.readerToo:
+						looked = append(looked, readers[0])
+					}
+					f.meet(t, edition, looked, leaves)
+					setAll(f.sorted(), (*testNode).heal)
+					time.Sleep(drainBound)
+				}
+			})
+		})
+	}
+}
+
+// settle waits for another place between calls and questions, and lets two
+// changes pass, as changes come in series.
+func (f *testFleet) settle(edition uint64) {
+	time.Sleep(time.Duration(edition%13) * 130 * time.Millisecond)
+	for range 2 {
+		f.store.write(func(*Update) {})
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A node that has to list all anew behind a full link, where that takes seconds,
+// goes on by the news of others.
+func TestNewsComeWhileAllIsListedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFollowers(t, 8, "a", "b")
+		readers, others := f.roles()
+		node := others[0]
+		setAll(readers, func(n *testNode) { n.silent = true })
+		node.set(func(n *testNode) { n.dropped, n.listing = true, 4*time.Second })
+		time.Sleep(3 * time.Second)
+		setAll(readers, func(n *testNode) { n.silent = false })
+		time.Sleep(2 * time.Second)
+		for edition := uint64(2); edition < 12; edition++ {
+			f.meet(t, edition, []*testNode{node}, others[len(others)-1])
+		}
+	})
+}
+
+// meet publishes a table and a leaving and fails if one of the nodes lacks either
+// after the bound.
+func (f *testFleet) meet(t *testing.T, edition uint64, nodes []*testNode, leaves *testNode) {
+	t.Helper()
+	id := f.idOf(leaves)
+	entry := Upstream{ID: id, Service: "s", Address: leaves.addr, DataCentre: "b", Slots: 1}
+	f.store.publish(edition)
+	entry.Leaving = true
+	f.store.put(entry)
+	time.Sleep(drainBound)
+	for _, n := range nodes {
+		m, _ := n.follower.Member(id)
+		assert.Equal(t, n.holder.ID().Edition, edition, "table of %v", n.addr)
+		assert.Equal(t, m.Status, membership.Departing, "edition %d: leaving upstream at %v", edition, n.addr)
+	}
+	entry.Leaving = false // as another process would be
+	f.store.put(entry)
+	time.Sleep(drainBound)
+}
+
+// setAll edits nodes; with nil it does nothing.
+func setAll(nodes []*testNode, edit func(*testNode)) {
+	if edit == nil {
+		return
+	}
+	for _, n := range nodes {
+		n.set(edit)
+	}
+}
+
+// The age of a node's news is never less than that of a change that it lacks,
+// whatever the ways take: on it hangs when the node asks the store itself, and the
+// nodes that follow it.
+func TestAgeIsNeverTooLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFollowers(t, 6, "a", "b")
+		rnd := rand.New(rand.NewPCG(1, 2))
+		published := make(map[uint64]time.Time)
+		edition, next := uint64(1), time.Now()
+		for range 4000 {
+			if now := time.Now(); now.After(next) {
+				edition++
+				f.store.publish(edition)
+				published[edition] = now
+				next = now.Add(upTo(rnd, 1500*time.Millisecond))
+				n := f.sorted()[rnd.IntN(len(f.nodes))]
+				n.set(func(n *testNode) {
+					n.answers, n.way = upTo(rnd, time.Second), upTo(rnd, time.Second)
+				})
+			}
+			time.Sleep(20 * time.Millisecond)
+			now := time.Now()
+			for _, n := range f.sorted() {
+				if lacks := n.holder.ID().Edition + 1; lacks <= edition {
+					since := now.Sub(published[lacks])
+					assert.Assert(t, n.follower.Age(now) >= since, "%v lacks what was published %v ago, age %v", n.addr, since, n.follower.Age(now))
+				}
+			}
+		}
+	})
+}
+
+func upTo(rnd *rand.Rand, d time.Duration) time.Duration { return time.Duration(rnd.Int64N(int64(d))) }
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -112,6 +114,11 @@
 	silent bool          // this node answers nobody
 	dead   bool          // this node refuses connections
 	way    time.Duration // that its answers take
+	// unanswered is how many of its next calls the store never answers.
+	unanswered int
+	answers    time.Duration // that the store's answers take to this node
+	listing    time.Duration // that a listing takes beyond that
+	dropped    bool          // its next watch finds its history dropped
 }
 
 func (n *testNode) set(edit func(*testNode)) {
@@ -120,6 +127,12 @@
 	edit(n)
 }
 
+// heal ends all that befell the node.
+func (n *testNode) heal() {
+	n.cut, n.silent, n.dead, n.dropped = false, false, false, false
+	n.way, n.answers, n.listing, n.unanswered = 0, 0, 0, 0
+}
+
 func (n *testNode) state() (cut, silent, dead bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -130,26 +143,55 @@
 	n.store.mu.Lock()
 	n.store.calls++
 	n.store.mu.Unlock()
-	if cut, _, _ := n.state(); cut {
+	n.mu.Lock()
+	lost := n.cut || n.unanswered > 0
+	n.unanswered = max(n.unanswered-1, 0)
+	n.mu.Unlock()
+	if lost {
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	return nil
 }
 
+// deliver waits while an answer of the store, which is longer by extra, is on its
+// way.
+func (n *testNode) deliver(ctx context.Context, extra time.Duration) error {
+	n.mu.Lock()
+	way := n.answers + extra
+	n.mu.Unlock()
+	wait(ctx, way)
+	return ctx.Err()
+}
+
+// forgotten reports whether the history was dropped since the last watch.
+func (n *testNode) forgotten() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	dropped := n.dropped
+	n.dropped = false
+	return dropped
+}
+
 func (n *testNode) List(ctx context.Context) (Update, error) {
 	if err := n.call(ctx); err != nil {
 		return Update{}, err
 	}
 	u, _ := n.store.after(0)
 	u.Removed = nil
-	return u, nil
+	n.mu.Lock()
+	listing := n.listing
+	n.mu.Unlock()
+	return u, n.deliver(ctx, listing)
 }
 
 func (n *testNode) Watch(ctx context.Context, after uint64, wait time.Duration) (Update, error) {
 	if err := n.call(ctx); err != nil {
 		return Update{}, err
 	}
+	if n.forgotten() {
+		return Update{}, ErrHistoryGone
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -159,19 +201,24 @@
 			return Update{}, ctx.Err()
 		}
 		if u.Revision > after {
-			return u, nil
+			return u, n.deliver(ctx, 0)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return u, nil
+			return u, n.deliver(ctx, 0)
 		case <-ctx.Done():
 			return Update{}, ctx.Err()
 		}
 	}
 }
 
-func (n *testNode) Check(ctx context.Context) error { return n.call(ctx) }
+func (n *testNode) Check(ctx context.Context) error {
+	if err := n.call(ctx); err != nil {
+		return err
+	}
+	return n.deliver(ctx, 0)
+}
 
 func (n *testNode) Decode(raw []byte) (*Document, error) { return (&fakeSource{}).Decode(raw) }
 
@@ -246,9 +293,14 @@
 	return u.Upstreams
 }
 
-// roles returns the readers and the other nodes.
+// sorted returns the nodes in the order of their addresses.
+func (f *testFleet) sorted() []*testNode {
+	return slices.SortedFunc(maps.Values(f.nodes), func(a, b *testNode) int { return a.addr.Compare(b.addr) })
+}
+
+// roles returns the readers and the other nodes, in the order of their addresses.
 func (f *testFleet) roles() (readers, others []*testNode) {
-	for _, n := range f.nodes {
+	for _, n := range f.sorted() {
 		if n.follower.Status(time.Now()).Reader {
 			readers = append(readers, n)
 		} else {
