Bound the age of a node's news: overlapping calls, honest ages, no grace for a lost call

Root cause: steps of a recovery stand one behind the other, each with a time-out of its own, and nothing bounds their sum or checks it against the time in which a change must be in force. Ruled out: one time-out made shorter (a slow way then fails for good: checks given up at 800 ms were answered after 573 to 1,000). A watch is over before what is known is older than NewsMaxAge. News come while all is listed anew, and whoever knows a later state goes on from there. An outage is one only if it lasted as long as the shortest lease and no news came. Ages count from when the store may have answered. Config.WorstAge and Bounded say what a set of settings keeps: 1.6 s with one call lost.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -10,14 +10,26 @@
 	// WatchWait is the longest wait of one watch. Longer costs fewer calls; those
 	// who follow a reader know only by the end of a watch that nothing has
 	// changed, so with the way of the news it must stay under NewsMaxAge.
-	// Default 700 ms.
+	// Default 700 ms, or 35% of ChangeBound if that is less.
 	WatchWait time.Duration
 	// MinGap is the least time between the starts of two calls. Changes that come
 	// in series are fetched together: longer costs fewer calls, shorter has them
-	// in force sooner. Default 500 ms, a quarter of what the platform allows.
+	// in force sooner. Default 500 ms, or 25% of ChangeBound if that is less.
 	MinGap time.Duration
-	// CallTimeout bounds a call beyond its wait. Default 800 ms.
+	// CallOverdue is how long after its time the answer of a call is waited for
+	// before another call is made beside it. Longer costs fewer calls, shorter
+	// makes up sooner for one that is lost. Default 300 ms: many times what a
+	// healthy store takes, and a seventh of the bound.
+	CallOverdue time.Duration
+	// LostAfter is how long after its time an answer is waited for before the
+	// store counts as lost. Default 800 ms.
+	LostAfter time.Duration
+	// CallTimeout bounds a call beyond its time. Longer still takes what comes
+	// over a full link, shorter frees its connection sooner. Default 2 s.
 	CallTimeout time.Duration
+	// ListTime is the time that a listing may take as a rule. Default 1 s: some
+	// 400 KB over a link of 10 Mbit/s with others on it.
+	ListTime time.Duration
 	// BackoffMin and BackoffMax bound the wait after a failed call, drawn at
 	// random between half and the whole of a value that doubles. The longest
 	// keeps a change within a second of the store's return. Default 60 ms and
@@ -35,8 +47,8 @@
 	NodesPerReader int
 	// NewsMaxAge is the age of the newest news at which a node that is not a
 	// reader turns to the store itself. Longer forgives slower readers, shorter
-	// leaves cut ones sooner; a change must be in force two seconds after it was
-	// published. Default 1.3 s.
+	// leaves cut ones sooner; see WorstAge. Default 1.3 s, or 65% of ChangeBound if
+	// that is less.
 	NewsMaxAge time.Duration
 	// NewsWait is how long a node that is asked for news may wait for some.
 	// Default 1 s.
@@ -52,7 +64,8 @@
 	TableGrace time.Duration
 
 	// ChangeBound is the time in which the platform wants a change in force at
-	// every node that can reach the store. Default 2 s.
+	// every node that can reach the store. It must be more than WorstAge and what
+	// an answer takes. Default 2 s.
 	ChangeBound time.Duration
 
 	// Self is the address of the upstream beside this node, by which it finds its
@@ -64,11 +77,57 @@
 }
 
 // DefaultConfig returns the defaults given at the fields.
-func DefaultConfig() Config {
+func DefaultConfig() Config { return ConfigFor(2 * time.Second) }
+
+// Shares of Config.ChangeBound that the defaults take at the most.
+const (
+	watchShare   = 0.35
+	gapShare     = 0.25
+	newsShare    = 0.65
+	overdueShare = 0.15
+)
+
+// ConfigFor returns the defaults for a platform that wants changes in force within
+// a bound.
+func ConfigFor(bound time.Duration) Config {
+	c := defaults()
+	share := func(s float64) time.Duration { return time.Duration(s * float64(bound)) }
+	c.ChangeBound = bound
+	c.WatchWait = min(c.WatchWait, share(watchShare))
+	c.MinGap = min(c.MinGap, share(gapShare))
+	c.NewsMaxAge = min(c.NewsMaxAge, share(newsShare))
+	c.CallOverdue = min(c.CallOverdue, share(overdueShare))
+	return c
+}
+
+// WorstAge returns the greatest age of the news of a node whose calls of the store
+// are answered at once but for so many in a row that are not answered at all,
+// whatever befalls all other nodes. The node asks when its news are as old as
+// NewsMaxAge, and again after each call that is overdue.
+func (c Config) WorstAge(unanswered int) time.Duration {
+	age := c.NewsMaxAge
+	for i := range unanswered {
+		age += doubled(c.CallOverdue, i, max(c.CallOverdue, c.FollowerBackoffMax))
+	}
+	return age
+}
+
+// AnswerTime is what is left of Config.ChangeBound for an answer of the store and
+// for a request under way: 50 times what a healthy store takes.
+const AnswerTime = 200 * time.Millisecond
+
+// Bounded reports whether a change is in force within ChangeBound though one call
+// of the store is not answered.
+func (c Config) Bounded() bool { return c.WorstAge(1)+AnswerTime <= c.ChangeBound }
+
+func defaults() Config {
 	return Config{
 		WatchWait:          700 * time.Millisecond,
 		MinGap:             500 * time.Millisecond,
-		CallTimeout:        800 * time.Millisecond,
+		CallOverdue:        300 * time.Millisecond,
+		LostAfter:          800 * time.Millisecond,
+		CallTimeout:        2 * time.Second,
+		ListTime:           time.Second,
 		BackoffMin:         60 * time.Millisecond,
 		BackoffMax:         400 * time.Millisecond,
 		FollowerBackoffMax: 1500 * time.Millisecond,
@@ -78,6 +137,5 @@
 		NewsTimeout:        1800 * time.Millisecond,
 		NewsRetry:          200 * time.Millisecond,
 		TableGrace:         250 * time.Millisecond,
-		ChangeBound:        2 * time.Second,
 	}
 }
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -9,9 +9,9 @@
 // Registry decides what is believed and is pure: time is passed in. Follower,
 // the edge, calls the Source and the Peers. The invariants: an older version of
 // an entry never replaces a newer one, an upstream that vanished while the store
-// could not be reached is given LapseGrace to appear again, and no node that can
-// reach the store believes what is older than Config.NewsMaxAge for longer than
-// a call takes.
+// could not be reached is given LapseGrace to appear again, the age of what a node
+// knows is never told as less than it is, and at a node that can reach the store
+// it stays under Config.WorstAge, also if a call is not answered.
 package discovery
 
 import (
@@ -75,6 +75,11 @@
 	Findings []error
 }
 
+// empty reports whether the call brought nothing but a revision.
+func (u *Update) empty() bool {
+	return u.Document == nil && len(u.Upstreams) == 0 && len(u.Removed) == 0 && len(u.Findings) == 0
+}
+
 // ErrHistoryGone reports that the store no longer has the changes asked for;
 // List has to be called again.
 var ErrHistoryGone = errors.New("the store's history does not reach back so far")
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -48,11 +48,13 @@
 }
 
 // sourceAt returns the node that a slot follows now; none for a reader that
-// reaches the store.
+// hears the store in time. A node that has to list all anew goes on by news: a
+// listing took 23 s behind a full link, in which it heard of nothing.
 func (f *Follower) sourceAt(slot int) (membership.Instance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if slot >= len(f.sources) || !f.listed || f.reader && f.awaySince.IsZero() {
+	inTime := f.awaySince.IsZero() && time.Since(f.current) < f.cfg.NewsMaxAge
+	if slot >= len(f.sources) || f.reader && inTime {
 		return membership.Instance{}, false
 	}
 	return f.sources[slot], true
@@ -115,14 +117,20 @@
 	defer f.mu.Unlock()
 	changed := f.takeDocument(doc, from)
 	behind := n.Table.Newer(f.holdsLocked())
+	if n.Age == unknownAge || now.Sub(at) > f.cfg.NewsMaxAge {
+		f.noteOutage(now, now) // others do not reach the store either
+	}
 	u := Update{Revision: n.Revision, Upstreams: n.Upstreams, Removed: n.Removed}
 	changed = f.registry.Merge(now, u, n.Whole, !behind) || changed
 	changed = f.registry.Expire(now) || changed
 	if changed {
 		f.changed(from)
 	}
-	if !behind {
+	if !behind && n.Age != unknownAge {
 		f.know(at)
+		// Whoever knows a later state than the one from which the changes are
+		// dropped goes on from there.
+		f.listed = f.listed || n.Revision > f.dropped
 	}
 	f.announce()
 	return nil
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -2,47 +2,125 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// storeAnswer is how a call of the store ended.
+type storeAnswer struct {
+	call   *storeCall
+	update Update
+	err    error
+}
+
+// errOverdue reports a call of the store that has no answer yet.
+var errOverdue = errors.New("no answer of the store in time")
+
 // followStore reads the store as long as this node is a reader or has no fresh
 // news.
 func (f *Follower) followStore(ctx context.Context) {
-	backoff := f.cfg.BackoffMin
+	ctx, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	calls := schedule{cfg: f.cfg}
+	answers := make(chan storeAnswer)
 	for ctx.Err() == nil {
-		if idle := f.idleFor(time.Now()); idle > 0 {
-			wait(ctx, idle)
+		now := time.Now()
+		kind, pause, moved := f.need(now)
+		start := false
+		if kind != callNone {
+			start, pause = calls.next(now, kind, f.backoffMax())
+		}
+		if start {
+			c := f.newCall(now, kind, calls.newest(kind) != nil)
+			call, cancel := context.WithTimeout(ctx, calls.timeout(c))
+			c.cancel = cancel
+			calls.started(c)
+			group.Go(func() {
+				defer cancel()
+				a := f.make(call, c)
+				select {
+				case answers <- a:
+				case <-ctx.Done():
+				}
+			})
 			continue
 		}
-		began := time.Now()
-		err := f.call(ctx)
-		switch {
-		case err == nil:
-			backoff = f.cfg.BackoffMin
-			wait(ctx, f.cfg.MinGap-time.Since(began))
-		case errors.Is(err, ErrHistoryGone):
-			f.relist()
-		default:
-			f.lost(ctx, err)
-			f.pause(ctx, backoff)
-			backoff = min(2*backoff, f.backoffMax())
+		if c := calls.unanswered(); c != nil && f.away.Load() == 0 {
+			at := c.began.Add(c.expected + f.cfg.LostAfter)
+			if !now.Before(at) {
+				f.lost(ctx, c.began, errOverdue)
+				continue
+			}
+			pause = min(pause, at.Sub(now))
+		}
+		timer := time.NewTimer(max(pause, time.Millisecond))
+		select {
+		case a := <-answers:
+			f.ended(ctx, &calls, a)
+		case <-moved:
+		case <-timer.C:
+		case <-ctx.Done():
 		}
+		timer.Stop()
+	}
+}
+
+// make makes one call of the store.
+func (f *Follower) make(ctx context.Context, c *storeCall) storeAnswer {
+	f.calls.Add(1)
+	a := storeAnswer{call: c}
+	switch c.kind {
+	case callCheck:
+		a.err = f.source.Check(ctx)
+	case callList:
+		a.update, a.err = f.source.List(ctx)
+	case callWatch:
+		a.update, a.err = f.source.Watch(ctx, c.after, c.wait)
 	}
+	return a
 }
 
-// idleFor returns how long the store need not be read; 0 if it must be now. It
-// also takes out upstreams whose time is over while the store is not read.
-func (f *Follower) idleFor(now time.Time) time.Duration {
+// ended takes over how a call ended.
+func (f *Follower) ended(ctx context.Context, calls *schedule, a storeAnswer) {
+	now := time.Now()
+	switch {
+	case a.err == nil:
+		f.noteCall(a.call, nil)
+		calls.answered(a.call)
+		f.takeAnswer(now, a)
+	case errors.Is(a.err, ErrHistoryGone):
+		calls.refused(now, a.call)
+		f.relist()
+	case calls.failed(now, a.call, f.backoffMax()):
+		f.noteCall(a.call, a.err)
+		f.lost(ctx, a.call.began, a.err)
+	}
+}
+
+// need returns which call of the store is needed: one that only shows that it
+// answers, where news tell the rest; all anew, where its changes cannot be gone on
+// from; otherwise what has changed. Where none is, it returns for how long. The
+// channel is closed when that may have changed. need also takes out upstreams whose
+// time is over while the store is not read.
+func (f *Follower) need(now time.Time) (callKind, time.Duration, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fresh := f.cfg.NewsMaxAge - now.Sub(f.current)
-	idle := f.mayIdle(fresh) && f.awaySince.IsZero() && !f.registry.Unconfirmed()
+	byNews := !f.reader && fresh > 0
+	idle := byNews && f.listed && f.awaySince.IsZero() && !f.registry.Unconfirmed()
 	f.noteReading(now, !idle)
-	if !idle {
-		return 0
+	switch {
+	case idle:
+	case byNews && (f.listed || f.registry.Unconfirmed()):
+		return callCheck, 0, f.tick
+	case !f.listed:
+		return callList, 0, f.tick
+	default:
+		return callWatch, 0, f.tick
 	}
 	if f.registry.Expire(now) {
 		f.changed("")
@@ -50,12 +128,9 @@
 	if at, ok := f.registry.NextExpiry(); ok {
 		fresh = min(fresh, at.Sub(now))
 	}
-	return min(max(fresh, time.Millisecond), rolePoll)
+	return callNone, min(max(fresh, time.Millisecond), rolePoll), f.tick
 }
 
-// mayIdle reports whether news of the given time left keep this node up to date.
-func (f *Follower) mayIdle(fresh time.Duration) bool { return !f.reader && f.listed && fresh > 0 }
-
 // rolePoll is how often a node that is idle looks whether it has become a
 // reader.
 const rolePoll = 200 * time.Millisecond
@@ -80,90 +155,67 @@
 	return f.cfg.FollowerBackoffMax
 }
 
-// relist makes the next step list all that is published.
+// relist makes the next call list all that is published.
 func (f *Follower) relist() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listed = false
-	f.log.Info("store dropped its history, listing anew", "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
+	f.listed, f.dropped = false, f.registry.Revision()
+	f.log.Info("store dropped its history, listing anew", "news_age", f.newsAge(time.Now()), "revision", f.dropped)
 }
 
-// call makes one call of the store: one that only shows that it answers, where
-// news tell the rest, otherwise a step.
-func (f *Follower) call(ctx context.Context) error {
-	f.mu.Lock()
-	check := f.mayIdle(f.cfg.NewsMaxAge - time.Since(f.current))
-	f.mu.Unlock()
-	if !check {
-		return f.step(ctx)
-	}
-	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout)
-	defer cancel()
-	f.calls.Add(1)
-	began := time.Now()
-	err := f.source.Check(call)
-	f.noteCall("check", began, 0, err)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
+// newCall returns the call to make now. A watch beside another call must be
+// answered at once.
+func (f *Follower) newCall(now time.Time, kind callKind, beside bool) *storeCall {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.regained(now, Update{Revision: f.registry.Revision()})
-	if f.registry.Confirm(now) {
-		f.changed(SourceStore)
+	c := &storeCall{kind: kind, began: now}
+	switch kind {
+	case callList:
+		c.expected = f.cfg.ListTime
+		if !f.current.IsZero() {
+			// News tell the rest: two listings beside each other would take longer.
+			c.expected += f.cfg.CallTimeout
+		}
+	case callWatch:
+		c.after, c.wait = f.registry.Revision(), f.watchWait(now, now.Sub(f.current), beside)
+		c.expected = c.wait
 	}
-	return nil
+	return c
 }
 
-// step makes one call and takes over what it brought.
-func (f *Follower) step(ctx context.Context) error {
-	after, whole, longest := f.nextCall(time.Now())
-	call, cancel := context.WithTimeout(ctx, f.cfg.CallTimeout+longest)
-	defer cancel()
-	var u Update
-	var err error
-	f.calls.Add(1)
-	began := time.Now()
-	if whole {
-		u, err = f.source.List(call)
-		f.noteCall("list", began, 0, err)
-	} else {
-		u, err = f.source.Watch(call, after, longest)
-		f.noteCall("watch", began, longest, err)
+// watchWait returns how long the store may hold a watch. It is over, and a further
+// call has gone out if no answer came, before what is known gets older than
+// NewsMaxAge.
+func (f *Follower) watchWait(now time.Time, age time.Duration, beside bool) time.Duration {
+	if beside || !f.awaySince.IsZero() {
+		return time.Millisecond
 	}
-	if err != nil {
-		return err
-	}
-	f.take(time.Now(), u, whole)
-	return nil
-}
-
-// nextCall returns the revision to watch from, whether to list in place of
-// that, and the longest wait.
-func (f *Follower) nextCall(now time.Time) (after uint64, whole bool, longest time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	longest = f.cfg.WatchWait
+	longest := min(f.cfg.WatchWait, f.cfg.NewsMaxAge-f.cfg.CallOverdue-age)
 	if at, ok := f.registry.NextExpiry(); ok {
-		longest = min(longest, max(at.Sub(now), time.Millisecond))
+		longest = min(longest, at.Sub(now))
 	}
-	return f.registry.Revision(), !f.listed, longest
+	return max(longest, time.Millisecond)
 }
 
-// take takes over an answer of the store.
-func (f *Follower) take(now time.Time, u Update, whole bool) {
+// takeAnswer takes over an answer of the store.
+func (f *Follower) takeAnswer(now time.Time, a storeAnswer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	u := a.update
+	if a.call.kind == callCheck {
+		u.Revision = f.registry.Revision()
+	}
+	f.noteOutage(a.call.began, now)
 	f.regained(now, u)
 	for _, finding := range u.Findings {
 		f.log.Warn("published entry left out", "finding", finding)
 	}
 	changed := false
-	if whole {
+	switch a.call.kind {
+	case callList:
 		changed = f.registry.Replace(now, u)
 		f.listed = true
-	} else {
+	case callWatch:
 		changed = f.registry.Apply(now, u)
 	}
 	changed = f.registry.Confirm(now) || changed
@@ -172,10 +224,24 @@
 	if changed {
 		f.changed(SourceStore)
 	}
-	f.know(now)
+	if a.call.kind != callCheck {
+		f.know(givenAt(now, a))
+	}
 	f.announce()
 }
 
+// givenAt returns the earliest time at which the store may have given an answer:
+// the start of the call, or the end of its wait if the store held it for all of
+// that. Counted from when the answer was read, behind a full link a change of
+// 140 ms ago was missing in news that claimed an age of 0.1 ms.
+func givenAt(now time.Time, a storeAnswer) time.Time {
+	c := a.call
+	if c.kind == callWatch && a.update.empty() && now.Sub(c.began) >= c.wait {
+		return c.began.Add(c.wait)
+	}
+	return c.began
+}
+
 // takeDocument puts a newer table in force, and reports whether it is one.
 func (f *Follower) takeDocument(d *Document, from string) bool {
 	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
@@ -204,20 +270,30 @@
 	f.away.Store(0)
 }
 
-func (f *Follower) lost(ctx context.Context, err error) {
+// lost notes that no call made since a time was answered.
+func (f *Follower) lost(ctx context.Context, since time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.registry.Lost()
 	if f.awaySince.IsZero() && ctx.Err() == nil {
-		f.awaySince = time.Now()
+		f.awaySince = since
 		f.away.Store(f.awaySince.UnixMilli())
-		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(f.awaySince), "revision", f.registry.Revision())
+		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
 	}
 }
 
-// pause waits for a random part of d, half of it at least.
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	wait(ctx, d/2+rand.N(d/2+1))
+// shortestLease is the least time without the store in which an entry can lapse:
+// the platform gives no shorter lease.
+const shortestLease = time.Second
+
+// noteOutage tells the registry that the store was away, if it was until a time:
+// for this node for so long that entries may have lapsed, and for the sources of
+// its news as well. A lost call or a slow way is no outage: taken for one, entries
+// that ended were believed for LapseGrace more, and requests reached an upstream
+// 2.66 s after it was gone. The lock is held.
+func (f *Follower) noteOutage(until, now time.Time) {
+	if !f.awaySince.IsZero() && until.Sub(f.awaySince) >= shortestLease && now.Sub(f.current) > f.cfg.NewsMaxAge {
+		f.registry.Lost()
+	}
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,9 @@
 	Held time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// unknownAge is News.Age of a node that does not know yet what there is.
+const unknownAge = time.Duration(math.MaxInt64)
+
 // maxNews bounds the encoded news that is read: a table that does not compress
 // and some thousand upstreams.
 const maxNews = table.MaxBytes + 1<<20
--- a/internal/discovery/report.go
+++ b/internal/discovery/report.go
@@ -8,12 +8,12 @@
 
 // noteCall writes a line for a call of the store that failed or was slow, so that
 // what a lost call cost can be told from what the way to the store costs.
-func (f *Follower) noteCall(call string, began time.Time, wait time.Duration, err error) {
-	took := time.Since(began)
-	if err == nil && took < wait+slowCall {
+func (f *Follower) noteCall(c *storeCall, err error) {
+	took := time.Since(c.began)
+	if err == nil && took < c.wait+slowCall {
 		return
 	}
-	f.log.Info("store call slow", "call", call, "took", took, "wait", wait, "err", err)
+	f.log.Info("store call slow", "call", c.kind, "took", took, "wait", c.wait, "err", err)
 }
 
 // noteAge writes a line when the news become older than Config.ChangeBound, in
@@ -21,7 +21,7 @@
 func (f *Follower) noteAge(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	stale := f.listed && now.Sub(f.current) > f.cfg.ChangeBound
+	stale := !f.current.IsZero() && now.Sub(f.current) > f.cfg.ChangeBound
 	if stale == f.stale {
 		return
 	}
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -56,6 +56,9 @@
 		Upstreams: u.Upstreams,
 		Removed:   u.Removed,
 	}
+	if f.current.IsZero() {
+		n.Age = unknownAge
+	}
 	if !ask.WantTable || !n.Table.Newer(ask.Table) {
 		return n, nil
 	}
