Check the settings of the news against the platform's bounds

Cause: nothing said whether a set of settings keeps the time in which a change must be in force; the defaults did not. Change: store.leaving_bound and store.table_bound, which the platform's template gives; watch_wait and news_max_age are derived from the lesser of them where they are not set (35% and 65%, with the former defaults as the most), and a set whose news could be too old with one call lost is refused at load with its place. Ruled out: fixed defaults with a check alone (a platform with a bound of 1.5 s would not start).

--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/discovery"
 )
 
 // Sidecar holds the checked settings of a sidecar: a node on a platform that
@@ -25,11 +27,13 @@
 	Upstream netip.AddrPort
 	Slots    int
 
-	Store     netip.AddrPort
-	WatchWait time.Duration
-	// NewsMaxAge and NodesPerReader are as in discovery.Config.
-	NewsMaxAge     time.Duration
-	NodesPerReader int
+	Store netip.AddrPort
+	// LeavingBound and TableBound are the times in which a leaving and a table must
+	// be in force.
+	LeavingBound, TableBound time.Duration
+	// WatchWait and NewsMaxAge are as in discovery.Config; 0 for its defaults.
+	WatchWait, NewsMaxAge time.Duration
+	NodesPerReader        int
 
 	MaxInFlight  int
 	BufferLimit  int
@@ -65,8 +69,10 @@
 	count("upstream", "slots", "requests", "12", "requests the upstream works on at once, until the store tells", func(s *Sidecar) *int { return &s.Slots }),
 
 	address("store", "address", required, "address of the store that publishes tables and upstreams", func(s *Sidecar) *netip.AddrPort { return &s.Store }),
-	duration("store", "watch_wait", "700ms", "longest wait of one watch of a reader; longer costs fewer calls, but must end well within news_max_age", func(s *Sidecar) *time.Duration { return &s.WatchWait }),
-	duration("store", "news_max_age", "1300ms", "age of the newest news at which a sidecar turns from its readers to the store itself; longer forgives slower readers, shorter leaves cut ones sooner", func(s *Sidecar) *time.Duration { return &s.NewsMaxAge }),
+	duration("store", "leaving_bound", "2s", "time in which a published leaving must be in force, as the platform wants it", func(s *Sidecar) *time.Duration { return &s.LeavingBound }),
+	duration("store", "table_bound", "2s", "time in which a published table must be in force, as the platform wants it", func(s *Sidecar) *time.Duration { return &s.TableBound }),
+	duration("store", "watch_wait", "", "longest wait of one watch of a reader; longer costs fewer calls, but must end well within news_max_age; if not set, 35% of the lesser bound, 700ms at most", func(s *Sidecar) *time.Duration { return &s.WatchWait }),
+	duration("store", "news_max_age", "", "age of the newest news at which a sidecar turns from its readers to the store itself; longer forgives slower readers, shorter leaves cut ones sooner; if not set, 65% of the lesser bound, 1300ms at most", func(s *Sidecar) *time.Duration { return &s.NewsMaxAge }),
 	count("store", "nodes_per_reader", "sidecars", "24", "sidecars of a data centre for which one of them reads the store; more costs fewer calls, fewer spreads the news over more machines", func(s *Sidecar) *int { return &s.NodesPerReader }),
 
 	count("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
@@ -100,13 +106,41 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.WatchWait >= s.NewsMaxAge {
-		return nil, Findings{{File: file, Key: "store.watch_wait",
-			Message: fmt.Sprintf("%v is not less than store.news_max_age, %v: every sidecar would read the store", s.WatchWait, s.NewsMaxAge)}}
+	if found := s.checkNews(file); len(found) > 0 {
+		return nil, found
 	}
 	return s, nil
 }
 
+// Discovery returns the settings of the follower of the store.
+func (s *Sidecar) Discovery() discovery.Config {
+	c := discovery.ConfigFor(min(s.LeavingBound, s.TableBound))
+	if s.WatchWait > 0 {
+		c.WatchWait = s.WatchWait
+	}
+	if s.NewsMaxAge > 0 {
+		c.NewsMaxAge = s.NewsMaxAge
+	}
+	c.NodesPerReader = s.NodesPerReader
+	c.Self, c.DataCentre, c.PeerPort = s.Upstream, s.DataCentre, s.Peers.Port()
+	return c
+}
+
+// checkNews checks that the times of the news fit together and keep the bounds.
+func (s *Sidecar) checkNews(file string) Findings {
+	var found Findings
+	c := s.Discovery()
+	if c.WatchWait >= c.NewsMaxAge {
+		found = append(found, Finding{File: file, Key: "store.watch_wait",
+			Message: fmt.Sprintf("%v is not less than store.news_max_age, %v: every sidecar would read the store", c.WatchWait, c.NewsMaxAge)})
+	}
+	if !c.Bounded() {
+		found = append(found, Finding{File: file, Key: "store.news_max_age",
+			Message: fmt.Sprintf("%v is too much for a bound of %v: with one call of the store lost, news are %v old before the next is answered, and that takes up to %v", c.NewsMaxAge, c.ChangeBound, c.WorstAge(1), discovery.AnswerTime)})
+	}
+	return found
+}
+
 // SidecarEnvironment returns the overrides of a sidecar's settings in the
 // environment.
 func SidecarEnvironment() Overrides { return environment(sidecarFields) }
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -119,11 +119,8 @@
 }
 
 func (s *Sidecar) newFollower() *discovery.Follower {
-	cfg := discovery.DefaultConfig()
-	cfg.WatchWait, cfg.NewsMaxAge, cfg.NodesPerReader = s.cfg.WatchWait, s.cfg.NewsMaxAge, s.cfg.NodesPerReader
-	cfg.Self, cfg.DataCentre, cfg.PeerPort = s.cfg.Upstream, s.cfg.DataCentre, s.cfg.Peers.Port()
 	source := s.platform.Source(s.cfg.Store.String())
-	return discovery.NewFollower(cfg, source, discovery.PeerClient{Transport: s.hop}, s.holder, s.log, s.directoryChanged)
+	return discovery.NewFollower(s.cfg.Discovery(), source, discovery.PeerClient{Transport: s.hop}, s.holder, s.log, s.directoryChanged)
 }
 
 // peerHandler serves other sidecars: their requests and their questions for
