--- a/internal/discovery/bound_test.go
+++ b/internal/discovery/bound_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -89,12 +90,16 @@
 		within time.Duration // after the end
 	}{
 		"for long, while news come": {
-			lose: func(_ []*testNode, node *testNode) { node.set(func(n *testNode) { n.unanswered = 4 }) },
+			lose: func(_ []*testNode, node *testNode) {
+				node.set(func(n *testNode) { n.unanswered = 4 })
+				node.follower.lost(context.Background(), time.Now(), errOverdue) // so that it calls the store
+			},
 			ends: 4 * time.Second, within: drainBound,
 		},
 		"two, and no news": {
 			lose: func(readers []*testNode, node *testNode) {
 				setAll(readers, func(n *testNode) { n.cut, n.silent = true, true })
+				time.Sleep(3 * time.Second) // it reads the store itself now
 				node.set(func(n *testNode) { n.unanswered = 2 })
 			},
 			within: DefaultConfig().WorstAge(2) + AnswerTime,
@@ -107,7 +112,6 @@
 				readers, others := f.roles()
 				node := others[0]
 				c.lose(readers, node)
-				node.follower.lost(t.Context(), time.Now(), errOverdue) // so that it calls the store
 				time.Sleep(c.ends)
 				f.store.remove(endingID)
 				time.Sleep(c.within)
