An outage is one only if the sources of news saw it too; old calls do not delay new ones

Cause: a seeded series of failures elsewhere (TestSeriesOfFailuresElsewhere) still made a node that was well believe in an upstream that had ended: a reader that alone was cut off told its own grace of 2.2 s to all who follow it; and a node whose calls had failed made its next one up to 2.7 s after its way was well again, as each old call that ran out put it off anew. Change: news say whether their sender saw an outage; a node takes it for one only if it saw one too, and otherwise takes what lapsed elsewhere for ended, to be confirmed by the store. A call that is not the newest no longer delays the next.

--- a/internal/discovery/bound_test.go
+++ b/internal/discovery/bound_test.go
@@ -226,3 +226,57 @@
 }
 
 func upTo(rnd *rand.Rand, d time.Duration) time.Duration { return time.Duration(rnd.Int64N(int64(d))) }
+
+// Whatever befalls other nodes, one after another and together, a node that itself
+// has lost no more than one call has every change within the bound.
+func TestSeriesOfFailuresElsewhere(t *testing.T) {
+	for seed := range uint64(6) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			f := startFollowers(t, 8, "a", "b", "c")
+			f.addEnding()
+			nodes := f.sorted()
+			leaves := nodes[len(nodes)-1]
+			for edition := uint64(2); edition < 25; edition++ {
+				rnd.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+				readers, _ := f.roles()
+				failing := slices.Concat(readers[:rnd.IntN(len(readers)+1)], nodes[:rnd.IntN(4)])
+				for _, n := range failing {
+					n.set(func(n *testNode) { n.fail(rnd) })
+					time.Sleep(upTo(rnd, 900*time.Millisecond))
+				}
+				well := slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return slices.Contains(failing, n) })
+				well[0].set(func(n *testNode) { n.unanswered = 1 })
+				f.settle(rnd.Uint64())
+				f.meet(t, edition, well, leaves)
+				for _, n := range failing {
+					n.set((*testNode).heal)
+					time.Sleep(upTo(rnd, 900*time.Millisecond))
+				}
+				time.Sleep(stability)
+			}
+		})
+	}
+}
+
+// stability is the time after which the platform counts a machine that was in
+// trouble as well again.
+const stability = 3 * time.Second
+
+// fail lets something befall the node.
+func (n *testNode) fail(rnd *rand.Rand) {
+	switch rnd.IntN(6) {
+	case 0:
+		n.cut = true
+	case 1:
+		n.cut, n.silent = true, true
+	case 2:
+		n.cut, n.dead = true, true
+	case 3:
+		n.answers, n.way = upTo(rnd, 3*time.Second), upTo(rnd, 2*time.Second)
+	case 4:
+		n.dropped, n.listing = true, upTo(rnd, 4*time.Second)
+	case 5:
+		n.unanswered = 1 + rnd.IntN(5)
+	}
+}
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -117,8 +117,8 @@
 	defer f.mu.Unlock()
 	changed := f.takeDocument(doc, from)
 	behind := n.Table.Newer(f.holdsLocked())
-	if n.Age == unknownAge || now.Sub(at) > f.cfg.NewsMaxAge {
-		f.noteOutage(now, now) // others do not reach the store either
+	if n.Outage {
+		f.noteOutage(now, now) // others did not reach the store either
 	}
 	u := Update{Revision: n.Revision, Upstreams: n.Upstreams, Removed: n.Removed}
 	changed = f.registry.Merge(now, u, n.Whole, !behind) || changed
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -95,7 +95,7 @@
 	case errors.Is(a.err, ErrHistoryGone):
 		calls.refused(now, a.call)
 		f.relist()
-	case calls.failed(now, a.call, f.backoffMax()):
+	case calls.failed(a.call, f.backoffMax()):
 		f.noteCall(a.call, a.err)
 		f.lost(ctx, a.call.began, a.err)
 	}
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -49,6 +49,8 @@
 	// Held is how long the sender kept the question, so that the asking node knows
 	// when it was answered at the earliest, whatever the way took.
 	Held time.Duration `cbor:"9,keyasint,omitempty"`
+	// Outage says that the store was away for the sender a short while ago.
+	Outage bool `cbor:"10,keyasint,omitempty"`
 }
 
 // unknownAge is News.Age of a node that does not know yet what there is.
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -76,6 +76,11 @@
 // Lost notes that the store did not answer.
 func (r *Registry) Lost() { r.away = true }
 
+// Outage reports whether the store is away, or came back less than LapseGrace ago.
+func (r *Registry) Outage(now time.Time) bool {
+	return r.away || !r.returned.IsZero() && now.Before(r.returned.Add(LapseGrace))
+}
+
 // Replace takes over a whole listing of the store and reports whether anything
 // changed.
 func (r *Registry) Replace(now time.Time, u Update) bool {
@@ -118,10 +123,17 @@
 //
 // An upstream that vanished without leaving is believed until Confirm: its entry
 // also ends if its machine cannot reach the store, and where this node cannot
-// either, the two may still serve each other.
+// either, the two may still serve each other. The time that the other node gives
+// one which vanished with an outage is given here only if this node knows of the
+// outage too: a reader that alone was cut off made all who followed it believe in
+// upstreams for 2.2 s more.
 func (r *Registry) Merge(now time.Time, u Update, whole, complete bool) bool {
 	before := r.revision
-	changed := r.take(now, u)
+	changed := false
+	if !r.Outage(now) {
+		u.Upstreams, changed = r.hearLapsed(now, u)
+	}
+	changed = r.take(now, u) || changed
 	for _, gone := range u.Removed {
 		if r.ends(now, gone) {
 			changed = r.hearEnd(now, gone.ID, gone.Revision) || changed
@@ -138,6 +150,21 @@
 	return changed
 }
 
+// hearLapsed takes those that vanished elsewhere for ended. It returns the others,
+// and whether anything changed.
+func (r *Registry) hearLapsed(now time.Time, u Update) (published []Upstream, changed bool) {
+	for _, up := range u.Upstreams {
+		if up.Lapsed == 0 {
+			published = append(published, up)
+			continue
+		}
+		if e, ok := r.known[up.ID]; ok && e.Revision <= up.Revision {
+			changed = r.hearEnd(now, up.ID, u.Revision) || changed
+		}
+	}
+	return published, changed
+}
+
 // hearEnd takes an upstream out on another node's word, at once if it was
 // leaving, otherwise when the end is confirmed.
 func (r *Registry) hearEnd(now time.Time, id string, revision uint64) bool {
@@ -247,7 +274,7 @@
 // there all the time, otherwise after LapseGrace.
 func (r *Registry) vanish(now time.Time, id string, revision uint64) bool {
 	e := r.known[id]
-	if !e.Leaving && !r.returned.IsZero() && now.Before(r.returned.Add(LapseGrace)) {
+	if !e.Leaving && r.Outage(now) {
 		if e.lapsed == 0 {
 			r.lapse(e, revision, r.returned.Add(LapseGrace))
 		}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -108,15 +108,17 @@
 
 // failed notes that a call ended without an answer. It reports whether that says
 // anything of the store: not if a call made later was answered.
-func (s *schedule) failed(now time.Time, c *storeCall, slowest time.Duration) bool {
+func (s *schedule) failed(c *storeCall, slowest time.Duration) bool {
 	i := slices.Index(s.flying, c)
 	if i < 0 {
 		return false
 	}
 	s.flying = slices.Delete(s.flying, i, i+1)
-	pause := doubled(s.cfg.BackoffMin, s.failures, slowest)
-	s.failures++
-	s.notBefore = now.Add(pause/2 + rand.N(pause/2+1))
+	if i == len(s.flying) { // it was the newest, so no other one was made since
+		pause := doubled(s.cfg.BackoffMin, s.failures, slowest)
+		s.failures++
+		s.notBefore = later(s.notBefore, c.began.Add(pause/2+rand.N(pause/2+1)))
+	}
 	return c.began.After(s.proven)
 }
 
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -44,7 +44,7 @@
 func (s *schedule) giveUp(now time.Time) {
 	for _, c := range s.flying {
 		if now.Sub(c.began) >= s.timeout(c) {
-			s.failed(now, c, s.cfg.FollowerBackoffMax)
+			s.failed(c, s.cfg.FollowerBackoffMax)
 			return
 		}
 	}
@@ -66,7 +66,7 @@
 	s.answered(check)
 	assert.Assert(t, !cancelled["list"])
 	assert.Assert(t, s.unanswered() == nil, "the store has answered since the listing began")
-	assert.Assert(t, !s.failed(start.Add(2*time.Second), list, time.Second))
+	assert.Assert(t, !s.failed(list, time.Second))
 	call("watch", callWatch, 3*time.Second)
 	s.answered(call("beside", callWatch, 4*time.Second))
 	assert.Assert(t, cancelled["watch"])
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -55,6 +55,7 @@
 		Whole:     whole,
 		Upstreams: u.Upstreams,
 		Removed:   u.Removed,
+		Outage:    f.registry.Outage(now),
 	}
 	if f.current.IsZero() {
 		n.Age = unknownAge
