--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -30,33 +30,15 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		kind, pause, moved := f.need(now)
-		start := false
 		if kind != callNone {
-			start, pause = calls.next(now, kind, f.backoffMax())
-		}
-		if start {
-			c := f.newCall(now, kind, calls.newest(kind) != nil)
-			call, cancel := context.WithTimeout(ctx, calls.timeout(c))
-			c.cancel = cancel
-			calls.started(c)
-			group.Go(func() {
-				defer cancel()
-				a := f.make(call, c)
-				select {
-				case answers <- a:
-				case <-ctx.Done():
-				}
-			})
-			continue
-		}
-		if c := calls.unanswered(); c != nil && f.away.Load() == 0 {
-			at := c.began.Add(c.expected + f.cfg.LostAfter)
-			if now.Before(at) {
-				pause = min(pause, at.Sub(now))
-			} else {
-				f.lost(ctx, c.began, errOverdue)
+			due, until := calls.next(now, kind, f.backoffMax())
+			if due {
+				f.start(ctx, &group, &calls, f.newCall(now, kind, calls.newest(kind) != nil), answers)
+				continue
 			}
+			pause = until
 		}
+		pause = min(pause, f.noteUnanswered(ctx, now, &calls))
 		timer := time.NewTimer(max(pause, time.Millisecond))
 		select {
 		case a := <-answers:
@@ -69,6 +51,36 @@
 	}
 }
 
+// start makes a call of the store in the background.
+func (f *Follower) start(ctx context.Context, group *sync.WaitGroup, calls *schedule, c *storeCall, answers chan<- storeAnswer) {
+	call, cancel := context.WithTimeout(ctx, calls.timeout(c))
+	c.cancel = cancel
+	calls.started(c)
+	group.Go(func() {
+		defer cancel()
+		a := f.make(call, c)
+		select {
+		case answers <- a:
+		case <-ctx.Done():
+		}
+	})
+}
+
+// noteUnanswered takes the store for lost when a call has had no answer for
+// Config.LostAfter beyond its time. It returns how long that need not be looked at.
+func (f *Follower) noteUnanswered(ctx context.Context, now time.Time, calls *schedule) time.Duration {
+	c := calls.unanswered()
+	if c == nil || f.away.Load() != 0 {
+		return rolePoll
+	}
+	left := c.began.Add(c.expected + f.cfg.LostAfter).Sub(now)
+	if left <= 0 {
+		f.lost(ctx, c.began, errOverdue)
+		return rolePoll
+	}
+	return left
+}
+
 // make makes one call of the store.
 func (f *Follower) make(ctx context.Context, c *storeCall) storeAnswer {
 	f.calls.Add(1)
