--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -9,9 +9,6 @@
 	"github.com/walldrift/walldrift/internal/version"
 )
 
-// newsSlots is the number of nodes whose news are followed at once.
-const newsSlots = 2
-
 // peerLink is what one slot knows of the node that it follows.
 type peerLink struct {
 	source    membership.Instance
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -162,7 +162,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	if f.peers != nil {
-		for slot := range newsSlots {
+		for slot := range membership.MaxNewsSources {
 			group.Go(func() { f.followPeers(ctx, slot) })
 		}
 	}
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -233,15 +233,22 @@
 	})
 }
 
-// An entry that lapsed at a reader has ended for those who know of no outage: the
-// reader alone was cut off. It goes as soon as the store answers.
-func TestLapsedEntryWithoutAnOutage(t *testing.T) {
+// lapsedElsewhere returns the news of a reader for which the store was away and "a"
+// has lapsed meanwhile, and a registry that believes in "a" and "b".
+func lapsedElsewhere() (news Update, whole bool, follower *Registry) {
 	reader, follower := NewRegistry(), NewRegistry()
 	reader.Replace(start, listed(2, up("a", 1), up("b", 2)))
 	reader.Lost()
 	reader.Replace(start, listed(9, up("b", 2)))
-	u, whole := reader.Since(start, 0)
+	news, whole = reader.Since(start, 0)
 	follower.Replace(start, listed(2, up("a", 1), up("b", 2)))
+	return news, whole, follower
+}
+
+// An entry that lapsed at a reader has ended for those who know of no outage: the
+// reader alone was cut off. It goes as soon as the store answers.
+func TestLapsedEntryWithoutAnOutage(t *testing.T) {
+	u, whole, follower := lapsedElsewhere()
 	follower.Merge(start, u, whole, true)
 	assert.DeepEqual(t, ids(follower), []string{"a", "b"})
 	assert.Assert(t, follower.Unconfirmed())
@@ -252,12 +259,7 @@
 // An entry that lapsed at a reader is told with the time it is still believed,
 // so that one who turns to the store later does not believe it for ever.
 func TestLapsedEntryIsToldWithItsTime(t *testing.T) {
-	reader, follower := NewRegistry(), NewRegistry()
-	reader.Replace(start, listed(2, up("a", 1), up("b", 2)))
-	reader.Lost()
-	reader.Replace(start, listed(9, up("b", 2)))
-	u, whole := reader.Since(start, 0)
-	follower.Replace(start, listed(2, up("a", 1), up("b", 2)))
+	u, whole, follower := lapsedElsewhere()
 	follower.Lost()
 	follower.Reached(start)
 	follower.Merge(start, u, whole, true)
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -50,9 +50,9 @@
 	near, far = rank(self.Name, near), rank(self.Name, far)
 	sources := slices.Concat(near[:min(1, len(near))], far[:min(1, len(far))])
 	rest := slices.Concat(near[min(1, len(near)):], far[min(1, len(far)):])
-	return append(sources, rest[:min(max(newsSources-len(sources), 0), len(rest))]...)
+	return append(sources, rest[:min(max(MaxNewsSources-len(sources), 0), len(rest))]...)
 }
 
-// newsSources is the number of readers that a node follows: with two, one may
+// MaxNewsSources is the number of readers that a node follows: with two, one may
 // be cut off without a word and changes still come at once.
-const newsSources = 2
+const MaxNewsSources = 2
