Split the registry: what is told to and taken from other nodes; two survivors of the mutants caught

No change of behaviour in the product. TestLostCallsAreNoOutage runs in eight phases, as one alone caught its mutant only by chance; TestOutageIsHeardOf is new.

--- a/internal/discovery/bound_test.go
+++ b/internal/discovery/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/membership"
@@ -86,7 +88,8 @@
 func TestLostCallsAreNoOutage(t *testing.T) {
 	for name, c := range map[string]struct {
 		lose   func(readers []*testNode, node *testNode)
-		ends   time.Duration // after the calls began to be lost
+		ends   time.Duration // after the calls began to be lost, in the first phase
+		step   time.Duration // from one phase to the next
 		within time.Duration // after the end
 	}{
 		"for long, while news come": {
@@ -94,7 +97,7 @@
 				node.set(func(n *testNode) { n.unanswered = 4 })
 				node.follower.lost(context.Background(), time.Now(), errOverdue) // so that it calls the store
 			},
-			ends: 4 * time.Second, within: drainBound,
+			ends: 2500 * time.Millisecond, step: 250 * time.Millisecond, within: drainBound,
 		},
 		"two, and no news": {
 			lose: func(readers []*testNode, node *testNode) {
@@ -105,19 +108,36 @@
 			within: DefaultConfig().WorstAge(2) + AnswerTime,
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := startFollowers(t, 8, "a", "b")
-				f.addEnding()
-				readers, others := f.roles()
-				node := others[0]
-				c.lose(readers, node)
-				time.Sleep(c.ends)
-				f.store.remove(endingID)
-				time.Sleep(c.within)
-				_, knows := node.follower.Member(endingID)
-				assert.Assert(t, !knows)
+		for phase := range 8 {
+			t.Run(fmt.Sprintf("%s, phase %d", name, phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := startFollowers(t, 8, "a", "b")
+					f.addEnding()
+					readers, others := f.roles()
+					node := others[0]
+					c.lose(readers, node)
+					time.Sleep(c.ends + time.Duration(phase)*c.step)
+					f.store.remove(endingID)
+					time.Sleep(c.within)
+					_, knows := node.follower.Member(endingID)
+					assert.Assert(t, !knows)
+				})
 			})
+		}
+	}
+}
+
+// Whether an outage was one is told by the sources of news, where they are the
+// first to be heard again.
+func TestOutageIsHeardOf(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f, _ := follow(t, &fakeSource{fail: errors.New("down")})
+			time.Sleep(5 * time.Second)
+			assert.NilError(t, f.takeNews(time.Now(), "a", News{Outage: outage}))
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			assert.Equal(t, f.registry.Outage(time.Now()), outage)
 		})
 	}
 }
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -117,68 +117,6 @@
 	return ok && gone.Revision > e.Revision
 }
 
-// Merge takes over what another node believes and reports whether anything
-// changed. With whole the update lists all that it believes. It advances
-// Revision only if complete says that nothing of the update is missing.
-//
-// An upstream that vanished without leaving is believed until Confirm: its entry
-// also ends if its machine cannot reach the store, and where this node cannot
-// either, the two may still serve each other. The time that the other node gives
-// one which vanished with an outage is given here only if this node knows of the
-// outage too: a reader that alone was cut off made all who followed it believe in
-// upstreams for 2.2 s more.
-func (r *Registry) Merge(now time.Time, u Update, whole, complete bool) bool {
-	before := r.revision
-	changed := false
-	if !r.Outage(now) {
-		u.Upstreams, changed = r.hearLapsed(now, u)
-	}
-	changed = r.take(now, u) || changed
-	for _, gone := range u.Removed {
-		if r.ends(now, gone) {
-			changed = r.hearEnd(now, gone.ID, gone.Revision) || changed
-		}
-	}
-	if whole {
-		for _, id := range r.unlisted(u) {
-			changed = r.hearEnd(now, id, u.Revision) || changed
-		}
-	}
-	if !complete {
-		r.revision = before
-	}
-	return changed
-}
-
-// hearLapsed takes those that vanished elsewhere for ended. It returns the others,
-// and whether anything changed.
-func (r *Registry) hearLapsed(now time.Time, u Update) (published []Upstream, changed bool) {
-	for _, up := range u.Upstreams {
-		if up.Lapsed == 0 {
-			published = append(published, up)
-			continue
-		}
-		if e, ok := r.known[up.ID]; ok && e.Revision <= up.Revision {
-			changed = r.hearEnd(now, up.ID, u.Revision) || changed
-		}
-	}
-	return published, changed
-}
-
-// hearEnd takes an upstream out on another node's word, at once if it was
-// leaving, otherwise when the end is confirmed.
-func (r *Registry) hearEnd(now time.Time, id string, revision uint64) bool {
-	e := r.known[id]
-	if e.Leaving {
-		r.remove(now, id, revision)
-		return true
-	}
-	if e.lapsed == 0 {
-		r.lapse(e, revision, time.Time{})
-	}
-	return false
-}
-
 // lapse notes that an entry has vanished and is believed on.
 func (r *Registry) lapse(e entry, revision uint64, expires time.Time) {
 	r.sequence++
@@ -186,33 +124,6 @@
 	r.known[e.ID] = e
 }
 
-// Unconfirmed reports whether upstreams are believed that vanished by the word
-// of other nodes.
-func (r *Registry) Unconfirmed() bool {
-	for _, e := range r.known {
-		if e.unconfirmed() {
-			return true
-		}
-	}
-	return false
-}
-
-func (e entry) unconfirmed() bool { return e.lapsed != 0 && e.expires.IsZero() }
-
-// Confirm takes out the upstreams that vanished by the word of other nodes, as
-// the store answers this one. It reports whether there were any.
-func (r *Registry) Confirm(now time.Time) bool {
-	r.Reached(now)
-	changed := false
-	for id, e := range r.known {
-		if e.unconfirmed() {
-			r.remove(now, id, e.lapsed)
-			changed = true
-		}
-	}
-	return changed
-}
-
 // Reached notes that the store answers. After an outage, what lapsed before it
 // is given the same time as what lapsed in it.
 func (r *Registry) Reached(now time.Time) {
@@ -324,33 +235,6 @@
 	return next, !next.IsZero()
 }
 
-// Since returns what has changed after a sequence. With whole it returns all
-// that is believed, since the sequence is 0 or the changes are not remembered.
-func (r *Registry) Since(now time.Time, sequence uint64) (u Update, whole bool) {
-	u.Revision = r.revision
-	whole = sequence == 0 || sequence < r.forgotten
-	for _, e := range r.known {
-		if !whole && e.sequence <= sequence {
-			continue
-		}
-		if e.unconfirmed() {
-			u.Removed = append(u.Removed, Removal{ID: e.ID, Revision: e.lapsed})
-			continue
-		}
-		up := e.Upstream
-		if e.lapsed != 0 {
-			up.Lapsed = max(e.expires.Sub(now), time.Millisecond)
-		}
-		u.Upstreams = append(u.Upstreams, up)
-	}
-	for id, t := range r.gone {
-		if whole || t.sequence > sequence {
-			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision})
-		}
-	}
-	return u, whole
-}
-
 // Known is an upstream with the time when its entry came.
 type Known struct {
 	Upstream
