--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -38,40 +38,6 @@
 	}
 }
 
-// Cause is the reason for a control message, for the byte counters.
-type Cause uint8
-
-// The causes.
-const (
-	CausePush Cause = iota
-	CauseHeal
-	CauseDigest
-	CauseMembership
-	CauseCensus
-)
-
-// Send is a message for one neighbour.
-type Send struct {
-	To    string
-	Msg   *Message
-	Cause Cause
-}
-
-// Effects is what the caller of an Engine method must carry out.
-type Effects struct {
-	Sends []Send
-	// Advanced lists the documents that moved to a newer version.
-	Advanced []Doc
-	// MembersChanged asks for the overlay to be computed anew.
-	MembersChanged bool
-	// Flush asks for a call of Engine.Flush after a short while.
-	Flush bool
-	// Surveys holds finished queries that were asked at this node.
-	Surveys []Survey
-	// Errors are defects of messages, for a counter and the log.
-	Errors []error
-}
-
 // Survey is the result of a status query asked at this node.
 type Survey struct {
 	ID    uint64
@@ -182,120 +148,6 @@
 // SourceAnswered notes that the platform answered without news.
 func (e *Engine) SourceAnswered(now time.Time) { e.source = now }
 
-// Receive handles a message from a neighbour.
-func (e *Engine) Receive(now time.Time, from string, m *Message) Effects {
-	var fx Effects
-	if m.Digest != nil {
-		e.receiveDigest(&fx, now, from, m.Digest)
-	}
-	for _, u := range m.Updates {
-		if u.Doc < docCount {
-			e.receiveUpdate(&fx, now, from, u)
-		}
-	}
-	for _, w := range m.Wants {
-		if w.Doc < docCount {
-			e.receiveWant(&fx, from, w)
-		}
-	}
-	if len(m.Rumors) > 0 {
-		e.receiveRumors(&fx, now, from, m.Rumors)
-	}
-	if m.Query != nil {
-		e.receiveQuery(&fx, now, from, *m.Query)
-	}
-	if m.Reply != nil {
-		e.census.answer(from, *m.Reply)
-		e.finishSurveys(&fx, now)
-	}
-	return fx
-}
-
-func (e *Engine) receiveDigest(fx *Effects, now time.Time, from string, d *Digest) {
-	e.told[from] = true
-	if d.Ask {
-		fx.send(from, CauseDigest, &Message{Digest: e.digest(now)})
-	}
-	at := now.Add(-time.Duration(min(d.SourceAge, maxSourceAge)) * time.Millisecond)
-	if d.SourceAge < maxSourceAge && at.After(e.source) {
-		e.source = at
-	}
-	var wants []Want
-	for doc, r := range e.docs {
-		if w := r.digest(now, from, d.Held[doc]); w != nil {
-			wants = append(wants, *w)
-		}
-	}
-	if len(wants) > 0 {
-		fx.send(from, CauseHeal, &Message{Wants: wants})
-	}
-}
-
-func (e *Engine) receiveUpdate(fx *Effects, now time.Time, from string, u Update) {
-	advanced, want, err := e.docs[u.Doc].update(now, from, u)
-	fx.fail(err)
-	if want != nil {
-		fx.send(from, CauseHeal, &Message{Wants: []Want{*want}})
-	}
-	if advanced {
-		e.advanced(fx, now, u.Doc, from)
-	}
-}
-
-func (e *Engine) receiveWant(fx *Effects, from string, w Want) {
-	r := e.docs[w.Doc]
-	r.known[from] = w.Have
-	if updates := r.answer(w.Have); updates != nil {
-		r.known[from] = r.held
-		fx.send(from, CauseHeal, &Message{Updates: updates})
-	}
-}
-
-func (e *Engine) receiveRumors(fx *Effects, now time.Time, from string, rumors []membership.Rumor) {
-	for _, r := range rumors {
-		news, refute := e.View.Hear(r, now)
-		if news {
-			e.spread(fx, from, r)
-		}
-		if refute != nil {
-			e.spread(fx, "", *refute)
-		}
-	}
-}
-
-// pendingRumor is a rumor on its way to all neighbours but the one it came
-// from.
-type pendingRumor struct {
-	rumor membership.Rumor
-	from  string
-}
-
-// spread queues a rumor for the next Flush. Rumors come in herds, when many
-// instances start or fail at once; one message a link then carries them all.
-func (e *Engine) spread(fx *Effects, from string, r membership.Rumor) {
-	fx.MembersChanged = true
-	fx.Flush = fx.Flush || len(e.pending) == 0
-	e.pending = append(e.pending, pendingRumor{r, from})
-}
-
-// Flush sends the queued rumors.
-func (e *Engine) Flush() Effects {
-	var fx Effects
-	for _, peer := range e.neighbours() {
-		var batch []membership.Rumor
-		for _, p := range e.pending {
-			if p.from != peer {
-				batch = append(batch, p.rumor)
-			}
-		}
-		if len(batch) > 0 {
-			fx.send(peer, CauseMembership, &Message{Rumors: batch})
-		}
-	}
-	e.pending = nil
-	return fx
-}
-
 // advanced pushes a new version to the neighbours that lack it.
 func (e *Engine) advanced(fx *Effects, now time.Time, d Doc, from string) {
 	fx.Advanced = append(fx.Advanced, d)
@@ -384,13 +236,3 @@
 }
 
 func (e *Engine) neighbours() []string { return slices.Sorted(maps.Keys(e.links)) }
-
-func (fx *Effects) send(to string, c Cause, m *Message) {
-	fx.Sends = append(fx.Sends, Send{To: to, Msg: m, Cause: c})
-}
-
-func (fx *Effects) fail(err error) {
-	if err != nil {
-		fx.Errors = append(fx.Errors, err)
-	}
-}
