--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -2,16 +2,12 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // readBuffer is the first size of a connection's read buffer; a larger head
@@ -167,54 +163,6 @@
 	}
 }
 
-// read reads one request. A status other than 0 refuses it; a nil request
-// without one means that the connection has ended.
-func (c *conn) read(limits Limits) (*http.Request, int) {
-	head, err := c.awaitHead(limits.HeaderBytes)
-	switch {
-	case errors.Is(err, ErrHeadTooLarge):
-		return nil, http.StatusRequestHeaderFieldsTooLarge
-	case isTimeout(err):
-		return nil, http.StatusRequestTimeout
-	case err != nil:
-		return nil, 0
-	}
-	if checkHead(head) != nil {
-		return nil, http.StatusBadRequest
-	}
-	req, err := http.ReadRequest(c.br)
-	if err != nil || req.Host == "" && req.ProtoAtLeast(1, 1) {
-		return nil, http.StatusBadRequest
-	}
-	return req, 0
-}
-
-// awaitHead waits until a whole head is buffered and returns it unread.
-func (c *conn) awaitHead(limit int) ([]byte, error) {
-	for {
-		buf, _ := c.br.Peek(c.br.Buffered())
-		if n := headEnd(buf); n > 0 {
-			return buf[:n], nil
-		}
-		if len(buf) >= limit {
-			return nil, ErrHeadTooLarge
-		}
-		if len(buf) == c.br.Size() {
-			c.grow(limit)
-		}
-		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
-			return nil, err
-		}
-	}
-}
-
-// grow replaces the read buffer by a larger one.
-func (c *conn) grow(limit int) {
-	old, _ := c.br.Peek(c.br.Buffered())
-	kept := bytes.Clone(old)
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.nc), max(limit, 2*len(kept)))
-}
-
 // start runs the handler of a request, and waits until its body is read, as the
 // next request follows it.
 func (c *conn) start(req *http.Request) bool {
@@ -322,51 +270,3 @@
 	}
 	return false
 }
-
-// refuse answers a request that could not be read, behind the answers before
-// it, and ends the connection.
-func (c *conn) refuse(status int) {
-	c.group.Wait()
-	if c.isAborted() {
-		return
-	}
-	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTime))
-	_, _ = io.WriteString(c.nc, "HTTP/1.1 "+statusLine(status)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
-}
-
-func (c *conn) isAborted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.aborted
-}
-
-// abort resets the connection, so that no answer looks whole that is not.
-func (c *conn) abort() {
-	c.mu.Lock()
-	c.closing, c.aborted = true, true
-	c.mu.Unlock()
-	c.cancel()
-	if t, ok := c.nc.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.nc.Close()
-}
-
-// end closes the connection: its write side first, then it reads what is still
-// on the way, as closing with unread bytes would reset it.
-func (c *conn) end() {
-	if c.isAborted() || c.ctx.Err() != nil {
-		_ = c.nc.Close()
-		return
-	}
-	if t, ok := c.nc.(*net.TCPConn); ok && t.CloseWrite() == nil {
-		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, c.nc)
-	}
-	_ = c.nc.Close()
-}
-
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
--- /dev/null
+++ b/internal/http1/conn_close.go
@@ -0,0 +1,57 @@
+package http1
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// refuse answers a request that could not be read, behind the answers before
+// it, and ends the connection.
+func (c *conn) refuse(status int) {
+	c.group.Wait()
+	if c.isAborted() {
+		return
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.nc, "HTTP/1.1 "+statusLine(status)+"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+func (c *conn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
+// abort resets the connection, so that no answer looks whole that is not.
+func (c *conn) abort() {
+	c.mu.Lock()
+	c.closing, c.aborted = true, true
+	c.mu.Unlock()
+	c.cancel()
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.nc.Close()
+}
+
+// end closes the connection: its write side first, then it reads what is still
+// on the way, as closing with unread bytes would reset it.
+func (c *conn) end() {
+	if c.isAborted() || c.ctx.Err() != nil {
+		_ = c.nc.Close()
+		return
+	}
+	if t, ok := c.nc.(*net.TCPConn); ok && t.CloseWrite() == nil {
+		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.nc)
+	}
+	_ = c.nc.Close()
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
