--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,7 +26,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stop()
-	calls := schedule{cfg: f.cfg}
+	calls := schedule{cfg: f.cfg, draw: upToRandom}
 	answers := make(chan storeAnswer)
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -308,6 +309,9 @@
 	}
 }
 
+// upToRandom returns a random duration of up to d.
+func upToRandom(d time.Duration) time.Duration { return rand.N(d + 1) }
+
 func wait(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -32,14 +31,17 @@
 // lost, one that it may have lost too, and one that is answered.
 const maxCalls = 3
 
-// schedule decides when the store is called. It is pure: time is passed in.
+// schedule decides when the store is called. It is pure: time and randomness are
+// passed in.
 //
 // A call that is overdue may be lost or only slow, so it is neither waited for nor
 // given up: another one goes out beside it, and what is answered first is taken.
 // One lost call so costs Config.CallOverdue in place of its whole timeout, which
 // was 1.5 s of the 2 s in which a change must be in force.
 type schedule struct {
-	cfg       Config
+	cfg Config
+	// draw returns a random duration of up to its argument.
+	draw      func(time.Duration) time.Duration
 	flying    []*storeCall // in the order of their starts
 	failures  int          // calls in a row that failed or were overdue
 	notBefore time.Time    // the next call
@@ -117,7 +119,7 @@
 	if i == len(s.flying) { // it was the newest, so no other one was made since
 		pause := doubled(s.cfg.BackoffMin, s.failures, slowest)
 		s.failures++
-		s.notBefore = later(s.notBefore, c.began.Add(pause/2+rand.N(pause/2+1)))
+		s.notBefore = later(s.notBefore, c.began.Add(pause/2+s.draw(pause/2)))
 	}
 	return c.began.After(s.proven)
 }
--- a/internal/discovery/schedule_test.go
+++ b/internal/discovery/schedule_test.go
@@ -21,7 +21,7 @@
 // Calls without an answer are joined by others soon, then ever more slowly, and no
 // more than maxCalls are in flight.
 func TestScheduleWithoutAnswers(t *testing.T) {
-	s := schedule{cfg: DefaultConfig()}
+	s := schedule{cfg: DefaultConfig(), draw: whole}
 	now := start
 	var gaps []time.Duration
 	for last := now; len(gaps) < 6; now = now.Add(time.Millisecond) {
@@ -53,7 +53,7 @@
 // What a later call brought makes an earlier one useless; a check brings nothing,
 // and a listing keeps no check waiting.
 func TestScheduleKeepsWhatIsOfUse(t *testing.T) {
-	s := schedule{cfg: DefaultConfig()}
+	s := schedule{cfg: DefaultConfig(), draw: whole}
 	cancelled := make(map[string]bool)
 	call := func(name string, kind callKind, after time.Duration) *storeCall {
 		c := &storeCall{kind: kind, began: start.Add(after), cancel: func() { cancelled[name] = true }}
@@ -72,3 +72,6 @@
 	assert.Assert(t, cancelled["watch"])
 	assert.Equal(t, len(s.flying), 0)
 }
+
+// whole draws the longest duration.
+func whole(d time.Duration) time.Duration { return d }
