Entries of other writers name no upstream; an unusable table leaves the one in force

An unusable one takes out what the entry named before, at once and also in an outage, ordered by revision, and is told to other nodes so. Entries of services that the table does not name take no address and count for no reader. One line a defect and revision; walldrift status shows the reasons.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -26,11 +26,13 @@
 // changed puts a changed belief in force. from is SourceStore or the node that
 // told of the change, empty if only time has passed. The lock is held.
 func (f *Follower) changed(from string) {
-	known := f.registry.Upstreams()
+	known := f.registry.UpstreamsOf(f.services)
 	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
 	for _, k := range known {
-		dir.members[k.ID] = f.member(k)
 		dir.byAddress[k.Address] = k
+		if f.services == nil || f.services[k.Service] {
+			dir.members[k.ID] = f.member(k)
+		}
 	}
 	f.logChanges(f.dir.Load(), dir, from)
 	f.dir.Store(dir)
@@ -40,9 +42,9 @@
 		return
 	}
 	f.builds++
-	snap, err := snapshot.FromTable(withUpstreams(f.document.Table, known), f.document.ID, f.document.Raw)
+	snap, err := snapshotOf(f.document, f.services, known)
 	if err != nil {
-		f.log.Error("table version refused", "version", f.document.ID, "err", err)
+		f.log.Error("snapshot not built", "version", f.document.ID, "err", err)
 		return
 	}
 	snap.Directory = f.builds
@@ -117,19 +119,24 @@
 	return m
 }
 
-// withUpstreams adds the discovered upstreams to the table's rows, all with the
-// same weight.
-func withUpstreams(t *table.Table, known []Known) *table.Table {
-	out := *t
-	out.Upstreams = make([]table.Upstream, 0, len(known))
-	services := make(map[string]bool, len(t.Services))
-	for _, s := range t.Services {
-		services[s.Name] = true
-	}
+// snapshotOf builds the snapshot of a table with the upstreams of its services, all
+// with the same weight.
+func snapshotOf(d *Document, services map[string]bool, known []Known) (*snapshot.Snapshot, error) {
+	t := *d.Table
+	t.Upstreams = make([]table.Upstream, 0, len(known))
 	for _, k := range known {
 		if services[k.Service] {
-			out.Upstreams = append(out.Upstreams, table.Upstream{Name: k.ID, Service: k.Service, Weight: 1, Concurrency: k.Slots})
+			t.Upstreams = append(t.Upstreams, table.Upstream{Name: k.ID, Service: k.Service, Weight: 1, Concurrency: k.Slots})
 		}
 	}
-	return &out
+	return snapshot.FromTable(&t, d.ID, d.Raw)
+}
+
+// servicesOf returns the services that a table names.
+func servicesOf(t *table.Table) map[string]bool {
+	out := make(map[string]bool, len(t.Services))
+	for _, s := range t.Services {
+		out[s.Name] = true
+	}
+	return out
 }
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // Upstream is one published process of a service.
 type Upstream struct {
-	ID         string         `cbor:"1,keyasint"` // one process; a restarted one has another
+	ID         string         `cbor:"1,keyasint"`
 	Service    string         `cbor:"2,keyasint"`
 	Address    netip.AddrPort `cbor:"3,keyasint"`
 	DataCentre string         `cbor:"4,keyasint"`
@@ -40,6 +41,10 @@
 	// Lapsed is set in news only: the entry has vanished with an outage of the
 	// store and is believed for this time still.
 	Lapsed time.Duration `cbor:"9,keyasint,omitempty"`
+	// Born is when the process started, in milliseconds since 1970 by its own
+	// clock; 0 if it is not told. A process may start again under its ID: of two
+	// with one ID that with the later start is the one that lives.
+	Born uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Document is one published version of the table.
@@ -59,10 +64,28 @@
 	IdleTimeout   time.Duration
 }
 
-// Removal says that an upstream is no longer published.
+// Removal says that an upstream is no longer published, or that something else is
+// published in its place.
 type Removal struct {
 	ID       string `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
+	// Unusable says what is wrong with what is published; empty if nothing is.
+	Unusable string `cbor:"3,keyasint,omitempty"`
+}
+
+// Finding is a defect of a published entry, which is left out.
+type Finding struct {
+	Entry    string // its key
+	Revision uint64
+	Err      error
+}
+
+// longestEntry bounds the part of a key that stands in a finding, in bytes.
+const longestEntry = 64
+
+// Error tells the defect and its place.
+func (f Finding) Error() string {
+	return fmt.Sprintf("entry %.*q, revision %d: %v", longestEntry, f.Entry, f.Revision, f.Err)
 }
 
 // Update is what a call of the Source brought.
@@ -71,8 +94,7 @@
 	Document  *Document // nil if it is not part of the update
 	Upstreams []Upstream
 	Removed   []Removal
-	// Findings are defects of single entries, which were left out.
-	Findings []error
+	Findings  []Finding
 }
 
 // empty reports whether the call brought nothing but a revision.
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -220,9 +220,7 @@
 	}
 	f.noteOutage(a.call.began, now)
 	f.regained(now, u)
-	for _, finding := range u.Findings {
-		f.log.Warn("published entry left out", "finding", finding)
-	}
+	f.reportFindings(u.Findings)
 	changed := false
 	switch a.call.kind {
 	case callList:
@@ -260,7 +258,13 @@
 	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
 		return false
 	}
-	f.document, f.deflated = d, nil
+	services := servicesOf(d.Table)
+	if _, err := snapshotOf(d, services, nil); err != nil {
+		// The one in force stays, and goes on with the upstreams as they change.
+		f.reportFindings([]Finding{{Entry: "table " + d.ID.String(), Err: err}})
+		return false
+	}
+	f.document, f.services, f.deflated = d, services, nil
 	f.since, f.from = time.Now(), from
 	f.limits.Store(&d.Limits)
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -37,6 +37,8 @@
 	mu        sync.Mutex // guards what follows
 	registry  *Registry
 	document  *Document
+	services  map[string]bool // named by document; nil before there is one
+	reported  reported
 	since     time.Time // when document came
 	from      string    // where it came from
 	deflated  []byte    // document, for other nodes; nil until one asks
@@ -110,6 +112,8 @@
 	// came from: SourceStore or the node whose news had it.
 	TableAge  time.Duration
 	TableFrom string
+	// Unusable are the published entries that name no upstream that can be used.
+	Unusable []Removal
 }
 
 // newsAge is Age for lines, "none" before anything is known. The lock is held.
@@ -145,7 +149,7 @@
 func (f *Follower) Status(now time.Time) Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Status{Reader: f.reader, Age: now.Sub(f.current), TableFrom: f.from}
+	s := Status{Reader: f.reader, Age: now.Sub(f.current), TableFrom: f.from, Unusable: f.registry.Unusable()}
 	if !f.since.IsZero() {
 		s.TableAge = now.Sub(f.since)
 	}
--- a/internal/discovery/merge.go
+++ b/internal/discovery/merge.go
@@ -23,12 +23,12 @@
 	changed = r.take(now, u) || changed
 	for _, gone := range u.Removed {
 		if r.ends(now, gone) {
-			changed = r.hearEnd(now, gone.ID, gone.Revision) || changed
+			changed = r.hearEnd(now, gone) || changed
 		}
 	}
 	if whole {
 		for _, id := range r.unlisted(u) {
-			changed = r.hearEnd(now, id, u.Revision) || changed
+			changed = r.hearEnd(now, Removal{ID: id, Revision: u.Revision}) || changed
 		}
 	}
 	if !complete {
@@ -46,22 +46,23 @@
 			continue
 		}
 		if e, ok := r.known[up.ID]; ok && e.Revision <= up.Revision {
-			changed = r.hearEnd(now, up.ID, u.Revision) || changed
+			changed = r.hearEnd(now, Removal{ID: up.ID, Revision: u.Revision}) || changed
 		}
 	}
 	return published, changed
 }
 
-// hearEnd takes an upstream out on another node's word, at once if it was
-// leaving, otherwise when the end is confirmed.
-func (r *Registry) hearEnd(now time.Time, id string, revision uint64) bool {
-	e := r.known[id]
-	if e.Leaving {
-		r.remove(now, id, revision)
+// hearEnd takes an upstream out on another node's word, at once if it was leaving
+// or something else is published in its place, otherwise when the end is
+// confirmed.
+func (r *Registry) hearEnd(now time.Time, gone Removal) bool {
+	e := r.known[gone.ID]
+	if e.Leaving || gone.Unusable != "" {
+		r.remove(now, gone)
 		return true
 	}
 	if e.lapsed == 0 {
-		r.lapse(e, revision, time.Time{})
+		r.lapse(e, gone.Revision, time.Time{})
 	}
 	return false
 }
@@ -86,7 +87,7 @@
 	changed := false
 	for id, e := range r.known {
 		if e.unconfirmed() {
-			r.remove(now, id, e.lapsed)
+			r.remove(now, Removal{ID: id, Revision: e.lapsed})
 			changed = true
 		}
 	}
@@ -114,7 +115,7 @@
 	}
 	for id, t := range r.gone {
 		if whole || t.sequence > sequence {
-			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision})
+			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision, Unusable: t.unusable})
 		}
 	}
 	return u, whole
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -17,6 +17,11 @@
 // that is still passed on.
 const tombstoneLife = time.Minute
 
+// maxUnusable is the number of ends beyond which those of entries that cannot be
+// used are forgotten like all others; up to it they are kept, so that operators
+// see them. About 200 KB.
+const maxUnusable = 1000
+
 // Registry holds what is believed about the upstreams. Not safe for concurrent
 // use.
 type Registry struct {
@@ -60,6 +65,7 @@
 	revision uint64
 	at       time.Time
 	sequence uint64
+	unusable string // Removal.Unusable
 }
 
 // NewRegistry returns an empty registry.
@@ -89,19 +95,40 @@
 		return false // a stale answer
 	}
 	changed := r.take(now, u)
+	changed = r.applyRemoved(now, u.Removed) || changed
 	for _, id := range r.unlisted(u) {
-		changed = r.vanish(now, id, u.Revision) || changed
+		changed = r.vanish(now, Removal{ID: id, Revision: u.Revision}) || changed
 	}
+	r.keepUnusable(u)
 	return changed
 }
 
+// keepUnusable forgets what was wrong with entries that a whole listing lacks.
+func (r *Registry) keepUnusable(u Update) {
+	listed := make(map[string]bool, len(u.Removed))
+	for _, gone := range u.Removed {
+		listed[gone.ID] = true
+	}
+	for id, t := range r.gone {
+		if t.unusable != "" && !listed[id] && t.revision <= u.Revision {
+			t.unusable = ""
+			r.gone[id] = t
+		}
+	}
+}
+
 // Apply takes over changes of the store and reports whether anything changed.
 func (r *Registry) Apply(now time.Time, u Update) bool {
 	r.Reached(now)
 	changed := r.take(now, u)
-	for _, gone := range u.Removed {
+	return r.applyRemoved(now, u.Removed) || changed
+}
+
+func (r *Registry) applyRemoved(now time.Time, removed []Removal) bool {
+	changed := false
+	for _, gone := range removed {
 		if r.ends(now, gone) {
-			changed = r.vanish(now, gone.ID, gone.Revision) || changed
+			changed = r.vanish(now, gone) || changed
 		}
 	}
 	return changed
@@ -112,7 +139,7 @@
 func (r *Registry) ends(now time.Time, gone Removal) bool {
 	e, ok := r.known[gone.ID]
 	if !ok && gone.Revision > r.gone[gone.ID].revision {
-		r.remove(now, gone.ID, gone.Revision)
+		r.remove(now, gone)
 	}
 	return ok && gone.Revision > e.Revision
 }
@@ -181,32 +208,46 @@
 	return changed
 }
 
-// vanish takes an upstream out, at once if it was leaving or the store was
-// there all the time, otherwise after LapseGrace.
-func (r *Registry) vanish(now time.Time, id string, revision uint64) bool {
-	e := r.known[id]
-	if !e.Leaving && r.Outage(now) {
+// vanish takes an upstream out, at once if it was leaving, if something else is
+// published in its place or if the store was there all the time, otherwise after
+// LapseGrace.
+func (r *Registry) vanish(now time.Time, gone Removal) bool {
+	e := r.known[gone.ID]
+	if !e.Leaving && gone.Unusable == "" && r.Outage(now) {
 		if e.lapsed == 0 {
-			r.lapse(e, revision, r.returned.Add(LapseGrace))
+			r.lapse(e, gone.Revision, r.returned.Add(LapseGrace))
 		}
 		return false
 	}
-	r.remove(now, id, revision)
+	r.remove(now, gone)
 	return true
 }
 
 // remove takes an upstream out and remembers its end.
-func (r *Registry) remove(now time.Time, id string, revision uint64) {
+func (r *Registry) remove(now time.Time, gone Removal) {
 	r.sequence++
-	delete(r.known, id)
-	r.gone[id] = tombstone{revision: revision, at: now, sequence: r.sequence}
+	delete(r.known, gone.ID)
+	r.gone[gone.ID] = tombstone{revision: gone.Revision, at: now, sequence: r.sequence, unusable: gone.Unusable}
+}
+
+// Unusable returns the entries that name no upstream that can be used, as far as
+// they are remembered, sorted by ID.
+func (r *Registry) Unusable() []Removal {
+	var out []Removal
+	for id, t := range r.gone {
+		if t.unusable != "" {
+			out = append(out, Removal{ID: id, Revision: t.revision, Unusable: t.unusable})
+		}
+	}
+	slices.SortFunc(out, func(a, b Removal) int { return cmp.Compare(a.ID, b.ID) })
+	return out
 }
 
 // Expire takes out the upstreams that did not appear again in time and forgets
 // old tombstones. It reports whether belief has changed.
 func (r *Registry) Expire(now time.Time) bool {
 	for id, t := range r.gone {
-		if now.Sub(t.at) > tombstoneLife {
+		if now.Sub(t.at) > tombstoneLife && (t.unusable == "" || len(r.gone) > maxUnusable) {
 			r.forgotten = max(r.forgotten, t.sequence)
 			delete(r.gone, id)
 		}
@@ -217,7 +258,7 @@
 	changed := false
 	for id, e := range r.known {
 		if e.lapsed != 0 && !e.unconfirmed() && !now.Before(e.expires) {
-			r.remove(now, id, e.lapsed)
+			r.remove(now, Removal{ID: id, Revision: e.lapsed})
 			changed = true
 		}
 	}
@@ -244,14 +285,23 @@
 // Upstreams returns the believed upstreams, sorted by ID. Of two at one address
 // only the one published later is among them: an address serves one process at a
 // time, and the entry of one that ended without a word stays for some seconds.
-func (r *Registry) Upstreams() []Known {
-	latest := make(map[netip.AddrPort]uint64, len(r.known))
+func (r *Registry) Upstreams() []Known { return r.UpstreamsOf(nil) }
+
+// UpstreamsOf is Upstreams with the services that the table names; nil for any. An
+// entry of another service takes no address from one of these, as whoever wrote it
+// may not be there.
+func (r *Registry) UpstreamsOf(services map[string]bool) []Known {
+	named := func(e entry) bool { return services == nil || services[e.Service] }
+	holder := make(map[netip.AddrPort]entry, len(r.known))
 	for _, e := range r.known {
-		latest[e.Address] = max(latest[e.Address], e.Revision)
+		h, ok := holder[e.Address]
+		if !ok || named(e) && !named(h) || named(e) == named(h) && e.Revision > h.Revision {
+			holder[e.Address] = e
+		}
 	}
 	out := make([]Known, 0, len(r.known))
 	for _, e := range r.known {
-		if !e.Address.IsValid() || e.Revision == latest[e.Address] {
+		if !e.Address.IsValid() || holder[e.Address].ID == e.ID {
 			out = append(out, Known{Upstream: e.Upstream, Seen: e.seen})
 		}
 	}
--- a/internal/discovery/report.go
+++ b/internal/discovery/report.go
@@ -32,3 +32,32 @@
 	}
 	f.log.Info("news within the bound again", "news_age", f.newsAge(now))
 }
+
+// reported holds the revisions of the entries whose defects have a line, by key.
+type reported map[string]uint64
+
+// maxReported bounds the entries that are remembered; with more of them lines may
+// come again. About 100 KB.
+const maxReported = 1000
+
+// first reports whether a defect is new, and remembers it.
+func (r *reported) first(found Finding) bool {
+	if at, ok := (*r)[found.Entry]; ok && at == found.Revision {
+		return false
+	}
+	if *r == nil || len(*r) >= maxReported {
+		*r = make(reported)
+	}
+	(*r)[found.Entry] = found.Revision
+	return true
+}
+
+// reportFindings writes one line for each defect, however often it is read. The
+// lock is held.
+func (f *Follower) reportFindings(found []Finding) {
+	for _, one := range found {
+		if f.reported.first(one) {
+			f.log.Warn("published entry left out", "finding", one)
+		}
+	}
+}
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"slices"
@@ -14,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/distribution"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/table"
@@ -101,6 +103,7 @@
 		Reader:     f.Reader,
 		SourceAge:  uint64(f.Age.Milliseconds()),
 		Links:      len(f.Sources),
+		Refused:    unusable(f.Unusable),
 	}
 	if st.Table.IsZero() {
 		st.Waiting = "a first table"
@@ -108,6 +111,21 @@
 	return st
 }
 
+// unusableTold is the number of unusable entries that a status tells in full.
+const unusableTold = 3
+
+// unusable tells operators which published entries name no upstream, and why.
+func unusable(entries []discovery.Removal) string {
+	if len(entries) == 0 {
+		return ""
+	}
+	told := make([]string, 0, unusableTold)
+	for _, e := range entries[:min(len(entries), unusableTold)] {
+		told = append(told, e.ID+" ("+e.Unusable+")")
+	}
+	return fmt.Sprintf("%d entries: %s", len(entries), strings.Join(told, ", "))
+}
+
 // tellStatus answers another sidecar's survey.
 func (s *Sidecar) tellStatus(w http.ResponseWriter) {
 	raw, err := cbor.Marshal(s.status(time.Now()))
--- a/internal/sidecar/admin_test.go
+++ b/internal/sidecar/admin_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/table"
 )
 
@@ -57,3 +58,22 @@
 	}
 	assert.Equal(t, silent, 1, "one sidecar is gone")
 }
+
+// Operators see which published entries name no upstream, and why, from any
+// sidecar.
+func TestStatusTellsUnusableEntries(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	f.store.change(func(u *discovery.Update) {
+		u.Removed = append(u.Removed, discovery.Removal{ID: "i-x", Revision: u.Revision, Unusable: "Slots: of another type"})
+	})
+	for told := 0; told < 2; {
+		var rows []struct{ Refused string }
+		assert.NilError(t, json.Unmarshal(f.get(0, admin.PathFleet), &rows))
+		told = 0
+		for _, r := range rows {
+			if r.Refused == "1 entries: i-x (Slots: of another type)" {
+				told++
+			}
+		}
+	}
+}
