A process that starts again under its ID is another one

Cause: an upstream was known by its ID alone. What an earlier life had left held for the later one: ejection, silence, a denied address, told loads, run times and links in routing; a denied address, run times, sizes and connections at the node beside it; and requests sent before the restart kept their slots there until their deadline, where the connection had fallen silent. A late word of the earlier life (old news, a stale listing, its own last write) replaced the later one. Besides, each change of the entry of a cold upstream started its slow start and all evidence anew, as the generation was the time at which the entry was seen.

At the node beside the upstream Backend.Restarted ends what was sent to the earlier life, as possibly run and once, lets what waits go on to the new one, and forgets; the HTTP client gives up its connections. Being cold is told apart from being new (Member.ColdSince).

Ruled out: nothing else that an upstream says of itself carries its start; health answers and headers have the ID only.

TestLaterLifeStartsAnew, TestColdUpstreamIsTold and the tests of Backend.Restarted need what is new. Tests of the router pass the instance to Start in place of its name, with all their assertions.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -91,6 +91,8 @@
 		switch {
 		case !ok:
 			heard.Info("upstream joined", "upstream", id, "service", m.Service, "status", m.Status, "peer", m.Peer)
+		case old.Generation != m.Generation:
+			heard.Info("upstream restarted", "upstream", id, "service", m.Service, "status", m.Status, "born", m.Generation, "before", old.Generation)
 		case old.Status != m.Status:
 			heard.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status)
 		}
@@ -109,9 +111,10 @@
 		DataCentre: k.DataCentre,
 		Peer:       netip.AddrPortFrom(k.Address.Addr(), f.cfg.PeerPort),
 		State:      membership.Live,
+		Generation: k.Born,
 	}}
 	if k.Cold > 0 {
-		m.Generation = uint64(k.Seen.UnixMilli())
+		m.ColdSince = k.Seen
 	}
 	if k.Leaving {
 		m.State, m.Status = membership.Leaving, membership.Departing
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -7,8 +7,9 @@
 // old it is. A node that has none fresh enough reads the store itself.
 //
 // Registry decides what is believed and is pure: time is passed in. Follower,
-// the edge, calls the Source and the Peers. The invariants: an older version of
-// an entry never replaces a newer one, an upstream that vanished while the store
+// the edge, calls the Source and the Peers. The invariants: an earlier life of a
+// process never replaces a later one, nor an older version of an entry a newer one
+// of the same life, an upstream that vanished while the store
 // could not be reached is given LapseGrace to appear again, the age of what a node
 // knows is never told as less than it is, and at a node that can reach the store
 // it stays under Config.WorstAge, also if a call is not answered.
@@ -34,7 +35,8 @@
 	DataCentre string         `cbor:"4,keyasint"`
 	Slots      int            `cbor:"5,keyasint"` // requests it works on at once
 	Leaving    bool           `cbor:"6,keyasint,omitempty"`
-	// Cold is how long it stays slow after its start, from the time of Revision.
+	// Cold is how long it stays slow after its start, from the time of Revision; 0
+	// if it is warm.
 	Cold time.Duration `cbor:"7,keyasint,omitempty"`
 	// Revision orders the versions of the entry.
 	Revision uint64 `cbor:"8,keyasint"`
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -38,7 +38,7 @@
 
 type entry struct {
 	Upstream
-	seen time.Time // when this version of the entry came
+	seen time.Time // when this life of the process was first heard of
 	// lapsed is the revision at which the entry vanished; zero if it is
 	// published. It is believed until expires or, where that is zero, until the
 	// end is confirmed.
@@ -48,10 +48,12 @@
 }
 
 // replacedBy reports whether the word of a source that knows the store up to a
-// revision replaces the entry: a later version, or the same one that has vanished
-// or, by word not older than its end, is published again.
+// revision replaces the entry: a later life, a later version, or the same one that
+// has vanished or, by word not older than its end, is published again.
 func (e entry) replacedBy(up Upstream, revision uint64) bool {
 	switch {
+	case e.Born != 0 && up.Born > e.Born:
+		return true
 	case up.Revision != e.Revision:
 		return up.Revision > e.Revision
 	case e.lapsed == 0:
@@ -63,6 +65,7 @@
 // tombstone remembers the end of an upstream.
 type tombstone struct {
 	revision uint64
+	born     uint64 // Upstream.Born of what ended; 0 if it was never known
 	at       time.Time
 	sequence uint64
 	unusable string // Removal.Unusable
@@ -186,15 +189,17 @@
 	changed := false
 	for _, up := range u.Upstreams {
 		old, ok := r.known[up.ID]
-		if ok && !old.replacedBy(up, u.Revision) {
-			continue
+		ended := r.gone[up.ID]
+		born := max(old.Born, ended.born)
+		if up.Born == 0 {
+			up.Born = born // the life known last
 		}
-		if t, ok := r.gone[up.ID]; ok && t.revision >= up.Revision {
+		if up.Born < born || ended.revision >= up.Revision || ok && !old.replacedBy(up, u.Revision) {
 			continue
 		}
 		r.sequence++
 		e := entry{Upstream: up, seen: now, sequence: r.sequence}
-		if ok && old.Revision == up.Revision {
+		if ok && old.Born == up.Born {
 			e.seen = old.seen
 		}
 		if up.Lapsed > 0 {
@@ -226,8 +231,14 @@
 // remove takes an upstream out and remembers its end.
 func (r *Registry) remove(now time.Time, gone Removal) {
 	r.sequence++
+	r.gone[gone.ID] = tombstone{
+		revision: gone.Revision,
+		born:     max(r.known[gone.ID].Born, r.gone[gone.ID].born),
+		at:       now,
+		sequence: r.sequence,
+		unusable: gone.Unusable,
+	}
 	delete(r.known, gone.ID)
-	r.gone[gone.ID] = tombstone{revision: gone.Revision, at: now, sequence: r.sequence, unusable: gone.Unusable}
 }
 
 // Unusable returns the entries that name no upstream that can be used, as far as
@@ -276,7 +287,7 @@
 	return next, !next.IsZero()
 }
 
-// Known is an upstream with the time when its entry came.
+// Known is an upstream with the time when this life of it was first heard of.
 type Known struct {
 	Upstream
 	Seen time.Time
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -64,6 +64,7 @@
 
 	mu     sync.Mutex
 	idle   map[string][]*clientConn
+	epoch  int // counts the calls of Reset
 	dialed int64
 }
 
@@ -85,6 +86,7 @@
 	nc      net.Conn
 	br      *bufio.Reader
 	addr    string
+	epoch   int
 	used    time.Time
 	expires time.Time // by the server's word; zero means never
 }
@@ -124,10 +126,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr, epoch: c.countDial()}, nil
+}
+
+// countDial counts a connection made and returns the epoch that it belongs to.
+func (c *Client) countDial() int {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.dialed++
-	c.mu.Unlock()
-	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr}, nil
+	return c.epoch
 }
 
 func (c *Client) take(addr string) *clientConn {
@@ -147,7 +154,7 @@
 	cc.used = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[cc.addr]) >= c.cfg.MaxIdle {
+	if cc.epoch != c.epoch || len(c.idle[cc.addr]) >= c.cfg.MaxIdle {
 		_ = cc.nc.Close()
 		return
 	}
@@ -178,6 +185,16 @@
 // Close closes all idle connections.
 func (c *Client) Close() { c.Sweep(time.Now().Add(c.cfg.IdleTimeout + time.Hour)) }
 
+// Reset gives up all connections: idle ones at once, the others after the request
+// that they carry. Where a server has started again, a connection to its earlier
+// life may be silent and not closed.
+func (c *Client) Reset() {
+	c.mu.Lock()
+	c.epoch++
+	c.mu.Unlock()
+	c.Close()
+}
+
 // Dialed returns the number of connections made.
 func (c *Client) Dialed() int64 {
 	c.mu.Lock()
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -68,6 +68,9 @@
 type Member struct {
 	Instance
 	Status Status
+	// ColdSince is when a process that is slow after its start was first heard of;
+	// zero if it is not known to be.
+	ColdSince time.Time
 }
 
 type entry struct {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -66,6 +66,7 @@
 	receiver *turns                 // nil if bodies are not received first
 	sender   *turns                 // nil if long answers are sent as they come
 	kept     atomic.Int64           // bytes of answers kept for their turn
+	life     atomic.Pointer[life]   // of the upstream
 
 	mu      sync.Mutex // guards what follows
 	runs    *overload.RunTimes
@@ -115,6 +116,7 @@
 		ledger:  ledger.New(cfg.Ledger, now),
 		history: ledger.NewHistory(cfg.Ledger),
 	}
+	b.life.Store(newLife())
 	if cfg.Receivers > 0 {
 		b.receiver = newTurns(cfg.Receivers)
 	}
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/routing"
@@ -55,10 +56,10 @@
 	return f.router.Candidates(time.Now(), routing.Request{Service: snap.Service(service)}, f.members), true
 }
 
-func (f *Frontend) began(name string) {
+func (f *Frontend) began(in membership.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Start(time.Now(), name)
+	f.router.Start(time.Now(), in)
 }
 
 func (f *Frontend) heard(name string) {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -29,6 +29,9 @@
 		outer := cancel
 		cancel = func() { stop(); outer() }
 	}
+	outlives := c.b.withLife(cancel)
+	outer := cancel
+	cancel = func() { outlives(); outer() }
 	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	}))
@@ -54,8 +57,10 @@
 		return nil, unknownOutcome(http.StatusBadGateway, reasonLost)
 	}
 	if complete {
-		// The upstream is done: its slot need not wait for the caller's link.
+		// The upstream is done: its slot need not wait for the caller's link, and
+		// its end costs the answer nothing.
 		c.leave(true)
+		outlives()
 	}
 	c.b.stamp(resp.Header, c.env, c.req.ContentLength > receiveFrom)
 	resp.Body = c.inTurn(resp)
--- /dev/null
+++ b/internal/proxy/restart_test.go
@@ -0,0 +1,86 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/overload"
+)
+
+// silentOnce never answers its first request, as a process does that died behind a
+// cut, and answers the others.
+type silentOnce struct{ requests int }
+
+func (s *silentOnce) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.requests++
+	if s.requests == 1 {
+		httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return answer(r)
+}
+
+// An upstream that started again under its name has no answer for what was sent to
+// it before. That may have run: it ends at once as such, once, and what waited for
+// its slot goes to the new process.
+func TestRestartEndsWhatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := &silentOnce{}
+		b := receivingBackend(up)
+		ends := make(chan string, 2)
+		send := func() {
+			_, header := handOver(t.Context(), b, nil, 0, Envelope{})
+			ends <- header.Get(HeaderOutcome)
+		}
+		go send()
+		time.Sleep(10 * time.Millisecond)
+		go send()
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, b.Load().Waiting, 1)
+		began := time.Now()
+		b.Restarted()
+		assert.Equal(t, <-ends, string(OutcomeUnknown))
+		assert.Equal(t, <-ends, "")
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, up.requests, 2)
+		assert.Assert(t, b.Load().InUse == 0 && b.InFlight() == 0)
+	})
+}
+
+// What was learnt of the earlier life is forgotten: how long its requests ran, and
+// that its address answered for another instance.
+func TestRestartForgets(t *testing.T) {
+	b := receivingBackend(&silentOnce{})
+	name := "i-1"
+	b.denied.Store(&name)
+	assert.Assert(t, !b.standsFor(name))
+	for range 100 {
+		b.runs.Observe("k", time.Second)
+	}
+	assert.Assert(t, b.runTime("k", overload.SafeRun) > 0)
+	b.Restarted()
+	assert.Assert(t, b.standsFor(name))
+	assert.Equal(t, b.runTime("k", overload.SafeRun), time.Duration(0))
+}
+
+// An answer that is here is passed on whole, though its upstream is no more.
+func TestRestartCutsNoAnswerThatIsHere(t *testing.T) {
+	b := receivingBackend(&silentOnce{requests: 1})
+	b.cfg.WholeAnswers = 100
+	r := httptest.NewRequest(http.MethodPost, "/x", nil)
+	Envelope{Kind: "k", KindWeight: 1, Timeout: time.Second}.write(r.Header)
+	resp, err := b.RoundTrip(r)
+	assert.NilError(t, err)
+	b.Restarted()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(raw), "ok")
+}
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -17,7 +17,7 @@
 func (x *exchange) try(ctx context.Context, target membership.Instance) (*http.Response, retry.Class) {
 	x.tries++
 	x.tried = append(x.tried, target.Name)
-	x.f.began(target.Name)
+	x.f.began(target)
 	sent := time.Now()
 	resp, class := x.tryAt(ctx, target, sent)
 	x.noteTry(target.Name, sent, class, resp)
@@ -28,21 +28,21 @@
 func (x *exchange) tryAt(ctx context.Context, target membership.Instance, sent time.Time) (*http.Response, retry.Class) {
 	resp, problem := x.send(ctx, target)
 	if problem != nil {
-		x.f.ended(target.Name, routing.Outcome{Failed: ctx.Err() == nil})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: ctx.Err() == nil})
 		return x.f.answer(problem, x.req), problem.class
 	}
 	class := classOf(resp.Header)
 	way := readWay(resp.Header, time.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
 		return resp, class
 	}
 	limit, kept := x.f.wholeLimit(resp.ContentLength)
 	x.f.held.Add(kept)
 	if resp.Body, _ = whole(resp, limit); resp.Body == nil {
 		x.f.held.Add(-kept)
-		x.f.ended(target.Name, routing.Outcome{Failed: true})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: true})
 		problem := unknownOutcome(http.StatusBadGateway, reasonLost)
 		return x.f.answer(problem, x.req), problem.class
 	}
@@ -51,7 +51,7 @@
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
 		x.f.held.Add(-kept)
-		x.f.ended(target.Name, routing.Outcome{Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.env.late(), Way: way})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.env.late(), Way: way})
 	}}
 	if x.req.Method == http.MethodHead {
 		resp.Body.(*endingBody).want = -1
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -72,7 +72,7 @@
 		return c
 	}
 	c.Instance = m.Instance
-	e := r.of(now, m.Instance)
+	e := r.of(now, m)
 	c.Weight = u.Weight * e.ramp(r.cfg, now) * r.distance(m.Instance)
 	slots := float64(max(u.Concurrency, e.told.Slots, 1))
 	c.Cost = (e.busy(r.cfg, now) + 1) / slots
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -40,6 +40,9 @@
 	// SlowStartFloor is the part of its weight that a new instance starts with.
 	// Default 0.2.
 	SlowStartFloor float64
+	// ColdTold says that Members tell which instances are cold. Otherwise each
+	// later generation is.
+	ColdTold bool
 	// DrainMemory is how long an upstream whose node told that it drains gets no
 	// further request on that word alone. Longer than the membership view needs
 	// for the news, where the word means that the instance leaves; about a second
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -34,32 +34,40 @@
 	return out
 }
 
-// of returns the evidence about an instance. A later process under the same
-// name starts anew.
-func (r *Router) of(now time.Time, in membership.Instance) *evidence {
-	e, ok := r.evidence[in.Name]
-	if ok && e.generation >= in.Generation {
+// of returns the evidence about an instance. A later process under the same name
+// starts anew: nothing that was met of the earlier one says anything of it, and
+// what still waits for that one takes no slot of this one.
+func (r *Router) of(now time.Time, m membership.Member) *evidence {
+	e, ok := r.evidence[m.Name]
+	if ok && e.generation >= m.Generation {
 		return e
 	}
-	next := &evidence{generation: in.Generation, unanswered: now}
-	if ok {
-		// Requests to the earlier process still count until they end.
-		next.inFlight = e.inFlight
-		next.firstSeen = now
+	next := &evidence{generation: m.Generation, unanswered: now, firstSeen: r.coldFrom(now, m, ok)}
+	r.evidence[m.Name] = next
+	return next
+}
+
+// coldFrom is when an instance started as a cold one; zero if it is warm. known
+// says that an earlier process under its name was met. One met for the first time
+// by this node is not taken for cold unless it started a short while ago.
+func (r *Router) coldFrom(now time.Time, m membership.Member, known bool) time.Time {
+	started := m.ColdSince
+	if !r.cfg.ColdTold {
+		started = time.UnixMilli(int64(m.Generation))
+		if known {
+			started = now
+		}
 	}
-	// An instance met for the first time by this node is not taken for a cold
-	// one unless it started a short while ago.
-	if started := time.UnixMilli(int64(in.Generation)); !ok && now.Sub(started) < r.cfg.SlowStart {
-		next.firstSeen = started
+	if now.Sub(started) >= r.cfg.SlowStart {
+		return time.Time{}
 	}
-	r.evidence[in.Name] = next
-	return next
+	return started
 }
 
-// Start counts a request sent to an upstream.
-func (r *Router) Start(now time.Time, name string) {
-	e, ok := r.evidence[name]
-	if !ok {
+// Start counts a request sent to an instance.
+func (r *Router) Start(now time.Time, in membership.Instance) {
+	e, ok := r.evidence[in.Name]
+	if !ok || in.Generation < e.generation {
 		return
 	}
 	if e.inFlight == 0 {
@@ -77,6 +85,9 @@
 
 // Outcome is how a request to an upstream ended, as evidence.
 type Outcome struct {
+	// Generation is that of the instance to which the request was sent; 0 if it is
+	// not known. An earlier one than the present tells nothing of this.
+	Generation uint64
 	// Failed says that the upstream or the way to it failed; a refusal for
 	// want of a slot is no failure.
 	Failed bool
@@ -98,7 +109,7 @@
 // End counts the end of a request that Start counted.
 func (r *Router) End(now time.Time, rnd *rand.Rand, name string, o Outcome) {
 	e, ok := r.evidence[name]
-	if !ok {
+	if !ok || o.Generation != 0 && o.Generation < e.generation {
 		return
 	}
 	e.inFlight = max(0, e.inFlight-1)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -100,7 +100,7 @@
 				assert.Equal(t, ok, usable)
 				if ok {
 					assert.Assert(t, !forbidden(c.Upstream.Name), c.Upstream.Name)
-					b.router.Start(b.now, c.Upstream.Name)
+					b.router.Start(b.now, c.Instance)
 					flight[c.Upstream.Name]++
 				}
 			},
@@ -162,7 +162,7 @@
 	b := newBed(4)
 	for range 10 {
 		b.pick()
-		b.router.Start(b.now, "u1")
+		b.router.Start(b.now, b.members["u1"].Instance)
 		b.router.End(b.now, b.rnd, "u1", Outcome{Failed: true})
 	}
 	assert.Equal(t, b.share(100)["u1"], 0)
@@ -174,9 +174,9 @@
 func TestSilentUpstreamIsLeftOut(t *testing.T) {
 	b := newBed(4)
 	b.pick()
-	b.router.Start(b.now, "u1")
+	b.router.Start(b.now, b.members["u1"].Instance)
 	b.router.End(b.now, b.rnd, "u1", Outcome{Latency: 10 * time.Millisecond})
-	b.router.Start(b.now, "u1")
+	b.router.Start(b.now, b.members["u1"].Instance)
 	assert.Equal(t, b.excluded("u1"), Eligible)
 	b.now = b.now.Add(DefaultConfig().Silence + 1)
 	assert.Equal(t, b.excluded("u1"), Silent)
@@ -200,7 +200,7 @@
 	for _, n := range []string{"u0", "u1", "u2"} {
 		b.pick()
 		for range 10 {
-			b.router.Start(b.now, n)
+			b.router.Start(b.now, b.members[n].Instance)
 			b.router.End(b.now, b.rnd, n, Outcome{Failed: true})
 		}
 	}
@@ -214,7 +214,7 @@
 	for i := range 6 {
 		n := fmt.Sprintf("u%d", i)
 		b.pick()
-		b.router.Start(b.now, n)
+		b.router.Start(b.now, b.members[n].Instance)
 		told := &Told{InUse: 4, Slots: 4, Waiting: 4}
 		if i == 0 {
 			told = &Told{Slots: 4}
@@ -271,7 +271,7 @@
 	pick := func(service time.Duration) string {
 		c, ok := r.Pick(now, rnd, Request{Service: svc}, members)
 		assert.Assert(t, ok)
-		r.Start(now, c.Instance.Name)
+		r.Start(now, c.Instance)
 		if c.Instance.Name == "old" {
 			service = 10 * time.Millisecond
 		}
@@ -310,7 +310,7 @@
 				n++
 				o.Way = way
 			}
-			b.router.Start(b.now, name)
+			b.router.Start(b.now, b.members[name].Instance)
 			b.now = b.now.Add(5 * time.Millisecond)
 			b.router.End(b.now, b.rnd, name, o)
 		}
@@ -330,7 +330,7 @@
 	b := newBed(1)
 	c, ok := b.pick()
 	assert.Assert(t, ok)
-	b.router.Start(b.now, c.Upstream.Name)
+	b.router.Start(b.now, c.Instance)
 	b.router.End(b.now, b.rnd, c.Upstream.Name, Outcome{Failed: true, Denied: true})
 	_, ok = b.pick()
 	assert.Assert(t, !ok)
@@ -338,3 +338,60 @@
 	_, ok = b.pick()
 	assert.Assert(t, ok)
 }
+
+// What was met of an upstream's earlier life says nothing of the later one, and
+// ends of requests that were sent to the earlier one change nothing either: it
+// was ejected, silent, denied, draining, full and far, and its successor is not.
+func TestLaterLifeStartsAnew(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByTime, cfg.ColdTold = true, true
+	b := newBedWith(cfg, 2)
+	m := b.members["u1"]
+	m.Generation = 100
+	b.members["u1"] = m
+	earlier := m.Instance
+	b.pick()
+	busy := &Told{InUse: 40, Slots: 4, Waiting: 36, Service: time.Second, Wait: 9 * time.Second, Runs: Runs{Typical: time.Second, Safe: 2 * time.Second}, Draining: true}
+	for range 2 * cfg.EjectMin {
+		b.router.Start(b.now, earlier)
+		b.router.End(b.now, b.rnd, "u1", Outcome{Generation: 100, Failed: true, Denied: true, Told: busy, Kind: "k", Way: time.Second})
+	}
+	for range 3 {
+		b.router.Start(b.now, earlier) // and none of these is answered
+	}
+	b.now = b.now.Add(cfg.Silence + time.Millisecond)
+	verdict := func() Candidate {
+		return b.router.Candidates(b.now, Request{Service: b.service, Kind: "k", Aim: b.now.Add(time.Minute)}, b.lookup)[1]
+	}
+	assert.Equal(t, verdict().Excluded, InstanceLeaving)
+	m.Generation = 200
+	b.members["u1"] = m
+	fresh := b.router.Candidates(b.now, Request{Service: b.service, Kind: "k", Aim: b.now.Add(time.Minute)}, b.lookup)[0]
+	check := func() {
+		c := verdict()
+		assert.Equal(t, c.Excluded, Eligible)
+		assert.Assert(t, c.Cost == fresh.Cost && c.Wait == 0 && c.Weight == 1, "%+v", c)
+	}
+	check()
+	for range 3 {
+		b.router.End(b.now, b.rnd, "u1", Outcome{Generation: 100, Failed: true, Denied: true, Told: busy, Kind: "k", Way: time.Second})
+	}
+	check()
+	b.router.Start(b.now, earlier) // chosen before the restart was known
+	check()
+}
+
+// A cold upstream's share grows from when it was first heard of.
+func TestColdUpstreamIsTold(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ColdTold = true
+	b := newBedWith(cfg, 2)
+	m := b.members["u1"]
+	m.Generation, m.ColdSince = uint64(b.now.UnixMilli()), b.now.Add(-cfg.SlowStart/2)
+	b.members["u1"] = m
+	all := b.router.Candidates(b.now, Request{Service: b.service}, b.lookup)
+	assert.Assert(t, all[1].Weight > 0.5 && all[1].Weight < 0.7, "%v", all[1].Weight)
+	m.Generation, m.ColdSince = m.Generation+1, time.Time{}
+	b.members["u1"] = m
+	assert.Equal(t, b.router.Candidates(b.now, Request{Service: b.service}, b.lookup)[1].Weight, 1.0)
+}
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -109,7 +109,7 @@
 	policy := retry.DefaultPolicy()
 	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), freeTries
 	choice := routing.DefaultConfig()
-	choice.ByTime, choice.DrainMemory = true, drainMemory
+	choice.ByTime, choice.ColdTold, choice.DrainMemory = true, true, drainMemory
 	s.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Self: membership.Instance{
 			Name:       s.cfg.Name,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,7 @@
 	leaving  atomic.Bool
 	// upstreamReady says that the own upstream is published as ready.
 	upstreamReady atomic.Bool
+	own           discovery.Known // the own upstream as published last, guarded by the follower
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -96,9 +97,24 @@
 	if ok && own.Slots > 0 {
 		s.backend.SetSlots(own.Slots + own.Slots/handOverShare)
 	}
+	if ok {
+		s.followLife(own)
+	}
 	s.followUpstream(ok && !own.Leaving)
 }
 
+// followLife gives up what belongs to an earlier life of the own upstream.
+func (s *Sidecar) followLife(own discovery.Known) {
+	before := s.own
+	s.own = own
+	if own.ID != before.ID || before.Born == 0 || own.Born <= before.Born {
+		return
+	}
+	s.log.Info("own upstream restarted", "upstream", own.ID, "born", own.Born, "before", before.Born)
+	s.upstream.Reset()
+	s.backend.Restarted()
+}
+
 // followUpstream takes work for the own upstream while that is published as
 // ready. One that was published and leaves, or is gone, gets nothing more.
 func (s *Sidecar) followUpstream(ready bool) {
