A draining HTTP server answers every request that has come to it

Cause of the open finding (a request 2.56 s after the SIGTERM of its node finds its connection closed 0.23 s later): a server that drains closed connections which had not yet carried a request, those accepted after the announcement included, and read what came on them to the end without an answer. Of the same class, found on the way: a request that had come on an idle connection before it was closed was read away; a request read while the answer before it ended was dropped; connections that the system had accepted and the process had not were reset with the listener.

Change: Announce tells callers with their next answer and closes nothing; Drain closes only what is idle after a look for bytes, and gives a connection without a request 0.5 s; StopAccepting empties the backlog before it closes the listener.

Tests, on the code before: TestDrainingServerAnswersNewConnections, TestRequestBeforeTheCloseIsAnswered, TestAnnouncedServerTellsCallers and TestStoppedServerAnswersItsBacklog red, TestSilentConnectionOfADrainingServerEnds green. Now green three times and under the race detector.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -27,7 +27,9 @@
 
 	mu      sync.Mutex
 	last    *exchange // the newest request read
+	served  bool      // a request was read
 	closing bool      // no further request is read
+	told    bool      // the caller knows that none is
 	waiting bool      // the reader waits for the first byte of a request
 	aborted bool
 }
@@ -79,10 +81,16 @@
 func (c *conn) awaitFirst(idle time.Duration) bool {
 	for {
 		if !c.setWaiting(idle) {
+			if c.reopen() {
+				continue
+			}
 			return false
 		}
 		b, err := c.peek()
 		if !c.doneWaiting() && err != nil {
+			if c.reopen() {
+				continue
+			}
 			return false
 		}
 		if err == nil {
@@ -118,14 +126,23 @@
 	return c.br.Peek(1)
 }
 
+// freshWait is how long a draining server waits for the first request of a
+// connection: callers send at once, so that it comes a round trip and the delay of
+// a slow machine after the connection.
+const freshWait = 500 * time.Millisecond
+
 // setWaiting marks the connection as idle unless it is to be closed.
 func (c *conn) setWaiting(idle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || (c.server.draining.Load() && c.last == nil) {
-		if c.br.Buffered() == 0 || c.closing {
+	if c.closing {
+		return false
+	}
+	if c.server.draining.Load() && c.last == nil {
+		if c.served && c.br.Buffered() == 0 && quiet(c.nc) {
 			return false
 		}
+		idle = min(idle, freshWait)
 	}
 	c.waiting = true
 	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
@@ -153,7 +170,7 @@
 // busy reports whether a request is in progress.
 func (c *conn) busy() bool { return len(c.slots) > 0 }
 
-// wake makes an idle reader notice that the server drains.
+// wake closes an idle connection.
 func (c *conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,6 +180,38 @@
 	}
 }
 
+// drain is wake for a server that drains: a connection without any request so far
+// has freshWait for the first.
+func (c *conn) drain() {
+	c.mu.Lock()
+	fresh := c.waiting && !c.served
+	if fresh {
+		_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
+	}
+	c.mu.Unlock()
+	if !fresh {
+		c.wake()
+	}
+}
+
+// reopen goes on with a connection that was about to be closed if a request has
+// come on it before its caller could know. It was taken for idle, closed and read
+// to the end without an answer.
+func (c *conn) reopen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.told || c.aborted {
+		return false
+	}
+	// The deadline that woke the reader would also keep it from looking.
+	_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
+	if c.br.Buffered() == 0 && quiet(c.nc) {
+		return false
+	}
+	c.closing = false
+	return true
+}
+
 // start runs the handler of a request, and waits until its body is read, as the
 // next request follows it.
 func (c *conn) start(req *http.Request) bool {
@@ -192,15 +241,15 @@
 func (c *conn) push(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing && c.told || c.aborted {
 		return false
 	}
 	if c.last != nil {
 		x.prev = c.last.done
 	}
-	c.last = x
+	c.last, c.served = x, true
 	if !x.keep {
-		c.closing = true
+		c.closing, c.told = true, true
 	}
 	return true
 }
@@ -247,7 +296,9 @@
 	c.last = nil
 	if c.closing || c.server.draining.Load() {
 		c.closing = true
-		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		if c.waiting { // one that reads a request goes on
+			_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		}
 		return
 	}
 	if c.waiting {
@@ -264,8 +315,8 @@
 	if c.last != x {
 		return false
 	}
-	if wanted || !x.keep || c.closing || c.server.draining.Load() {
-		c.closing = true
+	if wanted || !x.keep || c.closing || c.server.announced.Load() {
+		c.closing, c.told = true, true
 		return true
 	}
 	return false
--- /dev/null
+++ b/internal/http1/drain_test.go
@@ -0,0 +1,116 @@
+package http1
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// A connection that comes to a draining server was closed unread: callers found it
+// closed 0.23 s after their request. It is answered like any other, and told.
+func TestDrainingServerAnswersNewConnections(t *testing.T) {
+	s, addr := startServer(t, ok, DefaultLimits())
+	early, earlyReader := dial(t, addr) // no request yet
+	s.Drain()
+	late, lateReader := dial(t, addr)
+	time.Sleep(10 * time.Millisecond)
+	write(t, early, get("/"))
+	write(t, late, get("/"))
+	resp, body := read(t, earlyReader)
+	assert.Assert(t, resp.Close && body == "ok")
+	resp, body = read(t, lateReader)
+	assert.Assert(t, resp.Close && body == "ok")
+}
+
+// A request that is at the server when it closes an idle connection is answered.
+func TestRequestBeforeTheCloseIsAnswered(t *testing.T) {
+	for range 200 {
+		s, addr := startServer(t, ok, DefaultLimits())
+		var conns []net.Conn
+		for range 8 {
+			nc, br := dial(t, addr)
+			write(t, nc, get("/"))
+			read(t, br)
+			conns = append(conns, nc)
+		}
+		for _, nc := range conns {
+			write(t, nc, get("/"))
+		}
+		s.Drain()
+		for _, nc := range conns {
+			raw, err := io.ReadAll(nc)
+			assert.NilError(t, err)
+			assert.Assert(t, len(raw) > 0, "closed without an answer")
+		}
+		s.Close()
+	}
+}
+
+// An announcement closes nothing; each caller is told with its next answer.
+func TestAnnouncedServerTellsCallers(t *testing.T) {
+	s, addr := startServer(t, ok, DefaultLimits())
+	nc, br := dial(t, addr)
+	write(t, nc, get("/"))
+	resp, _ := read(t, br)
+	assert.Assert(t, !resp.Close)
+	s.Announce()
+	time.Sleep(10 * time.Millisecond)
+	write(t, nc, get("/"))
+	resp, body := read(t, br)
+	assert.Assert(t, resp.Close && body == "ok")
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
+
+// What was connected before a server stops to accept is answered, also if the
+// process has not accepted it yet.
+func TestStoppedServerAnswersItsBacklog(t *testing.T) {
+	for range 20 {
+		s, addr := startServer(t, ok, DefaultLimits())
+		var conns []net.Conn
+		for range 30 {
+			nc, _ := dial(t, addr)
+			write(t, nc, get("/"))
+			conns = append(conns, nc)
+		}
+		s.Drain()
+		s.StopAccepting()
+		var group sync.WaitGroup
+		for _, nc := range conns {
+			group.Go(func() {
+				raw, err := io.ReadAll(nc)
+				if err != nil || len(raw) == 0 {
+					t.Errorf("no answer: %v", err)
+				}
+			})
+		}
+		group.Wait()
+		for end := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+			if nc, err := net.Dial("tcp", addr); err != nil {
+				break
+			} else {
+				_ = nc.Close()
+			}
+			assert.Assert(t, time.Now().Before(end), "it still accepts")
+		}
+	}
+}
+
+// A caller that connects to a draining server and sends nothing keeps it for
+// freshWait at the most.
+func TestSilentConnectionOfADrainingServerEnds(t *testing.T) {
+	s, addr := startServer(t, ok, DefaultLimits())
+	s.Drain()
+	_, br := dial(t, addr)
+	began := time.Now()
+	_, err := br.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	assert.Assert(t, time.Since(began) < DefaultLimits().HeaderTimeout)
+}
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -53,10 +53,12 @@
 
 // Server serves HTTP/1.1 on any number of listeners.
 type Server struct {
-	cfg      Config
-	draining atomic.Bool
-	closed   atomic.Bool
-	idle     idleList
+	cfg       Config
+	announced atomic.Bool
+	draining  atomic.Bool
+	stopping  atomic.Bool
+	closed    atomic.Bool
+	idle      idleList
 
 	mu        sync.Mutex
 	conns     map[*conn]struct{}
@@ -94,6 +96,8 @@
 			}
 		case s.closed.Load() || errors.Is(err, net.ErrClosed):
 			return nil
+		case s.stopping.Load() && isTimeout(err):
+			return l.Close()
 		default:
 			time.Sleep(acceptPause)
 		}
@@ -132,14 +136,39 @@
 	return len(s.conns)
 }
 
-// Drain announces the end of every connection: answers bear Connection: close,
-// and idle connections are closed. New connections are still served.
+// Announce tells the caller of each connection with its next answer that this is
+// the last one on it. Nothing is closed that was not told, and new connections are
+// served.
+func (s *Server) Announce() { s.announced.Store(true) }
+
+// Drain announces the end and closes idle connections, but for those on which a
+// request has come meanwhile or none has come at all yet. New connections are
+// still served.
 func (s *Server) Drain() {
+	s.Announce()
 	s.draining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		c.wake()
+		c.drain()
+	}
+}
+
+// backlogWait is the time without a further connection after which a server that
+// stops to accept takes its backlog for empty: the system hands out waiting
+// connections at once.
+const backlogWait = 10 * time.Millisecond
+
+// StopAccepting accepts the connections that are waiting, and closes the listeners.
+// Closed before that, they would be reset with the requests that came on them.
+func (s *Server) StopAccepting() {
+	s.stopping.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.listeners {
+		if tcp, ok := l.(*net.TCPListener); !ok || tcp.SetDeadline(time.Now().Add(backlogWait)) != nil {
+			_ = l.Close()
+		}
 	}
 }
 
