--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -187,7 +187,11 @@
 	if err != nil {
 		outcome = outcomeNames[len(outcomeNames)-1]
 	}
-	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, time.Since(x.start), x.tries)
+	took := time.Since(x.start)
+	if outcome == outcomeNames[0] {
+		x.f.noteTime(x.route.Kind, took)
+	}
+	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, took, x.tries)
 	x.record(resp.StatusCode, outcome, resp.Header.Get(HeaderReason))
 	x.remember(resp.StatusCode)
 	if err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -34,7 +34,8 @@
 	inFlight    atomic.Int64
 	buffered    atomic.Int64 // bytes of bodies kept
 	maxInFlight int64
-	leaving     atomic.Bool
+	leaving     atomic.Pointer[time.Time] // when this node ends; nil as long as it stays
+	refusing    atomic.Bool
 	held        atomic.Int64    // bytes of answers kept as this node leaves
 	ending      context.Context // ends with EndAll
 	end         context.CancelFunc
@@ -43,7 +44,8 @@
 	router  *routing.Router
 	budgets map[string]*retry.Budget // by service
 	returns *overload.Returns
-	spare   *retry.Budget // for tries at a busy upstream that may go elsewhere
+	took    *overload.RunTimes // of requests that were answered, as callers see them
+	spare   *retry.Budget      // for tries at a busy upstream that may go elsewhere
 	rnd     *rand.Rand
 }
 
@@ -131,6 +133,7 @@
 		router:      routing.NewRouter(cfg.Routing, cfg.Self),
 		budgets:     make(map[string]*retry.Budget),
 		returns:     overload.NewReturns(),
+		took:        overload.NewRunTimes(),
 		spare:       retry.NewBudget(sparePolicy),
 		rnd:         rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
@@ -188,6 +191,10 @@
 		x.env.Key = ""
 	}
 	x.recognise()
+	if f.endsTooSoon(start, route.Kind) {
+		x.finish(w, f.answer(notRun(http.StatusServiceUnavailable, retry.Refused, reasonLeaving, defaultRetryAfter), r))
+		return
+	}
 	x.serve(ctx, w)
 }
 
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -3,13 +3,46 @@
 import (
 	"context"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/overload"
 )
 
-// SetLeaving makes the frontend read longer answers to their end before it passes
-// any of them on, so that one which does not come in the time that is left can
+// SetLeaving says that this node ends, and cuts at a time what is not answered by
+// then. From now on it takes no request that would, by the time that those of its
+// kind took lately with their waits, bodies and links; and it reads longer answers
+// to their end before it passes any of them on, so that one which does not come in the time that is left can
 // still be reported as failed. Of 61 nodes with links of 15 Mbit/s one in a day's
 // rolling restart ended amid an answer whose run had ended 2.9 s before.
-func (f *Frontend) SetLeaving() { f.leaving.Store(true) }
+func (f *Frontend) SetLeaving(end time.Time) { f.leaving.Store(&end) }
+
+// Refuse answers all further requests with a refusal that says that they have not
+// run.
+func (f *Frontend) Refuse() { f.refusing.Store(true) }
+
+// endsTooSoon reports whether a request that came at a time would be cut as this
+// node leaves.
+func (f *Frontend) endsTooSoon(now time.Time, kind string) bool {
+	if f.refusing.Load() {
+		return true
+	}
+	end := f.leaving.Load()
+	return end != nil && now.Add(f.usualTime(kind)).After(*end)
+}
+
+// usualTime is how long requests of a kind take at this node, from the first byte
+// to the last; 0 if that is not known.
+func (f *Frontend) usualTime(kind string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.took.Quantile(kind, overload.SafeRun)
+}
+
+// noteTime counts how long a request took that was answered.
+func (f *Frontend) noteTime(kind string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.took.Observe(kind, took)
+}
 
 // EndAll ends the tries of all requests in progress. Their callers are told what is
 // known of them, in place of a closed connection that tells nothing.
@@ -26,7 +59,7 @@
 // one of the length adds to what a leaving node keeps.
 func (f *Frontend) wholeLimit(length int64) (limit, kept int64) {
 	switch {
-	case !f.leaving.Load(),
+	case f.leaving.Load() == nil,
 		length <= f.cfg.WholeAnswers,
 		length > f.cfg.LeavingAnswers,
 		f.held.Load()+length > f.cfg.LeavingTotal:
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -50,7 +50,7 @@
 			}
 			f := leavingFrontend(t, half, 90<<10)
 			if leaving {
-				f.SetLeaving()
+				f.SetLeaving(time.Now().Add(time.Hour))
 			}
 			began := time.Now()
 			time.AfterFunc(time.Second, f.EndAll)
@@ -75,7 +75,7 @@
 	f := leavingFrontend(t, whole, 90<<10)
 	limit, kept := f.wholeLimit(90 << 10)
 	assert.Assert(t, limit == 1<<10 && kept == 0, "it stays")
-	f.SetLeaving()
+	f.SetLeaving(time.Now().Add(time.Hour))
 	limit, kept = f.wholeLimit(90 << 10)
 	assert.Assert(t, limit == longest && kept == 90<<10)
 	_, kept = f.wholeLimit(longest + 1)
@@ -89,3 +89,37 @@
 	assert.Equal(t, w.Body.Len(), 90<<10)
 	assert.Equal(t, f.held.Load(), int64(0))
 }
+
+// A leaving node takes a request as long as its answer comes before the node's end,
+// by the time that such requests took lately, and refuses it at once otherwise.
+func TestLeavingNodeTakesWhatEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const takes = 300 * time.Millisecond
+		s := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
+			time.Sleep(takes)
+			return answer(r)
+		}}}
+		f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), WholeAnswers: 1 << 10}, everyMember, s)
+		send := func() (*httptest.ResponseRecorder, time.Duration) {
+			began, w := time.Now(), httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/payments/x", nil))
+			return w, time.Since(began)
+		}
+		for range 20 {
+			send()
+		}
+		f.SetLeaving(time.Now().Add(2 * takes))
+		w, _ := send()
+		assert.Equal(t, w.Code, http.StatusOK)
+		ran := len(s.seen)
+		w, took := send()
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, w.Header().Get(HeaderOutcome), string(OutcomeNotRun))
+		assert.Assert(t, took == 0 && len(s.seen) == ran)
+		f.SetLeaving(time.Now().Add(time.Hour))
+		f.Refuse()
+		w, _ = send()
+		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+		assert.Equal(t, len(s.seen), ran)
+	})
+}
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -35,6 +35,7 @@
 	reasonNoTable     = "no-table"
 	reasonNotInSync   = "not-in-sync" // no neighbour has told what it holds, since the start or a pause
 	reasonFull        = "too-many-requests"
+	reasonLeaving     = "node-leaves" // its answer would not come before the end of this node
 	reasonNoRoute     = "no-route"
 	reasonBusy        = "all-busy" // every upstream is known to have too many waiting
 	reasonNoUpstream  = "no-upstream"
