A server that stops to accept does so within 50 ms; mutants of what is new

Cause: a first form waited for 10 ms without a further connection, for ever if connections keep coming: TestStoppedServerAnswersItsBacklog (now with connections that are held back in the backlog) failed in one of five runs with it; a deadline that had passed kept Accept from looking at the backlog at all.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -75,11 +75,16 @@
 	for range 20 {
 		s, addr := startServer(t, ok, DefaultLimits())
 		var conns []net.Conn
+		nc, br := dial(t, addr)
+		write(t, nc, get("/"))
+		read(t, br)
+		s.mu.Lock() // the server accepts one connection more and no further
 		for range 30 {
 			nc, _ := dial(t, addr)
 			write(t, nc, get("/"))
 			conns = append(conns, nc)
 		}
+		s.mu.Unlock()
 		s.Drain()
 		s.StopAccepting()
 		var group sync.WaitGroup
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -56,7 +56,7 @@
 	cfg       Config
 	announced atomic.Bool
 	draining  atomic.Bool
-	stopping  atomic.Bool
+	stopping  atomic.Pointer[time.Time] // until when waiting connections are accepted
 	closed    atomic.Bool
 	idle      idleList
 
@@ -86,6 +86,7 @@
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
 	for {
+		stopping := s.awaitBacklog(l)
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
@@ -96,8 +97,9 @@
 			}
 		case s.closed.Load() || errors.Is(err, net.ErrClosed):
 			return nil
-		case s.stopping.Load() && isTimeout(err):
+		case stopping && isTimeout(err):
 			return l.Close()
+		case isTimeout(err): // StopAccepting ended the wait
 		default:
 			time.Sleep(acceptPause)
 		}
@@ -154,19 +156,42 @@
 	}
 }
 
-// backlogWait is the time without a further connection after which a server that
-// stops to accept takes its backlog for empty: the system hands out waiting
-// connections at once.
-const backlogWait = 10 * time.Millisecond
+const (
+	// backlogWait is the time without a further connection after which a server
+	// that stops to accept takes its backlog for empty: the system hands out
+	// waiting connections at once.
+	backlogWait = 10 * time.Millisecond
+	// backlogLimit bounds how long it accepts while connections keep coming.
+	backlogLimit = 50 * time.Millisecond
+)
+
+// deadliner is a listener whose Accept can be bounded.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// awaitBacklog reports whether the server stops to accept, and bounds the next
+// Accept if it does.
+func (s *Server) awaitBacklog(l net.Listener) bool {
+	until := s.stopping.Load()
+	d, ok := l.(deadliner)
+	if until == nil || !ok {
+		return false
+	}
+	next := time.Now().Add(backlogWait)
+	if next.After(until.Add(backlogWait)) {
+		next = time.Unix(1, 0)
+	}
+	return d.SetDeadline(next) == nil
+}
 
 // StopAccepting accepts the connections that are waiting, and closes the listeners.
 // Closed before that, they would be reset with the requests that came on them.
 func (s *Server) StopAccepting() {
-	s.stopping.Store(true)
+	until := time.Now().Add(backlogLimit)
+	s.stopping.Store(&until)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.listeners {
-		if tcp, ok := l.(*net.TCPListener); !ok || tcp.SetDeadline(time.Now().Add(backlogWait)) != nil {
+		if d, ok := l.(deadliner); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
 			_ = l.Close()
 		}
 	}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -57,10 +57,8 @@
 		return nil, unknownOutcome(http.StatusBadGateway, reasonLost)
 	}
 	if complete {
-		// The upstream is done: its slot need not wait for the caller's link, and
-		// its end costs the answer nothing.
+		// The upstream is done: its slot need not wait for the caller's link.
 		c.leave(true)
-		outlives()
 	}
 	c.b.stamp(resp.Header, c.env, c.req.ContentLength > receiveFrom)
 	resp.Body = c.inTurn(resp)
