--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -7,21 +7,6 @@
 	"time"
 )
 
-// LapseGrace is how long an upstream that vanished while the store was away is
-// still believed after the store's return: entries of live ones are back within
-// two seconds, and the rest is for the way of the news.
-const LapseGrace = 2200 * time.Millisecond
-
-// tombstoneLife is how long the end of an upstream is remembered, so that a
-// node which lags behind cannot bring it back: far beyond the age of any news
-// that is still passed on.
-const tombstoneLife = time.Minute
-
-// maxUnusable is the number of ends beyond which those of entries that cannot be
-// used are forgotten like all others; up to it they are kept, so that operators
-// see them. About 200 KB.
-const maxUnusable = 1000
-
 // Registry holds what is believed about the upstreams. Not safe for concurrent
 // use.
 type Registry struct {
@@ -62,15 +47,6 @@
 	return up.Lapsed == 0 && revision >= e.lapsed
 }
 
-// tombstone remembers the end of an upstream.
-type tombstone struct {
-	revision uint64
-	born     uint64 // Upstream.Born of what ended; 0 if it was never known
-	at       time.Time
-	sequence uint64
-	unusable string // Removal.Unusable
-}
-
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{known: make(map[string]entry), gone: make(map[string]tombstone)}
@@ -106,20 +82,6 @@
 	return changed
 }
 
-// keepUnusable forgets what was wrong with entries that a whole listing lacks.
-func (r *Registry) keepUnusable(u Update) {
-	listed := make(map[string]bool, len(u.Removed))
-	for _, gone := range u.Removed {
-		listed[gone.ID] = true
-	}
-	for id, t := range r.gone {
-		if t.unusable != "" && !listed[id] && t.revision <= u.Revision {
-			t.unusable = ""
-			r.gone[id] = t
-		}
-	}
-}
-
 // Apply takes over changes of the store and reports whether anything changed.
 func (r *Registry) Apply(now time.Time, u Update) bool {
 	r.Reached(now)
@@ -137,23 +99,6 @@
 	return changed
 }
 
-// ends reports whether a removal ends an entry that is known. One that came and
-// went unseen here is remembered, as another node may tell of it late.
-func (r *Registry) ends(now time.Time, gone Removal) bool {
-	e, ok := r.known[gone.ID]
-	if !ok && gone.Revision > r.gone[gone.ID].revision {
-		r.remove(now, gone)
-	}
-	return ok && gone.Revision > e.Revision
-}
-
-// lapse notes that an entry has vanished and is believed on.
-func (r *Registry) lapse(e entry, revision uint64, expires time.Time) {
-	r.sequence++
-	e.lapsed, e.expires, e.sequence = max(revision, 1), expires, r.sequence
-	r.known[e.ID] = e
-}
-
 // Reached notes that the store answers. After an outage, what lapsed before it
 // is given the same time as what lapsed in it.
 func (r *Registry) Reached(now time.Time) {
@@ -169,22 +114,6 @@
 	}
 }
 
-// unlisted returns the known upstreams that a whole listing lacks. Those that
-// were published after it are no matter of the listing.
-func (r *Registry) unlisted(u Update) []string {
-	listed := make(map[string]bool, len(u.Upstreams))
-	for _, up := range u.Upstreams {
-		listed[up.ID] = true
-	}
-	var out []string
-	for id, e := range r.known {
-		if !listed[id] && e.Revision <= u.Revision {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
 func (r *Registry) take(now time.Time, u Update) bool {
 	changed := false
 	for _, up := range u.Upstreams {
@@ -213,80 +142,6 @@
 	return changed
 }
 
-// vanish takes an upstream out, at once if it was leaving, if something else is
-// published in its place or if the store was there all the time, otherwise after
-// LapseGrace.
-func (r *Registry) vanish(now time.Time, gone Removal) bool {
-	e := r.known[gone.ID]
-	if !e.Leaving && gone.Unusable == "" && r.Outage(now) {
-		if e.lapsed == 0 {
-			r.lapse(e, gone.Revision, r.returned.Add(LapseGrace))
-		}
-		return false
-	}
-	r.remove(now, gone)
-	return true
-}
-
-// remove takes an upstream out and remembers its end.
-func (r *Registry) remove(now time.Time, gone Removal) {
-	r.sequence++
-	r.gone[gone.ID] = tombstone{
-		revision: gone.Revision,
-		born:     max(r.known[gone.ID].Born, r.gone[gone.ID].born),
-		at:       now,
-		sequence: r.sequence,
-		unusable: gone.Unusable,
-	}
-	delete(r.known, gone.ID)
-}
-
-// Unusable returns the entries that name no upstream that can be used, as far as
-// they are remembered, sorted by ID.
-func (r *Registry) Unusable() []Removal {
-	var out []Removal
-	for id, t := range r.gone {
-		if t.unusable != "" {
-			out = append(out, Removal{ID: id, Revision: t.revision, Unusable: t.unusable})
-		}
-	}
-	slices.SortFunc(out, func(a, b Removal) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// Expire takes out the upstreams that did not appear again in time and forgets
-// old tombstones. It reports whether belief has changed.
-func (r *Registry) Expire(now time.Time) bool {
-	for id, t := range r.gone {
-		if now.Sub(t.at) > tombstoneLife && (t.unusable == "" || len(r.gone) > maxUnusable) {
-			r.forgotten = max(r.forgotten, t.sequence)
-			delete(r.gone, id)
-		}
-	}
-	if r.away {
-		return false
-	}
-	changed := false
-	for id, e := range r.known {
-		if e.lapsed != 0 && !e.unconfirmed() && !now.Before(e.expires) {
-			r.remove(now, Removal{ID: id, Revision: e.lapsed})
-			changed = true
-		}
-	}
-	return changed
-}
-
-// NextExpiry returns when Expire has to be called; false if it need not.
-func (r *Registry) NextExpiry() (time.Time, bool) {
-	var next time.Time
-	for _, e := range r.known {
-		if e.lapsed != 0 && !e.unconfirmed() && (next.IsZero() || e.expires.Before(next)) {
-			next = e.expires
-		}
-	}
-	return next, !next.IsZero()
-}
-
 // Known is an upstream with the time when this life of it was first heard of.
 type Known struct {
 	Upstream
--- /dev/null
+++ b/internal/discovery/take_store.go
@@ -0,0 +1,114 @@
+package discovery
+
+import (
+	"context"
+	"time"
+)
+
+// What a follower takes over from the store, and what its silence says.
+
+// takeAnswer takes over an answer of the store.
+func (f *Follower) takeAnswer(now time.Time, a storeAnswer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := a.update
+	if a.call.kind == callCheck {
+		u.Revision = f.registry.Revision()
+	}
+	f.noteOutage(a.call.began, now)
+	f.regained(now, u)
+	f.reportFindings(u.Findings)
+	changed := false
+	switch a.call.kind {
+	case callList:
+		changed = f.registry.Replace(now, u)
+		f.listed = true
+		if a.call.glance {
+			f.glanced, f.firstNews = true, now.Add(firstNewsWait)
+		}
+	case callWatch:
+		changed = f.registry.Apply(now, u)
+	}
+	changed = f.registry.Confirm(now) || changed
+	changed = f.registry.Expire(now) || changed
+	changed = f.takeDocument(u.Document, SourceStore) || changed
+	if changed {
+		f.changed(SourceStore)
+	}
+	if a.call.kind != callCheck && !a.call.glance {
+		f.know(givenAt(now, a))
+	}
+	f.announce()
+}
+
+// givenAt returns the earliest time at which the store may have given an answer:
+// the start of the call, or the end of its wait if the store held it for all of
+// that. Counted from when the answer was read, behind a full link a change of
+// 140 ms ago was missing in news that claimed an age of 0.1 ms.
+func givenAt(now time.Time, a storeAnswer) time.Time {
+	c := a.call
+	if c.kind == callWatch && a.update.empty() && now.Sub(c.began) >= c.wait {
+		return c.began.Add(c.wait)
+	}
+	return c.began
+}
+
+// takeDocument puts a newer table in force, and reports whether it is one.
+func (f *Follower) takeDocument(d *Document, from string) bool {
+	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
+		return false
+	}
+	services := servicesOf(d.Table)
+	if _, err := snapshotOf(d, services, nil); err != nil {
+		// The one in force stays, and goes on with the upstreams as they change.
+		f.reportFindings([]Finding{{Entry: "table " + d.ID.String(), Err: err}})
+		return false
+	}
+	f.document, f.services, f.deflated = d, services, nil
+	f.since, f.from = time.Now(), from
+	f.limits.Store(&d.Limits)
+	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
+	return true
+}
+
+// announce wakes those who wait for news. The lock is held.
+func (f *Follower) announce() {
+	close(f.tick)
+	f.tick = make(chan struct{})
+}
+
+// regained notes that the store answers. The lock is held.
+func (f *Follower) regained(now time.Time, u Update) {
+	if f.awaySince.IsZero() {
+		return
+	}
+	f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
+	f.awaySince = time.Time{}
+	f.away.Store(0)
+}
+
+// lost notes that no call made since a time was answered.
+func (f *Follower) lost(ctx context.Context, since time.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.awaySince.IsZero() && ctx.Err() == nil {
+		f.awaySince = since
+		f.away.Store(f.awaySince.UnixMilli())
+		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
+	}
+}
+
+// shortestLease is the least time without the store in which an entry can lapse:
+// the platform gives no shorter lease.
+const shortestLease = time.Second
+
+// noteOutage tells the registry that the store was away, if it was until a time:
+// for this node for so long that entries may have lapsed, and for the sources of
+// its news as well. A lost call or a slow way is no outage: taken for one, entries
+// that ended were believed for LapseGrace more, and requests reached an upstream
+// 2.66 s after it was gone. The lock is held.
+func (f *Follower) noteOutage(until, now time.Time) {
+	if !f.awaySince.IsZero() && until.Sub(f.awaySince) >= shortestLease && now.Sub(f.current) > f.cfg.NewsMaxAge {
+		f.registry.Lost()
+	}
+}
--- a/internal/http1/conn_close.go
+++ b/internal/http1/conn_close.go
@@ -8,6 +8,85 @@
 	"github.com/cockroachdb/errors"
 )
 
+// wake closes an idle connection.
+func (c *conn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting && !c.busy() {
+		c.closing = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// drain is wake for a server that drains: a connection without any request so far
+// has freshWait for the first.
+func (c *conn) drain() {
+	c.mu.Lock()
+	fresh := c.waiting && !c.served
+	if fresh {
+		_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
+	}
+	c.mu.Unlock()
+	if !fresh {
+		c.wake()
+	}
+}
+
+// reopen goes on with a connection that was about to be closed if a request has
+// come on it before its caller could know. It was taken for idle, closed and read
+// to the end without an answer.
+func (c *conn) reopen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.told || c.aborted {
+		return false
+	}
+	// The deadline that woke the reader would also keep it from looking.
+	_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
+	if c.br.Buffered() == 0 && quiet(c.nc) {
+		return false
+	}
+	c.closing = false
+	return true
+}
+
+// settle starts the idle time anew when the last request has been answered, and
+// closes a connection that drains.
+func (c *conn) settle(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last != x {
+		return
+	}
+	c.last = nil
+	if c.closing || c.server.draining.Load() {
+		c.closing = true
+		if c.waiting { // one that reads a request goes on
+			_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		}
+		return
+	}
+	if c.waiting {
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
+		c.server.idle.add(c)
+	}
+}
+
+// announceClose reports whether the answer to x is the last on the connection,
+// and keeps further requests from being read if it is.
+func (c *conn) announceClose(x *exchange, wanted bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last != x {
+		return false
+	}
+	if wanted || !x.keep || c.closing || c.server.announced.Load() {
+		c.closing, c.told = true, true
+		return true
+	}
+	return false
+}
+
 // refuse answers a request that could not be read, behind the answers before
 // it, and ends the connection.
 func (c *conn) refuse(status int) {
