--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -8,11 +8,12 @@
 )
 
 // SetLeaving says that this node ends, and cuts at a time what is not answered by
-// then. From now on it takes no request that would, by the time that those of its
-// kind took lately with their waits, bodies and links; and it reads longer answers
-// to their end before it passes any of them on, so that one which does not come in the time that is left can
-// still be reported as failed. Of 61 nodes with links of 15 Mbit/s one in a day's
-// rolling restart ended amid an answer whose run had ended 2.9 s before.
+// then. From now on it refuses a request whose answer would come later, by how long
+// those of its kind took lately with their waits, bodies and links. It also reads
+// longer answers to their end before it passes any of them on, so that one which
+// does not come in the time that is left can still be reported as failed. Of 61
+// nodes with links of 15 Mbit/s one in a day's rolling restart ended amid an answer
+// whose run had ended 2.9 s before.
 func (f *Frontend) SetLeaving(end time.Time) { f.leaving.Store(&end) }
 
 // Refuse answers all further requests with a refusal that says that they have not
--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -17,11 +17,11 @@
 	return &life{ctx: ctx, end: end}
 }
 
-// Restarted takes over that the upstream has started again under its name. What it
-// was sent before may have run and gets no answer any more: it ends at once as such
-// and gives its slot back, where on a connection that fell silent it would hold it
-// until its deadline. What waits for a slot has not run and goes to the new process,
-// of which nothing is known yet.
+// Restarted notes that the upstream has started again under its name. What it was
+// sent before may have run and gets no answer any more: it ends at once as such and
+// gives its slot back, where on a connection that fell silent it would hold it until
+// its deadline. What waits for a slot has not run and goes to the new process, of
+// which nothing is known yet.
 func (b *Backend) Restarted() {
 	b.life.Swap(newLife()).end()
 	b.denied.Store(nil)
