--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -26,6 +26,7 @@
 	calls   int
 	glances int // counted in place of calls
 	behind  int // changes that a glance does not show
+	asked   int // questions between nodes
 }
 
 func newTestStore() *testStore { return &testStore{changed: make(chan struct{})} }
@@ -241,6 +242,9 @@
 
 // Ask asks another node over the codec, as on the wire.
 func (n *testNode) Ask(ctx context.Context, node netip.AddrPort, ask Ask) (News, error) {
+	n.store.mu.Lock()
+	n.store.asked++
+	n.store.mu.Unlock()
 	to, ok := n.fleet.nodes[node.Addr()]
 	if !ok {
 		return News{}, errors.New("no node there")
