Build each table once; callers of a leaving node are told when it drains

Each new table was built once without upstreams, to see whether it can be, and once with them; and callers of a leaving node made a new connection for each request from the announcement on.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -44,9 +44,12 @@
 	f.builds++
 	snap, err := snapshotOf(f.document, f.services, known)
 	if err != nil {
-		f.log.Error("snapshot not built", "version", f.document.ID, "err", err)
+		if f.refuse(err) {
+			f.changed(from)
+		}
 		return
 	}
+	f.before = nil
 	snap.Directory = f.builds
 	f.holder.Advance(snap)
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -38,6 +38,7 @@
 	registry  *Registry
 	document  *Document
 	services  map[string]bool // named by document; nil before there is one
+	before    *Document       // the table before document, if that may still be refused
 	reported  reported
 	since     time.Time // when document came
 	from      string    // where it came from
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -58,19 +58,34 @@
 	if d == nil || f.document != nil && !d.ID.Newer(f.document.ID) {
 		return false
 	}
-	services := servicesOf(d.Table)
-	if _, err := snapshotOf(d, services, nil); err != nil {
-		// The one in force stays, and goes on with the upstreams as they change.
-		f.reportFindings([]Finding{{Entry: "table " + d.ID.String(), Err: err}})
-		return false
-	}
-	f.document, f.services, f.deflated = d, services, nil
+	f.before = f.document
+	f.hold(d)
 	f.since, f.from = time.Now(), from
-	f.limits.Store(&d.Limits)
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
 	return true
 }
 
+// hold makes a table the one from which snapshots are built. The lock is held.
+func (f *Follower) hold(d *Document) {
+	f.document, f.services, f.deflated = d, servicesOf(d.Table), nil
+	f.limits.Store(&d.Limits)
+}
+
+// refuse goes back from a table of which no snapshot can be built to the one before,
+// which goes on with the upstreams as they change. It reports whether there is one.
+// The lock is held.
+func (f *Follower) refuse(err error) bool {
+	f.reportFindings([]Finding{{Entry: "table " + f.document.ID.String(), Err: err}})
+	before := f.before
+	f.before = nil
+	if before == nil {
+		f.document, f.services, f.deflated = nil, nil, nil
+		return false
+	}
+	f.hold(before)
+	return true
+}
+
 // announce wakes those who wait for news. The lock is held.
 func (f *Follower) announce() {
 	close(f.tick)
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -7,7 +7,6 @@
 	l := newLeave(time.Now(), s.cfg.DrainAnnounce, s.cfg.DrainTimeout)
 	s.leaving.Store(true)
 	s.frontend.SetLeaving(l.end())
-	s.servers.callers.Announce()
 	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
 	for l.at != ended {
 		if l.next(time.Now(), s.progress()) {
@@ -29,6 +28,7 @@
 		s.backend.SetLeaving(true)
 	case draining:
 		s.backend.SetDraining(true)
+		s.servers.callers.Announce()
 		s.servers.peers.Announce()
 	case refusing:
 		s.frontend.Refuse()
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -6,9 +6,9 @@
 // before refuse; none is left for an earlier one.
 //
 //	stage      new connection, idle connection   new request of a caller    request of another node
-//	announced  served, told with its answer      served                     served
+//	announced  served                            served if it ends in time  served
 //	warning    the same                          the same                   served, told that this ends
-//	draining   the same                          served if it ends in time  refused, not run
+//	draining   served, told with its answer      the same                   refused, not run
 //	refusing   answered, told                    refused, not run           refused, not run
 //	cutting    the same                          refused, not run           refused, not run
 //	closing    answered; idle ones are closed    refused, not run           refused, not run
