A question for news tells how old the asking node's knowledge is

The asking node waited for 0.6 s and read the store.

Change: knowledge is compared with that of the asking node, not with the source's own at the time of the question. TestOldKnowledgeIsRenewedAtOnce, red before; 240 runs of the test that failed, on 1 to 16 processors and six beside each other: none red.

--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -91,3 +91,24 @@
 	n.follower.follow(t)
 	return n.follower, n.holder
 }
+
+// Whoever knows less by most of a watch is told at once that there is nothing new,
+// also if it has all changes: one that started beside its source waited for it so
+// long that it read the store, 5 to 41 calls more in a start of 50 nodes.
+func TestOldKnowledgeIsRenewedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFollowers(t, 2, "a", "b", "c")
+		source := f.sorted()[0].follower
+		source.mu.Lock()
+		ask := Ask{After: Cursor{Epoch: source.epoch, Sequence: source.registry.Sequence()}, Table: source.holdsLocked(), Age: unknownAge}
+		source.mu.Unlock()
+		began := time.Now()
+		n, err := source.NewsAfter(t.Context(), ask)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) == 0 && n.Age < DefaultConfig().NewsMaxAge)
+		ask.Age = n.Age
+		_, err = source.NewsAfter(t.Context(), ask)
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) > 0, "there is nothing to tell")
+	})
+}
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -62,8 +62,8 @@
 func (f *Follower) askOnce(ctx context.Context, slot int, link *peerLink) (version.ID, error) {
 	call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
 	defer cancel()
-	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable}
 	sent := time.Now()
+	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable, Age: f.knownAge(sent)}
 	n, err := f.peers.Ask(call, link.source.Peer, ask)
 	if err != nil {
 		return version.ID{}, err
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -137,6 +137,14 @@
 	return now.Sub(*at)
 }
 
+// knownAge is Age, but unknownAge before anything is known.
+func (f *Follower) knownAge(now time.Time) time.Duration {
+	if f.currentAt.Load() == nil {
+		return unknownAge
+	}
+	return f.Age(now)
+}
+
 // know notes that all that the store held at a time is known. The lock is held.
 func (f *Follower) know(at time.Time) {
 	if at.After(f.current) {
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -28,6 +28,8 @@
 	Table version.ID `cbor:"2,keyasint"` // held by the asking node
 	// WantTable asks for the newer table itself, not only for its ID.
 	WantTable bool `cbor:"3,keyasint,omitempty"`
+	// Age is how old what the asking node knows was when it asked.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // News is what a node believes and the asking one does not know yet. Fields that
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -14,8 +14,8 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.current
-	for waited := false; !waited && !f.hasNews(ask) && !f.knowsLater(before); {
+	known := began.Add(-ask.Age)
+	for waited := false; !waited && !f.hasNews(ask) && !f.knowsLater(known); {
 		tick := f.tick
 		f.mu.Unlock()
 		select {
@@ -36,16 +36,16 @@
 }
 
 // holdShare is the part of Config.WatchWait by which a node's knowledge has to be
-// newer than when it was asked, before it tells that alone. One that hears from two
-// readers learns twice as often as a reader that there is nothing, and whoever
-// follows it would ask it twice as often: 153 s of processor time in place of 141 s
-// on a loaded day of 74 machines, and 0.05 of worth (paired plays).
+// newer than that of the asking one, before it tells that alone. One that hears from
+// two readers learns twice as often as a reader that there is nothing, and whoever
+// follows it would ask it twice as often: 4.0 questions a second and node in place
+// of 2.9, measured in fake time.
 const holdShare = 0.85
 
 // knowsLater reports whether this node knows a state of the store that is worth
 // telling to one who knows that of a time. The lock is held.
-func (f *Follower) knowsLater(before time.Time) bool {
-	return f.current.Sub(before) >= time.Duration(holdShare*float64(f.cfg.WatchWait))
+func (f *Follower) knowsLater(known time.Time) bool {
+	return f.current.Sub(known) >= time.Duration(holdShare*float64(f.cfg.WatchWait))
 }
 
 // hasNews reports whether the asking node lacks something. The lock is held.
