--- a/internal/discovery/calls_test.go
+++ b/internal/discovery/calls_test.go
@@ -22,17 +22,17 @@
 		readers, others := f.roles()
 		assert.Equal(t, len(readers), 3)
 		assert.Assert(t, f.store.count() <= 3*6, "%d calls of a start", f.store.count())
-		assert.Equal(t, f.store.glances, 50)
+		assert.Equal(t, f.store.glances(), 50)
 		readers[0].set(func(n *testNode) { n.answers = 300 * time.Millisecond })
 		time.Sleep(time.Second) // from now on the readers call at different times
 		readers[0].set(func(n *testNode) { n.answers = 0 })
-		before, asked := f.store.count(), f.store.asked
+		before, asked := f.store.count(), f.store.questions()
 		time.Sleep(20 * time.Second)
 		calls := f.store.count() - before
 		assert.Assert(t, calls <= 3*30, "%d calls in 20 s", calls)
 		// A node asks each of its two sources once a watch, also one that hears from
 		// two itself: more took 8% of the processor time of 74 small machines.
-		perNode := float64(f.store.asked-asked) / float64(len(others)) / 20
+		perNode := float64(f.store.questions()-asked) / float64(len(others)) / 20
 		assert.Assert(t, perNode < 2.2/DefaultConfig().WatchWait.Seconds(), "%.2f questions a second", perNode)
 		f.store.publish(2)
 		f.store.remove("a-4")
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -24,7 +24,7 @@
 	log     []Update // each with one change
 	changed chan struct{}
 	calls   int
-	glances int // counted in place of calls
+	glanced int // counted in place of calls
 	behind  int // changes that a glance does not show
 	asked   int // questions between nodes
 }
@@ -104,6 +104,20 @@
 	return s.calls
 }
 
+// questions returns how often nodes asked each other, and glances how often they
+// looked at the store for a tenth of the price.
+func (s *testStore) questions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+func (s *testStore) glances() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.glanced
+}
+
 // testNode is one node with its own way to the store and to others.
 type testNode struct {
 	store    *testStore
@@ -195,7 +209,7 @@
 	}
 	n.store.mu.Lock()
 	n.store.calls--
-	n.store.glances++
+	n.store.glanced++
 	early := &testStore{log: n.store.log[:len(n.store.log)-min(n.store.behind, len(n.store.log))]}
 	n.store.mu.Unlock()
 	u, _ := early.after(0)
