An idle connection is closed though its last answer's goroutine has not ended

Cause, by reading: the place of a request is given back after its answer is settled; a connection that was put among the idle ones in between counted as busy and was neither closed nor looked at again. Now settled answers decide. Not reproduced in a test of its own.

--- a/internal/http1/conn_close.go
+++ b/internal/http1/conn_close.go
@@ -8,11 +8,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// wake closes an idle connection.
+// wake closes an idle connection: one whose last answer is written, though the
+// goroutine that wrote it may still have to give its place back.
 func (c *conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && !c.busy() {
+	if c.waiting && c.last == nil {
 		c.closing = true
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
