A leaving node tells what became of the requests it took

Cause: two requests were lost at leaving nodes that had taken them by a forecast, and no line said which forecast, on how many samples, in which stage, or whether the answer was coming when it was cut.

Change: a request line of a leaving node bears the stage, the time since the leave began, the time left, the request's own deadline, the forecast with its samples, and the fate (answered, refused, failed, cut-run, cut-answer, cut-sent). No decision changes.

--- a/internal/overload/runtimes.go
+++ b/internal/overload/runtimes.go
@@ -89,6 +89,16 @@
 	return bucketEnd(runBuckets - 1)
 }
 
+// Samples returns how many requests of the kind its quantiles rest on, as older
+// ones count for less.
+func (r *RunTimes) Samples(kind string) float64 {
+	k, ok := r.kinds[kind]
+	if !ok {
+		return 0
+	}
+	return k.total / k.weight
+}
+
 func bucketOf(took time.Duration) int {
 	if took <= leastRun {
 		return 0
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -40,6 +40,11 @@
 	version    version.ID
 	// noWait asks the next admitting node for a slot at once.
 	noWait bool
+	// leaving is how the request stood to the end of this node when it came; nil
+	// if the node did not leave then.
+	leaving *Leaving
+	// answering is set once the upstream's answer begins to come.
+	answering bool
 }
 
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
@@ -192,6 +197,7 @@
 		x.f.noteTime(x.route.Kind, took)
 	}
 	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, took, x.tries)
+	x.endLeaving(outcome, resp.Header.Get(HeaderReason))
 	x.record(resp.StatusCode, outcome, resp.Header.Get(HeaderReason))
 	x.remember(resp.StatusCode)
 	if err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -34,7 +34,7 @@
 	inFlight    atomic.Int64
 	buffered    atomic.Int64 // bytes of bodies kept
 	maxInFlight int64
-	leaving     atomic.Pointer[time.Time] // when this node ends; nil as long as it stays
+	leaving     atomic.Pointer[Leave] // nil as long as this node stays
 	refusing    atomic.Bool
 	held        atomic.Int64    // bytes of answers kept as this node leaves
 	ending      context.Context // ends with EndAll
@@ -191,6 +191,7 @@
 		x.env.Key = ""
 	}
 	x.recognise()
+	x.noteLeaving()
 	if f.endsTooSoon(start, route.Kind) {
 		x.finish(w, f.answer(notRun(http.StatusServiceUnavailable, retry.Refused, reasonLeaving, defaultRetryAfter), r))
 		return
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -7,6 +7,13 @@
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
+// Leave is the course of a node's leaving, as far as callers' requests know it.
+type Leave struct {
+	Began     time.Time
+	Announced time.Time // callers have been told that the node leaves
+	End       time.Time // what is not answered is cut
+}
+
 // SetLeaving says that this node ends, and cuts at a time what is not answered by
 // then. From now on it refuses a request whose answer would come later, by how long
 // those of its kind took lately with their waits, bodies and links. It also reads
@@ -14,7 +21,7 @@
 // does not come in the time that is left can still be reported as failed. Of 61
 // nodes with links of 15 Mbit/s one in a day's rolling restart ended amid an answer
 // whose run had ended 2.9 s before.
-func (f *Frontend) SetLeaving(end time.Time) { f.leaving.Store(&end) }
+func (f *Frontend) SetLeaving(l Leave) { f.leaving.Store(&l) }
 
 // Refuse answers all further requests with a refusal that says that they have not
 // run.
@@ -26,8 +33,8 @@
 	if f.refusing.Load() {
 		return true
 	}
-	end := f.leaving.Load()
-	return end != nil && now.Add(f.usualTime(kind)).After(*end)
+	l := f.leaving.Load()
+	return l != nil && now.Add(f.usualTime(kind)).After(l.End)
 }
 
 // usualTime is how long requests of a kind take at this node, from the first byte
--- /dev/null
+++ b/internal/proxy/leaving_record.go
@@ -0,0 +1,112 @@
+package proxy
+
+import "time"
+
+// Fate is what became of a request at a node that leaves.
+type Fate string
+
+// The fates.
+const (
+	FateAnswered  Fate = "answered"   // by its upstream
+	FateRefused   Fate = "refused"    // at once, as the node leaves
+	FateFailed    Fate = "failed"     // for another reason than the leave
+	FateCutRun    Fate = "cut-run"    // no answer had begun
+	FateCutAnswer Fate = "cut-answer" // its answer was coming; nothing of it was passed on
+	FateCutSent   Fate = "cut-sent"   // a part of its answer was passed on
+)
+
+// The stages of leaving that differ for callers' requests.
+const (
+	stageBefore    = "before" // the request came before the leave began
+	stageAnnounced = "announced"
+	stageDraining  = "draining"
+	stageRefusing  = "refusing"
+)
+
+// Leaving is how a request stood to the end of a leaving node when it came, for
+// records.
+type Leaving struct {
+	Stage    string
+	Since    time.Duration // since the leave began
+	Left     time.Duration // until what is not answered is cut
+	Bound    time.Duration // until the request's own deadline
+	Forecast time.Duration // usual time of its kind; 0 if not known
+	Samples  float64       // the requests that the forecast rests on
+	Fate     Fate
+}
+
+// notable reports whether a request has a line though it was served: one that was
+// taken after the announcement, or cut.
+func (l *Leaving) notable() bool {
+	return l != nil && (l.Stage != stageAnnounced || l.Fate != FateAnswered)
+}
+
+// noteLeaving notes how a request stands to the end of this node.
+func (x *exchange) noteLeaving() {
+	l := x.f.leaving.Load()
+	if l == nil {
+		return
+	}
+	x.leaving = &Leaving{
+		Stage:    x.f.stage(l, x.start),
+		Since:    x.start.Sub(l.Began),
+		Left:     l.End.Sub(x.start),
+		Bound:    x.deadline.Sub(x.start),
+		Forecast: x.f.usualTime(x.route.Kind),
+		Samples:  x.f.samples(x.route.Kind),
+	}
+}
+
+// stage is how far this node has come in leaving, for a request that comes.
+func (f *Frontend) stage(l *Leave, now time.Time) string {
+	switch {
+	case f.refusing.Load():
+		return stageRefusing
+	case now.Before(l.Announced):
+		return stageAnnounced
+	}
+	return stageDraining
+}
+
+// samples is how many requests the usual time of a kind rests on.
+func (f *Frontend) samples(kind string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.took.Samples(kind)
+}
+
+// endLeaving notes what became of the request, if this node leaves.
+func (x *exchange) endLeaving(outcome, reason string) {
+	l := x.f.leaving.Load()
+	if l == nil {
+		return
+	}
+	fate := fateOf(outcome, reason, x.f.ending.Err() != nil, x.answering)
+	if x.leaving == nil && (fate == FateAnswered || fate == FateFailed) {
+		return
+	}
+	if x.leaving == nil {
+		x.leaving = &Leaving{Stage: stageBefore, Since: x.start.Sub(l.Began), Left: l.End.Sub(x.start), Bound: x.deadline.Sub(x.start)}
+	}
+	x.leaving.Fate = fate
+	x.f.metrics.left(x.leaving.Stage, fate)
+}
+
+// fateOf tells what became of a request from its outcome and the reason that
+// stands in it. cut says that the node has ended what was in progress, answering
+// that the upstream's answer had begun to come.
+func fateOf(outcome, reason string, cut, answering bool) Fate {
+	switch {
+	case outcome == outcomeNames[0]:
+		return FateAnswered
+	case reason == reasonLeaving && outcome == string(OutcomeNotRun):
+		return FateRefused
+	case !cut:
+		return FateFailed
+	case outcome == outcomeCut:
+		return FateCutSent
+	case answering:
+		return FateCutAnswer
+	}
+	return FateCutRun
+}
--- a/internal/proxy/leaving_test.go
+++ b/internal/proxy/leaving_test.go
@@ -26,6 +26,11 @@
 	return newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), WholeAnswers: 1 << 10, LeavingAnswers: longest, LeavingTotal: longest}, everyMember, s)
 }
 
+// announcedUntil is a leave that is announced until its end.
+func announcedUntil(end time.Time) Leave {
+	return Leave{Began: time.Now(), Announced: end, End: end}
+}
+
 // stalled gives some bytes and then none until its request ends.
 type stalled struct {
 	ctx  context.Context
@@ -50,7 +55,7 @@
 			}
 			f := leavingFrontend(t, half, 90<<10)
 			if leaving {
-				f.SetLeaving(time.Now().Add(time.Hour))
+				f.SetLeaving(announcedUntil(time.Now().Add(time.Hour)))
 			}
 			began := time.Now()
 			time.AfterFunc(time.Second, f.EndAll)
@@ -75,7 +80,7 @@
 	f := leavingFrontend(t, whole, 90<<10)
 	limit, kept := f.wholeLimit(90 << 10)
 	assert.Assert(t, limit == 1<<10 && kept == 0, "it stays")
-	f.SetLeaving(time.Now().Add(time.Hour))
+	f.SetLeaving(announcedUntil(time.Now().Add(time.Hour)))
 	limit, kept = f.wholeLimit(90 << 10)
 	assert.Assert(t, limit == longest && kept == 90<<10)
 	_, kept = f.wholeLimit(longest + 1)
@@ -108,7 +113,7 @@
 		for range 20 {
 			send()
 		}
-		f.SetLeaving(time.Now().Add(2 * takes))
+		f.SetLeaving(announcedUntil(time.Now().Add(2 * takes)))
 		w, _ := send()
 		assert.Equal(t, w.Code, http.StatusOK)
 		ran := len(s.seen)
@@ -116,7 +121,7 @@
 		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 		assert.Equal(t, w.Header().Get(HeaderOutcome), string(OutcomeNotRun))
 		assert.Assert(t, took == 0 && len(s.seen) == ran)
-		f.SetLeaving(time.Now().Add(time.Hour))
+		f.SetLeaving(announcedUntil(time.Now().Add(time.Hour)))
 		f.Refuse()
 		w, _ = send()
 		assert.Equal(t, w.Code, http.StatusServiceUnavailable)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -38,8 +38,11 @@
 	outcomes                 map[string]tally.Counter
 }
 
+// outcomeCut is the outcome of an answer that broke off.
+const outcomeCut = "cut"
+
 // outcomeNames are the values of the outcome label.
-var outcomeNames = []string{"answered", string(OutcomeNotRun), string(OutcomeUnknown), string(OutcomeRunning), string(OutcomeRan), "cut"}
+var outcomeNames = []string{"answered", string(OutcomeNotRun), string(OutcomeUnknown), string(OutcomeRunning), string(OutcomeRan), outcomeCut}
 
 // NewMetrics returns the metrics under a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
@@ -128,3 +131,8 @@
 func (m *Metrics) keyDecision(d ledger.Decision) {
 	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("key_decisions").Inc(1)
 }
+
+// left counts one request that a leaving node took, refused or cut.
+func (m *Metrics) left(stage string, fate Fate) {
+	m.scope.Tagged(map[string]string{"stage": stage, "fate": string(fate)}).Counter("leaving_requests").Inc(1)
+}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -28,6 +28,8 @@
 	// NewsAge is how old the news of the upstreams were when it ended.
 	NewsAge time.Duration
 	Tries   []TryRecord
+	// Leaving is set for a request that a leaving node took, refused or cut.
+	Leaving *Leaving
 }
 
 // TryRecord is one try of a request.
@@ -72,7 +74,7 @@
 	}
 	took := time.Since(x.start)
 	slow := x.route.Objective > 0 && took > time.Duration(slowShare*float64(x.route.Objective))
-	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && x.tries <= 1 && !slow {
+	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && x.tries <= 1 && !slow && !x.leaving.notable() {
 		return
 	}
 	x.f.cfg.Record(&Record{
@@ -91,5 +93,6 @@
 		Late:     x.env.late(),
 		NewsAge:  x.f.cfg.NewsAge(time.Now()),
 		Tries:    x.trail,
+		Leaving:  x.leaving,
 	})
 }
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -38,6 +38,7 @@
 		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
 		return resp, class
 	}
+	x.answering = true
 	limit, kept := x.f.wholeLimit(resp.ContentLength)
 	x.f.held.Add(kept)
 	if resp.Body, _ = whole(resp, limit); resp.Body == nil {
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -1,12 +1,16 @@
 package sidecar
 
-import "time"
+import (
+	"time"
+
+	"github.com/walldrift/walldrift/internal/proxy"
+)
 
 // drain ends the work of this node without leaving a request unanswered.
 func (s *Sidecar) drain() {
 	l := newLeave(time.Now(), s.cfg.DrainAnnounce, s.cfg.DrainTimeout)
 	s.leaving.Store(true)
-	s.frontend.SetLeaving(l.end())
+	s.frontend.SetLeaving(proxy.Leave{Began: l.began, Announced: l.told(), End: l.end()})
 	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
 	for l.at != ended {
 		if l.next(time.Now(), s.progress()) {
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -75,6 +75,9 @@
 // part returns the time at which so many parts of the timeout are over.
 func (l *leave) part(n time.Duration) time.Time { return l.began.Add(l.timeout * n / drainParts) }
 
+// told is when callers have been told, and new work is refused.
+func (l *leave) told() time.Time { return l.began.Add(l.announce) }
+
 // end is when what is in progress is cut.
 func (l *leave) end() time.Time { return l.part(drainEnd) }
 
@@ -99,9 +102,9 @@
 	after := func(t time.Time) bool { return !now.Before(t) }
 	out := after(l.end())
 	switch {
-	case l.at == announced && after(l.began.Add(l.announce-peerNotice)):
+	case l.at == announced && after(l.told().Add(-peerNotice)):
 		return warning
-	case l.at == warning && after(l.began.Add(l.announce)):
+	case l.at == warning && after(l.told()):
 		return draining
 	case l.at == draining && p.upstream == 0:
 		return refusing
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,7 +37,7 @@
 		r.missed.Add(1)
 		return
 	}
-	r.log.Info("request",
+	fields := []any{
 		"id", rec.ID,
 		"kind", rec.Kind,
 		"service", rec.Service,
@@ -53,7 +54,24 @@
 		"news_age_ms", millis(rec.NewsAge),
 		"tries", formatTries(rec.Tries),
 		"left_out", r.missed.Swap(0),
-	)
+	}
+	r.log.Info("request", append(fields, leavingFields(rec.Leaving)...)...)
+}
+
+// leavingFields are those of a request that a leaving node took, refused or cut.
+func leavingFields(l *proxy.Leaving) []any {
+	if l == nil {
+		return nil
+	}
+	return []any{
+		"leaving", l.Stage,
+		"leaving_ms", millis(l.Since),
+		"left_ms", millis(l.Left),
+		"bound_ms", millis(l.Bound),
+		"forecast_ms", millis(l.Forecast),
+		"samples", math.Round(l.Samples),
+		"fate", string(l.Fate),
+	}
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
