Sight: answers that break off are counted by reason, with a line at the entry node

Cause: an answer whose status is out ends with a closed connection; there was only the outcome 'cut', which does not tell a caller that left from a hop that was lost, a deadline or the end of the node.

Change: walldrift_answers_cut{reason}, and in the 'request' line (bounded as before) reason, bytes passed on, whether the node is to end, and the age of the table as requests met it.

--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxForwarded is the most bytes copied at once.
@@ -13,8 +15,9 @@
 // copyPool holds buffers for copying answers.
 var copyPool = sync.Pool{New: func() any { b := make([]byte, maxForwarded); return &b }}
 
-// copyResponse sends an answer. An error means that it was cut.
-func copyResponse(w http.ResponseWriter, resp *http.Response) error {
+// copyResponse sends an answer, and returns how many bytes of its body were passed
+// on. An error means that it was cut.
+func copyResponse(w http.ResponseWriter, resp *http.Response) (int64, error) {
 	defer func() { _ = resp.Body.Close() }()
 	h := w.Header()
 	for name, values := range resp.Header {
@@ -27,8 +30,9 @@
 	return copyBody(w, resp.Body)
 }
 
-// copyBody copies an answer's body, sending each part on as it comes.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
+// copyBody copies an answer's body, sending each part on as it comes, and returns
+// how many bytes it passed on. Errors of writing are errCallerLeft.
+func copyBody(w http.ResponseWriter, body io.Reader) (sent int64, err error) {
 	buf := copyPool.Get().(*[]byte)
 	defer copyPool.Put(buf)
 	flusher, _ := w.(http.Flusher)
@@ -36,14 +40,15 @@
 		n, err := body.Read(*buf)
 		if n > 0 {
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				return werr
+				return sent, errors.Mark(werr, errCallerLeft)
 			}
+			sent += int64(n)
 		}
 		if err == io.EOF {
-			return nil
+			return sent, nil
 		}
 		if err != nil {
-			return err
+			return sent, err
 		}
 		if n < len(*buf) && flusher != nil {
 			flusher.Flush()
--- /dev/null
+++ b/internal/proxy/cut.go
@@ -0,0 +1,85 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// CutReason says why an answer broke off after its status had gone out.
+type CutReason string
+
+// The reasons.
+const (
+	CutCallerLeft CutReason = "caller-left" // its connection takes no more
+	CutDeadline   CutReason = "deadline"    // the time of the request was over
+	CutNodeEnds   CutReason = "node-ends"   // this node ends what is in progress
+	CutHopLost    CutReason = "hop-lost"    // the way to the upstream, or the upstream, broke off
+)
+
+// CutRecord tells what was known when an answer broke off.
+type CutRecord struct {
+	Reason CutReason // empty for answers that are whole
+	Sent   int64     // bytes of the body passed on
+	// Leaving says that this node was to end.
+	Leaving bool
+	// TableAge is the time since the first request met the table in force, to
+	// tell what a change brings from what happens at any time.
+	TableAge time.Duration
+}
+
+// errCallerLeft marks errors of writing to the caller.
+var errCallerLeft = errors.New("the caller takes no more")
+
+// noteCut counts an answer that broke off after so many bytes.
+func (x *exchange) noteCut(now time.Time, sent int64, err error) {
+	x.cut = CutRecord{
+		Reason:   x.cutReason(err),
+		Sent:     sent,
+		Leaving:  x.f.leaving.Load() != nil,
+		TableAge: x.f.tables.age(now),
+	}
+	x.f.metrics.cutBy(x.cut.Reason)
+}
+
+// cutReason tells apart by whom an answer was cut. A caller that has left ends the
+// context, too.
+func (x *exchange) cutReason(err error) CutReason {
+	switch {
+	case errors.Is(err, errCallerLeft) || x.req.Context().Err() != nil:
+		return CutCallerLeft
+	case x.f.ending.Err() != nil:
+		return CutNodeEnds
+	case errors.Is(err, context.DeadlineExceeded):
+		return CutDeadline
+	}
+	return CutHopLost
+}
+
+// tablesSeen holds the table that requests met last.
+type tablesSeen struct{ atomic.Pointer[tableSeen] }
+
+// tableSeen is a table and when a request first met it.
+type tableSeen struct {
+	id    version.ID
+	since time.Time
+}
+
+// age returns the time since a request first met the table in force.
+func (s *tablesSeen) age(now time.Time) time.Duration {
+	if seen := s.Load(); seen != nil {
+		return now.Sub(seen.since)
+	}
+	return 0
+}
+
+// note takes over the table that a request met.
+func (s *tablesSeen) note(now time.Time, id version.ID) {
+	if seen := s.Load(); seen == nil || seen.id != id {
+		s.Store(&tableSeen{id: id, since: now})
+	}
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -36,6 +36,7 @@
 	// be reported as not run.
 	mayHaveRun bool
 	trail      []TryRecord
+	cut        CutRecord
 	ended      retry.Reason // why no further try was made
 	version    version.ID
 	// noWait asks the next admitting node for a slot at once.
@@ -183,9 +184,10 @@
 	if outcome == "" {
 		outcome = outcomeNames[0]
 	}
-	err := copyResponse(w, resp)
+	sent, err := copyResponse(w, resp)
 	if err != nil {
 		outcome = outcomeNames[len(outcomeNames)-1]
+		x.noteCut(time.Now(), sent, err)
 	}
 	took := time.Since(x.start)
 	if outcome == outcomeNames[0] {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -37,6 +37,7 @@
 	leaving     atomic.Pointer[time.Time] // when this node ends; nil as long as it stays
 	refusing    atomic.Bool
 	held        atomic.Int64    // bytes of answers kept as this node leaves
+	tables      tablesSeen      // for records of answers that were cut
 	ending      context.Context // ends with EndAll
 	end         context.CancelFunc
 
@@ -160,6 +161,7 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
+	f.tables.note(start, snap.ID)
 	route := snap.Match(r.Host, r.Method, rawPath(r))
 	if route == nil {
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
@@ -214,7 +216,7 @@
 
 func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
 	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
-	_ = copyResponse(w, f.answer(p, r))
+	_, _ = copyResponse(w, f.answer(p, r))
 }
 
 // answer builds the answer of a problem for a caller.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -30,6 +30,7 @@
 	tenants *labelled[tally.Histogram]
 	classes *labelled[tally.Counter]
 	reasons *labelled[tally.Counter]
+	cuts    *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -52,6 +53,7 @@
 		}),
 		classes: newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
 		reasons: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
+		cuts:    newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
 	}
 }
 
@@ -125,6 +127,10 @@
 	m.reasons.get(string(r)).Inc(1)
 }
 
+func (m *Metrics) cutBy(r CutReason) {
+	m.cuts.get(string(r)).Inc(1)
+}
+
 func (m *Metrics) keyDecision(d ledger.Decision) {
 	m.scope.Tagged(map[string]string{"decision": d.String()}).Counter("key_decisions").Inc(1)
 }
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -27,6 +27,7 @@
 	Late bool
 	// NewsAge is how old the news of the upstreams were when it ended.
 	NewsAge time.Duration
+	Cut     CutRecord
 	Tries   []TryRecord
 }
 
@@ -90,6 +91,7 @@
 		Age:      x.start.Sub(x.first),
 		Late:     x.env.late(),
 		NewsAge:  x.f.cfg.NewsAge(time.Now()),
+		Cut:      x.cut,
 		Tries:    x.trail,
 	})
 }
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -72,7 +72,7 @@
 		h[name] = values
 	}
 	w.WriteHeader(resp.StatusCode)
-	err := copyBody(w, resp.Body)
+	_, err := copyBody(w, resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
 		// Resets the stream, so that the answer does not look whole.
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -51,6 +51,10 @@
 		"age_ms", millis(rec.Age),
 		"late", rec.Late,
 		"news_age_ms", millis(rec.NewsAge),
+		"cut", string(rec.Cut.Reason),
+		"sent", rec.Cut.Sent,
+		"leaving", rec.Cut.Leaving,
+		"table_age_ms", millis(rec.Cut.TableAge),
 		"tries", formatTries(rec.Tries),
 		"left_out", r.missed.Swap(0),
 	)
