An answer that has come is taken though the time of its request is over

Cause: the end of a request's context sets a deadline in the past on its connection. A process that stood still across the deadline then reads nothing more, though the answer lies in the kernel; the request was reported as one that may have run, and an idempotent one was run again.

Ruled out: that the connection is used again after that (its watch has fired, so it is closed), that a foreign answer is taken (Belongs decides as before), that a caller that has left keeps its work longer: the look does not wait, and part of an answer ends at once (TestPartOfAnAnswerEndsWithItsTime).

Change: the reading side of http1.Client's connections, after the deadline, gives the bytes that had come at the first look and no others, without a wait. TestWhatComesAfterTheTimeIsNotRead now says exactly which bytes are read; it asserted only that reading ends.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -91,8 +91,9 @@
 	expires time.Time // by the server's word; zero means never
 }
 
-// RoundTrip sends the request and returns its answer. An error that is not
-// ErrNotSent leaves open whether the request runs.
+// RoundTrip sends the request and returns its answer. When the request's context
+// ends, it does not wait any more, and takes what is here by then. An error that is
+// not ErrNotSent leaves open whether the request runs.
 func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
 	cc, err := c.acquire(req.Context(), req.URL.Host)
 	if err != nil {
@@ -126,7 +127,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr, epoch: c.countDial()}, nil
+	br := bufio.NewReaderSize(&arrivedReader{nc: nc}, readBuffer)
+	return &clientConn{nc: nc, br: br, addr: addr, epoch: c.countDial()}, nil
 }
 
 // countDial counts a connection made and returns the epoch that it belongs to.
--- a/internal/http1/late_test.go
+++ b/internal/http1/late_test.go
@@ -135,22 +135,30 @@
 func TestWhatComesAfterTheTimeIsNotRead(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	s := stallOnce{cancel: cancel, bytes: 1}
+	const part = 8 << 10 // more than the reader's buffer
+	s := stallOnce{cancel: cancel, bytes: part}
+	later := make(chan struct{})
 	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
 		_, _ = http.ReadRequest(br)
 		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nConnection: close\r\n\r\n")
 		s.await()
-		for {
-			if _, err := nc.Write(make([]byte, 4<<10)); err != nil {
-				return
-			}
-		}
+		_, _ = nc.Write(make([]byte, part))
+		<-later
+		_, _ = nc.Write(make([]byte, part))
+		_, _ = br.ReadByte()
 	})
 	resp, err := newTestClient().RoundTrip(newRequest(t, addr, "GET", "a", nil).WithContext(s.trace(ctx)))
 	assert.NilError(t, err)
 	s.stall(t)
-	_, err = io.Copy(io.Discard, resp.Body)
+	_, err = io.ReadFull(resp.Body, make([]byte, 1))
+	assert.NilError(t, err)
+	close(later)
+	for inKernel(t, s.nc) < part {
+		time.Sleep(time.Millisecond)
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
 	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+	assert.Equal(t, n, int64(part-1))
 }
 
 // An upstream that closed a kept connection while the process stalled, be it past its
