Red: requests are sent after their time is over

Cause: a trip sets its deadline beside its first write, so that a context that has ended already is noticed after the request has gone out: it runs for nobody, and one that may run once only is reported as one that may have run. Where nothing was sent the refusal names the upstream in place of the time.

Ruled out by the tests beside them, which pass: an answer that was taken late is passed on by both nodes (TestAnswerThatCameLateIsPassedOn); a body that lies in the kernel when the time is over gives 408, not run, which is true (TestBodyOfARequestWhoseTimeIsOverIsRefused).

--- a/internal/http1/late_test.go
+++ b/internal/http1/late_test.go
@@ -96,6 +96,37 @@
 	}
 }
 
+// A request whose time is over before anything of it was sent is not sent: it would
+// run for nobody, after its caller was told or had left. One that was taken up after
+// a stall was sent all the same, as the deadline was set beside the first write.
+func TestRequestWhoseTimeIsOverIsNotSent(t *testing.T) {
+	arrived := make(chan string, 100)
+	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			arrived <- req.Header.Get(idHeader)
+			respond(nc, req.Header.Get(idHeader), "ok")
+		}
+	})
+	c := newTestClient()
+	for range 20 {
+		_, err := roundTrip(c, newRequest(t, addr, "GET", "in time", nil))
+		assert.NilError(t, err)
+		assert.Equal(t, <-arrived, "in time")
+		ctx, cancel := context.WithCancel(t.Context())
+		// The connection is there; then the process stalls.
+		trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { cancel() }}
+		_, err = roundTrip(c, newRequest(t, addr, "GET", "late", nil).WithContext(httptrace.WithClientTrace(ctx, trace)))
+		assert.Assert(t, errors.Is(err, ErrNotSent) && errors.Is(err, context.Canceled), "%v", err)
+	}
+	_, err := roundTrip(c, newRequest(t, addr, "GET", "last", nil))
+	assert.NilError(t, err)
+	assert.Equal(t, <-arrived, "last")
+}
+
 // Part of an answer is no answer: the request ends at once with the cause, without a
 // wait for the rest.
 func TestPartOfAnAnswerEndsWithItsTime(t *testing.T) {
