A request whose time is over is not sent

Cause: the end of a request's context was noticed by a deadline that is set beside the first write. After a stall, in which the time had run out or the caller had left, the request went out first.

Ruled out: that the gate beside the upstream lets such a request pass: it looks at the context after its grant already.

Change: the client looks at the context before it takes a connection, so that the connection is kept, and again before it writes. What was not sent for want of time is refused as such, not run, with the reason 'deadline' in place of 'unreachable' and 'upstream-refused-connection'; the state of the context decides, as the error of a dial that took too long looks the same.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -111,8 +111,12 @@
 	return resp, nil
 }
 
-// acquire returns an idle connection that is still good, or a new one.
+// acquire returns an idle connection that is still good, or a new one. For a request
+// that has ended it takes none.
 func (c *Client) acquire(ctx context.Context, addr string) (*clientConn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	for {
 		cc := c.take(addr)
 		if cc == nil {
--- a/internal/http1/late_test.go
+++ b/internal/http1/late_test.go
@@ -127,6 +127,29 @@
 	assert.Equal(t, <-arrived, "last")
 }
 
+// The connection that such a request would have taken is kept for others.
+func TestRequestWhoseTimeIsOverTakesNoConnection(t *testing.T) {
+	addr, conns := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			respond(nc, req.Header.Get(idHeader), "ok")
+		}
+	})
+	c := newTestClient()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 3 {
+		_, err := roundTrip(c, newRequest(t, addr, "GET", "in time", nil))
+		assert.NilError(t, err)
+		_, err = roundTrip(c, newRequest(t, addr, "GET", "late", nil).WithContext(ended))
+		assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+	}
+	assert.Equal(t, conns.Load(), int32(1))
+}
+
 // Part of an answer is no answer: the request ends at once with the cause, without a
 // wait for the rest.
 func TestPartOfAnAnswerEndsWithItsTime(t *testing.T) {
--- a/internal/http1/trip.go
+++ b/internal/http1/trip.go
@@ -28,6 +28,10 @@
 }
 
 func (t *trip) run() (*http.Response, error) {
+	// The deadline below is set beside the first write, not before it.
+	if err := t.req.Context().Err(); err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
 	_ = t.cc.nc.SetDeadline(time.Time{})
 	nc := t.cc.nc
 	t.stop = context.AfterFunc(t.req.Context(), func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -37,8 +37,9 @@
 	}))
 	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
 	if err != nil {
+		ended := ctx.Err()
 		cancel()
-		return nil, c.failure(err, connected.Load())
+		return nil, c.failure(ended, err, connected.Load())
 	}
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
@@ -52,7 +53,7 @@
 		err := ctx.Err()
 		cancel()
 		if err != nil {
-			return nil, c.failure(err, true)
+			return nil, c.failure(err, err, true)
 		}
 		return nil, unknownOutcome(http.StatusBadGateway, reasonLost)
 	}
@@ -96,10 +97,11 @@
 	return nil
 }
 
-// failure classifies an error of the call to the upstream.
-func (c *backendCall) failure(err error, connected bool) *Problem {
+// failure classifies an error of the call to the upstream; ended is that of the
+// request's context.
+func (c *backendCall) failure(ended, err error, connected bool) *Problem {
 	if !connected || errors.Is(err, http1.ErrNotSent) {
-		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUpstream, defaultRetryAfter)
+		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, notSentReason(ended, reasonUpstream), defaultRetryAfter)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -36,7 +36,7 @@
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonUnreachable, defaultRetryAfter)
 	}
 	if errors.Is(err, ErrNotSent) || errors.Is(err, http1.ErrNotSent) {
-		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, reasonUnreachable, defaultRetryAfter)
+		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, notSentReason(ctx.Err(), reasonUnreachable), defaultRetryAfter)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
@@ -44,6 +44,16 @@
 	return unknownOutcome(http.StatusBadGateway, reasonLost)
 }
 
+// notSentReason says why nothing was sent: its time was over, by the state of the
+// request's context, or what is given. A dial that takes too long is no such case,
+// though its error looks like one.
+func notSentReason(ended error, otherwise string) string {
+	if errors.Is(ended, context.DeadlineExceeded) {
+		return reasonDeadline
+	}
+	return otherwise
+}
+
 // ErrNotSent marks errors of a RoundTripper that happened before anything of
 // the request was sent.
 var ErrNotSent = errors.New("nothing was sent")
