--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -39,6 +39,7 @@
 	held        atomic.Int64    // bytes of answers kept as this node leaves
 	endingRuns  context.Context // ends with EndRuns
 	endRuns     context.CancelFunc
+	tables      tablesSeen      // for records of answers that were cut
 	ending      context.Context // ends with EndAll
 	end         context.CancelFunc
 
@@ -165,6 +166,7 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
+	f.tables.note(start, snap.ID)
 	route := snap.Match(r.Host, r.Method, rawPath(r))
 	if route == nil {
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
@@ -220,7 +222,7 @@
 
 func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
 	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
-	_ = copyResponse(w, f.answer(p, r))
+	_, _ = copyResponse(w, f.answer(p, r))
 }
 
 // answer builds the answer of a problem for a caller.
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -27,6 +27,7 @@
 	Late bool
 	// NewsAge is how old the news of the upstreams were when it ended.
 	NewsAge time.Duration
+	Cut     CutRecord
 	Tries   []TryRecord
 	// Leaving is set for a request that a leaving node took, refused or cut.
 	Leaving *Leaving
@@ -92,6 +93,7 @@
 		Age:      x.start.Sub(x.first),
 		Late:     x.env.late(),
 		NewsAge:  x.f.cfg.NewsAge(time.Now()),
+		Cut:      x.cut,
 		Tries:    x.trail,
 		Leaving:  x.leaving,
 	})
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -52,6 +52,9 @@
 		"age_ms", millis(rec.Age),
 		"late", rec.Late,
 		"news_age_ms", millis(rec.NewsAge),
+		"cut", string(rec.Cut.Reason),
+		"sent", rec.Cut.Sent,
+		"table_age_ms", millis(rec.Cut.TableAge),
 		"tries", formatTries(rec.Tries),
 		"left_out", r.missed.Swap(0),
 	}
