Each end of a connection tells its cause and what was left

Cause: a connection that ends left neither line nor count, so that the hypotheses on requests without an answer could not be told apart: a deadline that passed while the process stood still, an answer that was cut, a caller that left all looked alike.

Change: http1.Config.Ended is called with a typed cause, whether bytes lay unread in the kernel (one look, only when a deadline had fired), how many requests that were read have no whole answer, how late the process was at the deadline, and how many bytes came after the decision. The sidecar counts ends by side and cause, and writes a bounded line for those that left something, with the age of the table in force and whether the node leaves. No change of what is served.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -170,6 +170,16 @@
 	return s
 }
 
+// TableAge returns the time since the table in force was taken; 0 without one.
+func (f *Follower) TableAge(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.since.IsZero() {
+		return 0
+	}
+	return now.Sub(f.since)
+}
+
 // staleCheck is how often the age of the news is looked at, for lines alone.
 const staleCheck = 500 * time.Millisecond
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -32,6 +32,10 @@
 	told    bool      // the caller knows that none is
 	waiting bool      // the reader waits for the first byte of a request
 	aborted bool
+	// deadline is what the reader waits until; zero for none, or if the wait was
+	// ended before it.
+	deadline time.Time
+	ended    ConnEnd
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -49,6 +53,7 @@
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.remove(c)
+	defer c.report()
 	defer c.cancel()
 	for c.next() {
 	}
@@ -63,13 +68,17 @@
 	if !c.awaitFirst(limits.IdleTimeout) {
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.mu.Lock()
+	c.wait(time.Now().Add(limits.HeaderTimeout))
+	c.mu.Unlock()
 	req, status := c.read(limits)
 	if status != 0 {
+		c.noteRefusal(status)
 		c.refuse(status)
 		return false
 	}
 	if req == nil {
+		c.noteEnd(EndCallerGone)
 		c.cancel() // the caller has gone
 		return false
 	}
@@ -91,6 +100,7 @@
 			if c.reopen() {
 				continue
 			}
+			c.noteWait(err)
 			return false
 		}
 		if err == nil {
@@ -104,6 +114,7 @@
 		if isTimeout(err) && c.busy() && !c.isClosing() {
 			continue // the idle time counts from the last answer
 		}
+		c.noteWait(err)
 		if !isTimeout(err) {
 			c.cancel()
 		}
@@ -140,12 +151,13 @@
 	}
 	if c.server.draining.Load() && c.last == nil {
 		if c.served && c.br.Buffered() == 0 && quiet(c.nc) {
+			c.noteEndLocked(EndDrained)
 			return false
 		}
 		idle = min(idle, freshWait)
 	}
 	c.waiting = true
-	_ = c.nc.SetReadDeadline(time.Now().Add(idle))
+	c.wait(time.Now().Add(idle))
 	if c.last == nil {
 		c.server.idle.add(c)
 	}
@@ -200,6 +212,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing && c.told || c.aborted {
+		c.ended.Unanswered++
 		return false
 	}
 	if c.last != nil {
@@ -221,6 +234,7 @@
 	}()
 	w := newResponseWriter(x)
 	if !c.call(w, x) || !w.finish() {
+		c.noteCut(w.err)
 		c.abort()
 	}
 	x.body.release()
--- a/internal/http1/conn_close.go
+++ b/internal/http1/conn_close.go
@@ -15,7 +15,7 @@
 	defer c.mu.Unlock()
 	if c.waiting && c.last == nil {
 		c.closing = true
-		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+		c.interrupt()
 	}
 }
 
@@ -25,7 +25,7 @@
 	c.mu.Lock()
 	fresh := c.waiting && !c.served
 	if fresh {
-		_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
+		c.wait(time.Now().Add(freshWait))
 	}
 	c.mu.Unlock()
 	if !fresh {
@@ -63,12 +63,12 @@
 	if c.closing || c.server.draining.Load() {
 		c.closing = true
 		if c.waiting { // one that reads a request goes on
-			_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+			c.interrupt()
 		}
 		return
 	}
 	if c.waiting {
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
+		c.wait(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
 		c.server.idle.add(c)
 	}
 }
@@ -126,7 +126,7 @@
 	}
 	if t, ok := c.nc.(*net.TCPConn); ok && t.CloseWrite() == nil {
 		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, c.nc)
+		c.ended.Crossed, _ = io.Copy(io.Discard, c.nc)
 	}
 	_ = c.nc.Close()
 }
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -38,6 +38,8 @@
 	// smaller one makes a write last until its bytes are nearly out, so that who
 	// writes knows how full the link is. 0 leaves the system's own.
 	WriteBuffer int
+	// Ended is called for each connection that has ended; nil for none.
+	Ended func(ConnEnd)
 }
 
 // DefaultLimits returns limits for connections between nodes.
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -158,8 +158,17 @@
 
 // bind opens the sockets.
 func (s *Sidecar) bind() error {
-	s.servers.callers = http1.NewServer(http1.Config{Handler: s.frontend, Limits: s.callerLimits, MaxIdle: maxIdleCallers})
-	s.servers.peers = http1.NewServer(http1.Config{Handler: s.peerHandler(), WriteBuffer: peerWriteBuffer})
+	s.servers.callers = http1.NewServer(http1.Config{
+		Handler: s.frontend,
+		Limits:  s.callerLimits,
+		MaxIdle: maxIdleCallers,
+		Ended:   newEnds(s.log, s.metrics.Scope, "callers", s.state).ended,
+	})
+	s.servers.peers = http1.NewServer(http1.Config{
+		Handler:     s.peerHandler(),
+		WriteBuffer: peerWriteBuffer,
+		Ended:       newEnds(s.log, s.metrics.Scope, "nodes", s.state).ended,
+	})
 	s.servers.ready = http1.NewServer(http1.Config{Handler: s.readyHandler()})
 	s.servers.metrics = http1.NewServer(http1.Config{Handler: s.adminHandler()})
 	addresses := []netip.AddrPort{s.cfg.Callers, s.cfg.Peers, s.cfg.Ready}
--- /dev/null
+++ b/internal/sidecar/ends.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/walldrift/walldrift/internal/http1"
+)
+
+// ends counts the connections that ended by their cause, and writes a line for
+// each that left a request without an answer or bytes unread, within the budget
+// of a recorder; what is left out is counted and said with the next line.
+type ends struct {
+	log    *log.Logger
+	budget *rate.Limiter
+	missed atomic.Int64
+	state  func(now time.Time) nodeState
+	counts map[http1.EndCause]endCounts
+	side   string
+}
+
+// nodeState is what a line tells of the node beside the connection.
+type nodeState struct {
+	tableAge time.Duration
+	leaving  bool
+}
+
+type endCounts struct{ all, unread, unanswered tally.Counter }
+
+// newEnds returns the ends of one listening side.
+func newEnds(l *log.Logger, scope tally.Scope, side string, state func(time.Time) nodeState) *ends {
+	e := &ends{
+		log:    l,
+		budget: rate.NewLimiter(recordsPerSecond, recordBurst),
+		state:  state,
+		counts: make(map[http1.EndCause]endCounts),
+		side:   side,
+	}
+	for _, cause := range http1.EndCauses() {
+		tagged := scope.Tagged(map[string]string{"side": side, "cause": string(cause)})
+		e.counts[cause] = endCounts{
+			all:        tagged.Counter("connections_ended"),
+			unread:     tagged.Counter("connections_ended_unread"),
+			unanswered: tagged.Counter("requests_unanswered"),
+		}
+	}
+	return e
+}
+
+func (e *ends) ended(end http1.ConnEnd) {
+	c := e.counts[end.Cause]
+	c.all.Inc(1)
+	c.unanswered.Inc(int64(end.Unanswered))
+	if end.Unread {
+		c.unread.Inc(1)
+	}
+	// A caller that leaves or was told expects no more answers.
+	left := end.Unread || end.Unanswered > 0 || end.Crossed > 0 && end.Cause != http1.EndRefused
+	if !left || end.Cause == http1.EndCallerGone || end.Cause == http1.EndTold && end.Unanswered == 0 {
+		return
+	}
+	if !e.budget.Allow() {
+		e.missed.Add(1)
+		return
+	}
+	state := e.state(end.At)
+	e.log.Info("connection ended under a request",
+		"side", e.side,
+		"cause", string(end.Cause),
+		"unread", end.Unread,
+		"unanswered", end.Unanswered,
+		"crossed", end.Crossed,
+		"late_ms", millis(end.Late),
+		"table_age_ms", millis(state.tableAge),
+		"leaving", state.leaving,
+		"left_out", e.missed.Swap(0),
+	)
+}
+
+// state is the state of the node at a time.
+func (s *Sidecar) state(at time.Time) nodeState {
+	return nodeState{tableAge: s.follower.TableAge(at), leaving: s.leaving.Load()}
+}
