A read deadline is judged by what had come when it is noticed

Cause: the poller returns a deadline that has passed without a look at the socket. After a stall of the process the server took that for proof that nothing had come, and closed the connection over a whole request; it looked once more only on the way of a connection that it had decided to close itself.

Change: the server reads through deadlineReader. It counts the bytes that lie in the kernel when it notices a deadline; those are read, later ones are not. Idle wait, head, body and the linger after the last answer share it. conn.goOn is the one place that ends a connection for want of a request: it compares the time with the last use and the limits of now, and closes the write side in the same step as its last look.

Bound: a sender gains no time at all by bytes that come after the notice, so there is no new limit; a silent one is held as long as before.

--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -79,7 +78,7 @@
 	if b.whole() {
 		return
 	}
-	_ = b.x.c.nc.SetReadDeadline(time.Unix(1, 0))
+	b.x.c.rd.interrupt()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -19,7 +19,8 @@
 type conn struct {
 	server *Server
 	nc     net.Conn
-	br     *bufio.Reader
+	rd     *deadlineReader
+	br     *bufio.Reader // of rd
 	ctx    context.Context
 	cancel context.CancelFunc
 	slots  chan struct{} // requests in progress
@@ -31,19 +32,21 @@
 	closing bool      // no further request is read
 	told    bool      // the caller knows that none is
 	waiting bool      // the reader waits for the first byte of a request
+	retired bool      // it is closed for want of a request
 	aborted bool
-	// deadline is what the reader waits until; zero for none, or if the wait was
-	// ended before it.
-	deadline time.Time
-	ended    ConnEnd
+	since   time.Time // when it was used last
+	ended   ConnEnd
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
+	rd := newDeadlineReader(nc)
 	return &conn{
 		server: s,
 		nc:     nc,
-		br:     getReader(nc),
+		rd:     rd,
+		br:     getReader(rd),
+		since:  time.Now(),
 		ctx:    ctx,
 		cancel: cancel,
 		slots:  make(chan struct{}, s.cfg.Pipelined),
@@ -64,13 +67,11 @@
 // next reads one request and starts its handler. It returns false when the
 // connection takes no more.
 func (c *conn) next() bool {
-	limits := c.server.cfg.Limits()
-	if !c.awaitFirst(limits.IdleTimeout) {
+	if !c.awaitFirst() {
 		return false
 	}
-	c.mu.Lock()
-	c.wait(time.Now().Add(limits.HeaderTimeout))
-	c.mu.Unlock()
+	limits := c.server.cfg.Limits()
+	c.rd.set(time.Now().Add(limits.HeaderTimeout))
 	req, status := c.read(limits)
 	if status != 0 {
 		c.noteRefusal(status)
@@ -82,43 +83,26 @@
 		c.cancel() // the caller has gone
 		return false
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.rd.set(time.Time{})
 	return c.start(req)
 }
 
 // awaitFirst waits for the first byte of a request.
-func (c *conn) awaitFirst(idle time.Duration) bool {
+func (c *conn) awaitFirst() bool {
 	for {
-		if !c.setWaiting(idle) {
-			if c.reopen() {
-				continue
-			}
-			return false
-		}
+		c.startWaiting()
 		b, err := c.peek()
-		if !c.doneWaiting() && err != nil {
-			if c.reopen() {
-				continue
-			}
-			c.noteWait(err)
+		if !c.goOn(err) {
 			return false
 		}
-		if err == nil {
-			// An empty line before a request is passed over.
-			if b[0] != '\r' && b[0] != '\n' {
-				return true
-			}
-			_, _ = c.br.Discard(1)
+		if err != nil {
 			continue
 		}
-		if isTimeout(err) && c.busy() && !c.isClosing() {
-			continue // the idle time counts from the last answer
-		}
-		c.noteWait(err)
-		if !isTimeout(err) {
-			c.cancel()
+		// An empty line before a request is passed over.
+		if b[0] != '\r' && b[0] != '\n' {
+			return true
 		}
-		return false
+		_, _ = c.br.Discard(1)
 	}
 }
 
@@ -128,8 +112,8 @@
 	if c.br.Buffered() == 0 {
 		putReader(c.br)
 		c.br = nil
-		err := awaitReadable(c.nc)
-		c.br = getReader(c.nc)
+		err := c.rd.awaitReadable()
+		c.br = getReader(c.rd)
 		if err != nil {
 			return nil, err
 		}
@@ -137,48 +121,6 @@
 	return c.br.Peek(1)
 }
 
-// freshWait is how long a draining server waits for the first request of a
-// connection: callers send at once, so that it comes a round trip and the delay of
-// a slow machine after the connection.
-const freshWait = 500 * time.Millisecond
-
-// setWaiting marks the connection as idle unless it is to be closed.
-func (c *conn) setWaiting(idle time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return false
-	}
-	if c.server.draining.Load() && c.last == nil {
-		if c.served && c.br.Buffered() == 0 && quiet(c.nc) {
-			c.noteEndLocked(EndDrained)
-			return false
-		}
-		idle = min(idle, freshWait)
-	}
-	c.waiting = true
-	c.wait(time.Now().Add(idle))
-	if c.last == nil {
-		c.server.idle.add(c)
-	}
-	return true
-}
-
-// doneWaiting reports whether the connection may go on.
-func (c *conn) doneWaiting() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waiting = false
-	c.server.idle.remove(c)
-	return !c.closing
-}
-
-func (c *conn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 // busy reports whether a request is in progress.
 func (c *conn) busy() bool { return len(c.slots) > 0 }
 
@@ -212,7 +154,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing && c.told || c.aborted {
-		c.ended.Unanswered++
+		c.ended.Unread = true // requests behind the last answer count as such
 		return false
 	}
 	if c.last != nil {
--- a/internal/http1/conn_close.go
+++ b/internal/http1/conn_close.go
@@ -8,71 +8,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// wake closes an idle connection: one whose last answer is written, though the
-// goroutine that wrote it may still have to give its place back.
-func (c *conn) wake() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.waiting && c.last == nil {
-		c.closing = true
-		c.interrupt()
-	}
-}
-
-// drain is wake for a server that drains: a connection without any request so far
-// has freshWait for the first.
-func (c *conn) drain() {
-	c.mu.Lock()
-	fresh := c.waiting && !c.served
-	if fresh {
-		c.wait(time.Now().Add(freshWait))
-	}
-	c.mu.Unlock()
-	if !fresh {
-		c.wake()
-	}
-}
-
-// reopen goes on with a connection that was about to be closed if a request has
-// come on it before its caller could know. It was taken for idle, closed and read
-// to the end without an answer.
-func (c *conn) reopen() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.told || c.aborted {
-		return false
-	}
-	// The deadline that woke the reader would also keep it from looking.
-	_ = c.nc.SetReadDeadline(time.Now().Add(freshWait))
-	if c.br.Buffered() == 0 && quiet(c.nc) {
-		return false
-	}
-	c.closing = false
-	return true
-}
-
-// settle starts the idle time anew when the last request has been answered, and
-// closes a connection that drains.
-func (c *conn) settle(x *exchange) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.last != x {
-		return
-	}
-	c.last = nil
-	if c.closing || c.server.draining.Load() {
-		c.closing = true
-		if c.waiting { // one that reads a request goes on
-			c.interrupt()
-		}
-		return
-	}
-	if c.waiting {
-		c.wait(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
-		c.server.idle.add(c)
-	}
-}
-
 // announceClose reports whether the answer to x is the last on the connection,
 // and keeps further requests from being read if it is.
 func (c *conn) announceClose(x *exchange, wanted bool) bool {
@@ -118,15 +53,22 @@
 }
 
 // end closes the connection: its write side first, then it reads what is still
-// on the way, as closing with unread bytes would reset it.
+// on the way, as closing with unread bytes would reset it. One that ended for want
+// of a request reads it only when its caller has closed.
 func (c *conn) end() {
 	if c.isAborted() || c.ctx.Err() != nil {
 		_ = c.nc.Close()
 		return
 	}
-	if t, ok := c.nc.(*net.TCPConn); ok && t.CloseWrite() == nil {
-		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-		c.ended.Crossed, _ = io.Copy(io.Discard, c.nc)
+	c.rd.set(time.Now().Add(lingerTime))
+	t, ok := c.nc.(interface{ CloseWrite() error })
+	switch {
+	case c.retired:
+		c.rd.awaitHangup()
+		c.rd.interrupt()
+		c.ended.Crossed, _ = io.Copy(io.Discard, c.rd)
+	case ok && t.CloseWrite() == nil:
+		c.ended.Crossed, _ = io.Copy(io.Discard, c.rd)
 	}
 	_ = c.nc.Close()
 }
--- a/internal/http1/conn_end.go
+++ b/internal/http1/conn_end.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,18 +74,6 @@
 	c.ended.Cause, c.ended.At = cause, time.Now()
 }
 
-// noteTimeout is noteEnd after a read deadline, and looks at what was left.
-func (c *conn) noteTimeout(cause EndCause) {
-	left := unread(c.nc)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.noteEndLocked(cause)
-	c.ended.Unread = c.ended.Unread || left
-	if !c.deadline.IsZero() {
-		c.ended.Late = c.ended.At.Sub(c.deadline)
-	}
-}
-
 // report hands the end to the server's owner.
 func (c *conn) report() {
 	if c.server.cfg.Ended == nil {
@@ -99,36 +86,6 @@
 	c.server.cfg.Ended(end)
 }
 
-// wait sets the read deadline that a wait ends at.
-func (c *conn) wait(until time.Time) {
-	c.deadline = until
-	_ = c.nc.SetReadDeadline(until)
-}
-
-// interrupt ends a wait now.
-func (c *conn) interrupt() {
-	c.deadline = time.Time{}
-	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
-}
-
-// unread reports whether bytes lie in a connection, whatever its deadline.
-func unread(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
-}
-
 // decided is the cause by what was decided on the connection. The lock is held.
 func (c *conn) decided() EndCause {
 	switch {
@@ -143,25 +100,18 @@
 	}
 }
 
-// noteWait keeps why a wait for a request ended.
-func (c *conn) noteWait(err error) {
-	if !isTimeout(err) {
-		c.noteEnd(EndCallerGone)
-		return
-	}
-	c.mu.Lock()
-	cause := c.decided()
-	c.mu.Unlock()
-	c.noteTimeout(cause)
-}
-
 // noteRefusal keeps why a head was refused.
 func (c *conn) noteRefusal(status int) {
+	cause := EndRefused
 	if status == http.StatusRequestTimeout {
-		c.noteTimeout(EndHeadTimeout)
-		return
+		cause = EndHeadTimeout
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteEndLocked(cause)
+	if cause == EndHeadTimeout {
+		c.ended.Late, c.ended.Unread = c.rd.late(time.Now()), c.rd.pending() > 0
 	}
-	c.noteEnd(EndRefused)
 }
 
 // noteCut counts a request whose answer is not whole. A failed write means that
--- a/internal/http1/conn_read.go
+++ b/internal/http1/conn_read.go
@@ -54,5 +54,5 @@
 func (c *conn) grow(limit int) {
 	old, _ := c.br.Peek(c.br.Buffered())
 	kept := bytes.Clone(old)
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.nc), max(limit, 2*len(kept)))
+	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.rd), max(limit, 2*len(kept)))
 }
--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -119,3 +119,46 @@
 	assert.Equal(t, err, io.EOF)
 	assert.Assert(t, time.Since(began) < DefaultLimits().HeaderTimeout)
 }
+
+// An answer whose head was out before the server began to drain tells nothing of
+// the end; a request that is read while it ends is answered.
+func TestRequestReadAsTheAnswerBeforeEndsIsAnswered(t *testing.T) {
+	flushed, release := make(chan struct{}), make(chan struct{})
+	at := newPoint(3) // the first request, the beginning of the second, its rest
+	s, addr := startStalled(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a" {
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			close(flushed)
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})}, stalls{read: at})
+	nc, br := dial(t, addr)
+	request := get("/b")
+	write(t, nc, get("/a"))
+	<-flushed
+	write(t, nc, request[:9])
+	<-at.standing
+	s.Drain()
+	close(release)
+	resp, body := read(t, br)
+	assert.Assert(t, !resp.Close && body == "/a")
+	settled := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.last == nil && c.closing
+		}
+		return true
+	}
+	for !settled() {
+		time.Sleep(time.Millisecond)
+	}
+	close(at.goOn)
+	write(t, nc, request[9:])
+	resp, body = read(t, br)
+	assert.Assert(t, resp.Close && body == "/b")
+}
--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"container/list"
 	"io"
-	"net"
 	"sync"
-	"syscall"
 )
 
 // idleList holds the idle connections of a server, the one idle longest first.
@@ -67,21 +65,3 @@
 		readers.Put(br)
 	}
 }
-
-// awaitReadable waits, until the read deadline, for bytes or the end of the
-// connection, and reads nothing.
-func awaitReadable(nc net.Conn) error {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return err != syscall.EAGAIN && err != syscall.EWOULDBLOCK
-	})
-}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -162,7 +162,8 @@
 	if w.x.body.whole() {
 		return nil
 	}
-	return w.x.c.nc.SetReadDeadline(t)
+	w.x.c.rd.set(t)
+	return nil
 }
 
 // finish ends the answer and reports whether it is whole.
