A server that stops to accept looks at its backlog before it closes the listener

A process that stood still for more than the 10 ms that it waits for a further connection closed its listener over connections with whole requests, which were reset; a stall over backlogLimit kept it from any further Accept.

Change: the backlog is empty when poll(2) says so, not when a time has passed. backlogLimit still bounds the wait for connections that keep coming; beyond it those that are there already are accepted, backlogMost at most.

That the stage after it lasts 100 ms, however late the process is, is not changed here.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -88,19 +88,15 @@
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
 	for {
-		stopping := s.awaitBacklog(l)
+		if until := s.stopping.Load(); until != nil {
+			return s.acceptBacklog(l, *until)
+		}
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
-			s.limitWrites(nc)
-			c := newConn(s, nc)
-			if s.add(c) {
-				go c.serve()
-			}
+			s.start(nc)
 		case s.closed.Load() || errors.Is(err, net.ErrClosed):
 			return nil
-		case stopping && isTimeout(err):
-			return l.Close()
 		case isTimeout(err): // StopAccepting ended the wait
 		default:
 			time.Sleep(acceptPause)
@@ -108,6 +104,15 @@
 	}
 }
 
+// start serves a connection that was accepted.
+func (s *Server) start(nc net.Conn) {
+	s.limitWrites(nc)
+	c := newConn(s, nc)
+	if s.add(c) {
+		go c.serve()
+	}
+}
+
 // limitWrites sets the send buffer of a connection. Without the limit the
 // connection works as well, so a failure changes nothing for its requests.
 func (s *Server) limitWrites(nc net.Conn) {
@@ -158,33 +163,6 @@
 	}
 }
 
-const (
-	// backlogWait is the time without a further connection after which a server
-	// that stops to accept takes its backlog for empty: the system hands out
-	// waiting connections at once.
-	backlogWait = 10 * time.Millisecond
-	// backlogLimit bounds how long it accepts while connections keep coming.
-	backlogLimit = 50 * time.Millisecond
-)
-
-// deadliner is a listener whose Accept can be bounded.
-type deadliner interface{ SetDeadline(time.Time) error }
-
-// awaitBacklog reports whether the server stops to accept, and bounds the next
-// Accept if it does.
-func (s *Server) awaitBacklog(l net.Listener) bool {
-	until := s.stopping.Load()
-	d, ok := l.(deadliner)
-	if until == nil || !ok {
-		return false
-	}
-	next := time.Now().Add(backlogWait)
-	if next.After(until.Add(backlogWait)) {
-		next = time.Unix(1, 0)
-	}
-	return d.SetDeadline(next) == nil
-}
-
 // StopAccepting accepts the connections that are waiting, and closes the listeners.
 // Closed before that, they would be reset with the requests that came on them.
 func (s *Server) StopAccepting() {
