--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -59,6 +59,10 @@
 		x.finish(w, x.f.answer(bodyProblem(err), x.req))
 		return
 	}
+	if problem := x.overBeforeTry(ctx); problem != nil {
+		x.finish(w, x.f.answer(problem, x.req))
+		return
+	}
 	x.f.buffered.Add(x.body.kept())
 	defer func() { x.f.buffered.Add(-x.body.kept()) }()
 	x.f.earn(x.service.Name)
@@ -103,6 +107,19 @@
 	}
 }
 
+// overBeforeTry says why a request whose body has come is not tried at all; nil if
+// it is. A body that lay in the kernel during a stall of this process is read after
+// the time of its request is over.
+func (x *exchange) overBeforeTry(ctx context.Context) *Problem {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case x.f.endingRuns.Err() != nil:
+		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonLeaving, defaultRetryAfter)
+	}
+	return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
+}
+
 // giveUp answers a request for which no further upstream can be chosen: with
 // what the last try brought, or the problem if there was none.
 func (x *exchange) giveUp(w http.ResponseWriter, last *http.Response, problem *Problem) {
--- a/internal/proxy/stall_test.go
+++ b/internal/proxy/stall_test.go
@@ -77,8 +77,8 @@
 	})
 }
 
-// A body that lies in the kernel when the time of its request is over is not read,
-// and the request is refused as one that has not run, which is true.
+// A request whose body lies in the kernel when its time is over is refused as one
+// that has not run, which is true.
 func TestBodyOfARequestWhoseTimeIsOverIsRefused(t *testing.T) {
 	reached := false
 	s := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
