--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -111,6 +111,18 @@
 	assert.Equal(t, r.Quantile("other", SafeRun), time.Duration(0))
 }
 
+// A quantile rests on no more requests than are remembered.
+func TestRunTimesSamples(t *testing.T) {
+	r := NewRunTimes()
+	assert.Equal(t, r.Samples("k"), 0.0)
+	r.Observe("k", time.Second)
+	assert.Assert(t, r.Samples("k") > 0.9 && r.Samples("k") <= 1)
+	for range 10000 { // past a rescaling
+		r.Observe("k", time.Second)
+	}
+	assert.Assert(t, r.Samples("k") > 0.9*runMemory && r.Samples("k") <= runMemory+1)
+}
+
 // A change is noticed within about as many requests as are remembered.
 func TestRunTimesForget(t *testing.T) {
 	r := NewRunTimes()
