--- /dev/null
+++ b/internal/routing/pick_bench_test.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPick chooses one upstream of a service, all of them eligible and each
+// with a told load that is a few milliseconds old, as a node does for each request.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{13, 108, 500, 2300} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			cfg := DefaultConfig()
+			cfg.ByTime = true
+			bed := newBedWith(cfg, n)
+			told := Told{InUse: 2, Slots: 4, Service: 100 * time.Millisecond}
+			for _, m := range bed.members {
+				bed.router.of(bed.now, m)
+				bed.router.Start(bed.now, m.Instance)
+				bed.router.End(bed.now, bed.rnd, m.Name, Outcome{Told: &told, Kind: "k"})
+			}
+			req := Request{Service: bed.service, Kind: "k", Aim: bed.now.Add(time.Second)}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				if _, ok := bed.router.Pick(bed.now, bed.rnd, req, bed.lookup); !ok {
+					b.Fatal("no upstream")
+				}
+			}
+		})
+	}
+}
