Choose an upstream without garbage

Cause: three copies of all candidates a choice. Change: the router keeps one slice of candidates for all choices, which its caller's lock guards already; preferred ones are moved to its front instead of copied. The order of candidates and the random numbers drawn are as before, so each choice is. It still grows with the upstreams.

--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -64,12 +64,13 @@
 
 func (x Exclusion) soft() bool { return x == Ejected || x == Silent || x == SuspectInstance }
 
-func (r *Router) candidate(now time.Time, u *snapshot.Upstream, req Request, members Members) Candidate {
-	c := Candidate{Upstream: u}
+// judge fills in the verdict on the upstream of a candidate.
+func (r *Router) judge(c *Candidate, now time.Time, req Request, members Members) {
+	u := c.Upstream
 	m, ok := members(u.Name)
 	if !ok {
 		c.Excluded = NotListed
-		return c
+		return
 	}
 	c.Instance = m.Instance
 	e := r.of(now, m)
@@ -83,7 +84,6 @@
 		c.Trial = e.unexplored(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, e, req)
-	return c
 }
 
 // aim works out whether the request can be in time at the upstream and how long
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -9,7 +9,8 @@
 // the weight: then the evidence is more likely wrong than all the upstreams.
 func (r *Router) relent(all []Candidate) {
 	eligible, soft := 0.0, 0.0
-	for _, c := range all {
+	for i := range all {
+		c := &all[i]
 		switch {
 		case c.Excluded == Eligible:
 			eligible += c.Weight
@@ -30,18 +31,19 @@
 // Pick chooses an upstream: two are drawn by weight, the one with the lesser
 // cost wins. It returns false if none may be used.
 func (r *Router) Pick(now time.Time, rnd *rand.Rand, req Request, members Members) (Candidate, bool) {
-	all := r.Candidates(now, req, members)
+	r.scratch = r.appendCandidates(r.scratch[:0], now, req, members)
+	all := r.scratch
 	total := 0.0
 	usable := all[:0]
-	for _, c := range all {
-		if c.Excluded == Eligible && c.Weight > 0 {
-			usable = append(usable, c)
+	for i := range all {
+		if c := &all[i]; c.Excluded == Eligible && c.Weight > 0 {
+			usable = append(usable, *c)
 			total += c.Weight
 		}
 	}
 	if r.cfg.ByTime && !req.Aim.IsZero() {
-		usable = prefer(usable, func(c Candidate) bool { return c.Wait <= c.Patience })
-		usable = prefer(usable, func(c Candidate) bool { return !c.Late })
+		usable = prefer(usable, func(c *Candidate) bool { return c.Wait <= c.Patience })
+		usable = prefer(usable, func(c *Candidate) bool { return !c.Late })
 	}
 	switch len(usable) {
 	case 0:
@@ -74,9 +76,10 @@
 func least(rnd *rand.Rand, cs []Candidate) Candidate {
 	best, at := 0.0, -1
 	trial := rnd.Float64() < trialChance
-	for i, c := range cs {
+	for i := range cs {
+		c := &cs[i]
 		if c.Trial && trial {
-			return c
+			return *c
 		}
 		cost := c.Cost / c.Weight * (1 + costNoise*rnd.Float64())
 		if at < 0 || cost < best {
@@ -86,33 +89,38 @@
 	return cs[at]
 }
 
-// prefer returns the candidates that are good, or all if none is.
-func prefer(cs []Candidate, good func(Candidate) bool) []Candidate {
-	some := make([]Candidate, 0, len(cs))
-	for _, c := range cs {
-		if good(c) {
-			some = append(some, c)
+// prefer returns the candidates that are good, moved to the front of cs, or all if
+// none is.
+func prefer(cs []Candidate, good func(*Candidate) bool) []Candidate {
+	some := 0
+	for i := range cs {
+		if !good(&cs[i]) {
+			continue
+		}
+		if i != some {
+			cs[some] = cs[i]
 		}
+		some++
 	}
-	if len(some) == 0 {
+	if some == 0 {
 		return cs
 	}
-	return some
+	return cs[:some]
 }
 
 // draw returns an index by weight, leaving out skip.
 func draw(rnd *rand.Rand, cs []Candidate, total float64, skip int) int {
 	at := rnd.Float64() * total
 	last := 0
-	for i, c := range cs {
+	for i := range cs {
 		if i == skip {
 			continue
 		}
 		last = i
-		if at < c.Weight {
+		if at < cs[i].Weight {
 			return i
 		}
-		at -= c.Weight
+		at -= cs[i].Weight
 	}
 	return last
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -16,6 +16,9 @@
 	cfg      Config
 	self     membership.Instance
 	evidence map[string]*evidence
+	// scratch holds the candidates of one choice after the other, so that a choice
+	// among 108 upstreams leaves no garbage in place of 65 KB (BenchmarkPick).
+	scratch []Candidate
 }
 
 // NewRouter returns a router of the instance self without evidence.
@@ -26,9 +29,14 @@
 // Candidates returns every upstream of the service with the reason it is left
 // out, if it is.
 func (r *Router) Candidates(now time.Time, req Request, members Members) []Candidate {
-	out := make([]Candidate, 0, len(req.Service.Upstreams))
+	return r.appendCandidates(make([]Candidate, 0, len(req.Service.Upstreams)), now, req, members)
+}
+
+// appendCandidates appends them to out, which is empty.
+func (r *Router) appendCandidates(out []Candidate, now time.Time, req Request, members Members) []Candidate {
 	for _, u := range req.Service.Upstreams {
-		out = append(out, r.candidate(now, u, req, members))
+		out = append(out, Candidate{Upstream: u})
+		r.judge(&out[len(out)-1], now, req, members)
 	}
 	r.relent(out)
 	return out
