A draining connection with a request in progress waits and watches its caller

Change: only a connection without a request in progress is interrupted; one with a request waits as usual. Whether a request is in progress is told by the answer that is due last, not by the places of handlers, which are given back later.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -121,9 +121,6 @@
 	return c.br.Peek(1)
 }
 
-// busy reports whether a request is in progress.
-func (c *conn) busy() bool { return len(c.slots) > 0 }
-
 // start runs the handler of a request, and waits until its body is read, as the
 // next request follows it.
 func (c *conn) start(req *http.Request) bool {
--- a/internal/http1/conn_wait.go
+++ b/internal/http1/conn_wait.go
@@ -8,7 +8,8 @@
 const freshWait = 500 * time.Millisecond
 
 // startWaiting begins a wait for a request. A connection that is to be closed only
-// looks whether one has come.
+// looks whether one has come, but for one with a request in progress, whose caller
+// may leave.
 func (c *conn) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -16,7 +17,7 @@
 	if c.server.draining.Load() && c.last == nil && c.served {
 		c.closing = true
 	}
-	if c.closing {
+	if c.closing && c.last == nil {
 		c.rd.interrupt()
 		return
 	}
@@ -65,7 +66,7 @@
 		c.noteEndLocked(EndCallerGone)
 		c.cancel()
 		return false
-	case c.busy():
+	case c.last != nil:
 		c.since = now // the idle time counts from the last answer
 		return true
 	case !c.closing && now.Before(c.since.Add(c.idleTime())):
--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -144,17 +144,7 @@
 	close(release)
 	resp, body := read(t, br)
 	assert.Assert(t, !resp.Close && body == "/a")
-	settled := func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for c := range s.conns {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			return c.last == nil && c.closing
-		}
-		return true
-	}
-	for !settled() {
+	for !s.allClosing() {
 		time.Sleep(time.Millisecond)
 	}
 	close(at.goOn)
@@ -162,3 +152,60 @@
 	resp, body = read(t, br)
 	assert.Assert(t, resp.Close && body == "/b")
 }
+
+// The same request is watched while it runs, as its caller may leave.
+func TestCallerThatLeavesADrainingServerIsNoticed(t *testing.T) {
+	flushed, release, running, cancelled := make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan struct{})
+	at := newPoint(3)
+	s, addr := startStalled(t, Config{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/a" {
+				w.WriteHeader(http.StatusOK)
+				w.(http.Flusher).Flush()
+				close(flushed)
+				<-release
+				return
+			}
+			close(running)
+			<-r.Context().Done()
+			close(cancelled)
+		}),
+	}, stalls{read: at})
+	nc, br := dial(t, addr)
+	request := get("/b")
+	write(t, nc, get("/a"))
+	<-flushed
+	write(t, nc, request[:9])
+	<-at.standing
+	s.Drain()
+	close(release)
+	read(t, br)
+	for !s.allClosing() {
+		time.Sleep(time.Millisecond)
+	}
+	close(at.goOn)
+	write(t, nc, request[9:])
+	<-running
+	assert.NilError(t, nc.Close())
+	select {
+	case <-cancelled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the caller has left and nobody has noticed")
+	}
+}
+
+// allClosing reports whether the answers of all connections have ended and they are
+// to be closed.
+func (s *Server) allClosing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		closing := c.last == nil && c.closing
+		c.mu.Unlock()
+		if !closing {
+			return false
+		}
+	}
+	return true
+}
