The connection idle longest is the one whose answer went out first

Cause: a connection was listed as idle when the goroutine that answered on it came to that, after its caller had the answer and had perhaps opened the next ones. Of more than MaxIdle one of those was then closed in its place. Ruled out: a test's own race only: the product closes a connection without any request so far, which its caller is about to use. Change: the list is ordered by when the last part of an answer went out.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -35,21 +35,26 @@
 	retired bool      // it is closed for want of a request
 	aborted bool
 	since   time.Time // when it was used last
-	ended   ConnEnd
+	// idleFrom is when the last part of the last answer went out, for the list of
+	// idle connections.
+	idleFrom time.Time
+	ended    ConnEnd
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	rd := newDeadlineReader(nc)
+	now := time.Now()
 	return &conn{
-		server: s,
-		nc:     nc,
-		rd:     rd,
-		br:     getReader(rd),
-		since:  time.Now(),
-		ctx:    ctx,
-		cancel: cancel,
-		slots:  make(chan struct{}, s.cfg.Pipelined),
+		server:   s,
+		nc:       nc,
+		rd:       rd,
+		br:       getReader(rd),
+		since:    now,
+		idleFrom: now,
+		ctx:      ctx,
+		cancel:   cancel,
+		slots:    make(chan struct{}, s.cfg.Pipelined),
 	}
 }
 
--- a/internal/http1/conn_wait.go
+++ b/internal/http1/conn_wait.go
@@ -23,7 +23,7 @@
 	}
 	c.rd.set(c.since.Add(c.idleTime()))
 	if c.last == nil {
-		c.server.idle.add(c)
+		c.server.idle.add(c, c.idleFrom)
 	}
 }
 
@@ -114,7 +114,7 @@
 	if c.last != x {
 		return
 	}
-	c.last, c.since = nil, time.Now()
+	c.last, c.since, c.idleFrom = nil, time.Now(), x.ended
 	if c.closing || c.server.draining.Load() {
 		c.closing = true
 		if c.waiting { // one that reads a request goes on
@@ -124,6 +124,6 @@
 	}
 	if c.waiting {
 		c.rd.set(c.since.Add(c.idleTime()))
-		c.server.idle.add(c)
+		c.server.idle.add(c, c.idleFrom)
 	}
 }
--- a/internal/http1/idle.go
+++ b/internal/http1/idle.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"io"
 	"sync"
+	"time"
 )
 
 // idleList holds the idle connections of a server, the one idle longest first.
@@ -15,9 +16,17 @@
 	at    map[*conn]*list.Element
 }
 
-// add appends a connection, and closes the one idle longest if there are too
-// many. The lock of c is held; that of the closed one is taken later.
-func (l *idleList) add(c *conn) {
+// idleConn is a connection with the time from which it has been idle.
+type idleConn struct {
+	c    *conn
+	from time.Time
+}
+
+// add takes in a connection that has been idle from a time on, and closes the one
+// idle longest if there are too many. Times decide and not the order of calls: a
+// caller may use its next connection before the goroutine that answered on the last
+// one comes here. The lock of c is held; that of the closed one is taken later.
+func (l *idleList) add(c *conn, from time.Time) {
 	if l.most == 0 {
 		return
 	}
@@ -29,15 +38,27 @@
 	if _, ok := l.at[c]; ok {
 		return
 	}
-	l.at[c] = l.order.PushBack(c)
+	l.at[c] = l.insert(idleConn{c, from})
 	if l.order.Len() <= l.most {
 		return
 	}
-	oldest := l.order.Remove(l.order.Front()).(*conn)
+	oldest := l.order.Remove(l.order.Front()).(idleConn).c
 	delete(l.at, oldest)
 	go oldest.wake()
 }
 
+// insert puts a connection behind those idle for longer, nearly always the last.
+func (l *idleList) insert(i idleConn) *list.Element {
+	e := l.order.Back()
+	for e != nil && e.Value.(idleConn).from.After(i.from) {
+		e = e.Prev()
+	}
+	if e == nil {
+		return l.order.PushFront(i)
+	}
+	return l.order.InsertAfter(i, e)
+}
+
 func (l *idleList) remove(c *conn) {
 	if l.most == 0 {
 		return
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -22,6 +22,7 @@
 	prev   <-chan struct{} // closed when the answer before is written; nil for none
 	done   chan struct{}   // closed when this answer is written
 	keep   bool            // the caller keeps the connection
+	ended  time.Time       // when the last part of the answer went out
 }
 
 // awaitTurn waits until the answers before this one are written.
@@ -178,6 +179,7 @@
 	if w.chunked() && w.err == nil {
 		_, w.err = w.bw.WriteString("0\r\n\r\n")
 	}
+	w.x.ended = time.Now() // before its caller can use the connection again
 	if w.err == nil {
 		w.err = w.bw.Flush()
 	}
