Red: a leaving node takes requests of other nodes that it cannot answer

Cause: the same forecast taken for granted at the other end of the way. A node that leaves tells others with each answer, and admits what they hand over during its announcement without a look at its own end. Ruled out: that the 79 connections of other nodes that were open with a question at those ends were all requests: nodes with most of them had none lost, so these were questions for news, which are asked again. Red: 200 in place of a refusal.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -62,6 +62,7 @@
 	inflight atomic.Int64
 	claims   Claimer
 	leaving  atomic.Bool
+	end      atomic.Pointer[time.Time] // when this node cuts what runs; nil as long as it stays
 	denied   atomic.Pointer[string] // the last instance that the upstream's address denied
 	receiver *turns                 // nil if bodies are not received first
 	sender   *turns                 // nil if long answers are sent as they come
@@ -179,6 +180,9 @@
 // while it still takes work.
 func (b *Backend) SetLeaving(on bool) { b.leaving.Store(on) }
 
+// SetEnd says that this node leaves and cuts at a time what is not answered by then.
+func (b *Backend) SetEnd(end time.Time) { b.end.Store(&end) }
+
 // InFlight returns the requests admitted and not yet ended.
 func (b *Backend) InFlight() int64 { return b.inflight.Load() }
 
