Red test: a large answer that comes is taken for one that is lost

Cause: a call of the store counts as overdue 0.3 s, and the store as lost 0.8 s, after the call's time, whether the answer is coming or not. A table of 3,312 routes is an answer of 0.9 MB, 0.7 s over a link of 10 Mbit/s.

Change: a Source tells discovery.Arrived of each part of an answer, and a call notes when; nothing goes by it yet.

Red now: TestAnswerThatComesIsNotOverdue (3 calls in flight, one is asked for). TestAnswerThatStallsIsOverdue is green and has to stay so.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -108,7 +108,8 @@
 // List has to be called again.
 var ErrHistoryGone = errors.New("the store's history does not reach back so far")
 
-// Source reads the store. Every call is priced, waiting ones included.
+// Source reads the store. Every call is priced, waiting ones included. It tells
+// Arrived of each part of an answer.
 type Source interface {
 	// List returns all that is published.
 	List(ctx context.Context) (Update, error)
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -54,7 +54,7 @@
 
 // start makes a call of the store in the background.
 func (f *Follower) start(ctx context.Context, group *sync.WaitGroup, calls *schedule, c *storeCall, answers chan<- storeAnswer) {
-	call, cancel := context.WithTimeout(ctx, calls.timeout(c))
+	call, cancel := context.WithTimeout(WithArrivals(ctx, c.arrived), calls.timeout(c))
 	c.cancel = cancel
 	calls.started(c)
 	group.Go(func() {
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	expected time.Duration
 	began    time.Time
 	cancel   context.CancelFunc
+	heard    atomic.Pointer[time.Time] // when a part of the answer came last; nil for none
 }
 
 // maxCalls bounds the calls of the store in flight: one that the way may have
