What pauses the decoding of a table is decided in discovery

Cause: the pauses were taken with a timer in platform/, which is to hold names, formats and calls alone; and a call that brought the table in force waited on the lock of the store's client until another table was decoded, pauses included.

Ruled out, by reading: the lock was never waited for by a request, by the loop that reads the store, or under the follower's lock: only by the goroutine of a call whose answer has a table and by that of a question for news.

Change: a Source asks discovery.Working for a function that it calls after each unit of work (250 routes decoded anew); discovery decides how long to pause (pauseAfter, pure), and Follower.Run passes the sleep in with the context, for calls and for Decode, which has a context now. A table that is held is known without the lock.

Tests: TestPauseIsAsLongAsTheWork has moved to internal/discovery with its assertions; TestLargeTableLeavesTheProcessorToOthers passes the pauses in and asserts the same. New: TestAllWorkOfASourceIsPaused, TestDecodingHoldsNothingUp, TestHeldTableDoesNotWaitForAnother. Other tests only pass a context on.

--- a/internal/discovery/bound_test.go
+++ b/internal/discovery/bound_test.go
@@ -134,7 +134,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f, _ := follow(t, &fakeSource{fail: errors.New("down")})
 			time.Sleep(5 * time.Second)
-			assert.NilError(t, f.takeNews(time.Now(), "a", News{Outage: outage}))
+			assert.NilError(t, f.takeNews(t.Context(), time.Now(), "a", News{Outage: outage}))
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			assert.Equal(t, f.registry.Outage(time.Now()), outage)
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -109,7 +109,7 @@
 var ErrHistoryGone = errors.New("the store's history does not reach back so far")
 
 // Source reads the store. Every call is priced, waiting ones included. It tells
-// Arrived of each part of an answer.
+// Arrived of each part of an answer, and Working of its work on one.
 type Source interface {
 	// List returns all that is published.
 	List(ctx context.Context) (Update, error)
@@ -123,5 +123,5 @@
 	// tells nothing else.
 	Check(ctx context.Context) error
 	// Decode reads a document from its published bytes.
-	Decode(raw []byte) (*Document, error)
+	Decode(ctx context.Context, raw []byte) (*Document, error)
 }
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -136,6 +136,19 @@
 	answers    time.Duration // that the store's answers take to this node
 	listing    time.Duration // that a listing takes beyond that
 	dropped    bool          // its next watch finds its history dropped
+	work       sourceWork    // done in its calls; nil for none
+}
+
+// sourceWork is work of a Source in a call of the store or in Decode.
+type sourceWork func(ctx context.Context, decoding bool)
+
+func (n *testNode) doWork(ctx context.Context, decoding bool) {
+	n.mu.Lock()
+	work := n.work
+	n.mu.Unlock()
+	if work != nil {
+		work(ctx, decoding)
+	}
 }
 
 func (n *testNode) set(edit func(*testNode)) {
@@ -168,6 +181,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	n.doWork(ctx, false)
 	return nil
 }
 
@@ -252,7 +266,10 @@
 	return n.deliver(ctx, 0)
 }
 
-func (n *testNode) Decode(raw []byte) (*Document, error) { return (&fakeSource{}).Decode(raw) }
+func (n *testNode) Decode(ctx context.Context, raw []byte) (*Document, error) {
+	n.doWork(ctx, true)
+	return (&fakeSource{}).Decode(ctx, raw)
+}
 
 // Ask asks another node over the codec, as on the wire.
 func (n *testNode) Ask(ctx context.Context, node netip.AddrPort, ask Ask) (News, error) {
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -72,7 +72,7 @@
 		link.failing = false
 		f.log.Info("news regained", "source", link.source.Name, "age", n.Age)
 	}
-	if err := f.takeNews(sent.Add(n.Held-n.Age), link.source.Name, n); err != nil {
+	if err := f.takeNews(ctx, sent.Add(n.Held-n.Age), link.source.Name, n); err != nil {
 		return version.ID{}, err
 	}
 	link.cursor = n.Cursor
@@ -104,9 +104,9 @@
 // takeNews takes over what another node believes and knew to be all at a time.
 // Where that node holds a newer table than this one does then, this one is not
 // current.
-func (f *Follower) takeNews(at time.Time, from string, n News) error {
+func (f *Follower) takeNews(ctx context.Context, at time.Time, from string, n News) error {
 	now := time.Now()
-	doc, err := f.restore(n)
+	doc, err := f.restore(ctx, n)
 	if err != nil {
 		return err
 	}
@@ -134,7 +134,7 @@
 }
 
 // restore returns the table that came with news; nil if none did.
-func (f *Follower) restore(n News) (*Document, error) {
+func (f *Follower) restore(ctx context.Context, n News) (*Document, error) {
 	if len(n.Document) == 0 {
 		return nil, nil
 	}
@@ -142,5 +142,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.source.Decode(raw)
+	return f.source.Decode(ctx, raw)
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -175,6 +175,7 @@
 
 // Run follows the source and the peers until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	ctx = WithPauses(ctx, time.Sleep)
 	var group sync.WaitGroup
 	if f.peers != nil {
 		for slot := range membership.MaxNewsSources {
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -69,7 +69,7 @@
 	return s.fail
 }
 
-func (s *fakeSource) Decode(raw []byte) (*Document, error) {
+func (s *fakeSource) Decode(_ context.Context, raw []byte) (*Document, error) {
 	if len(raw) != 1 {
 		return nil, errors.New("no test document")
 	}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -98,7 +98,7 @@
 
 func (m *memoryStore) Check(context.Context) error { return nil }
 
-func (m *memoryStore) Decode(raw []byte) (*discovery.Document, error) {
+func (m *memoryStore) Decode(_ context.Context, raw []byte) (*discovery.Document, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.update.Document == nil || !bytes.Equal(raw, m.update.Document.Raw) {
