Red test: an answer that trickles makes changes late

Cause: each part of an answer, a byte as well, puts off the time from which the call is overdue. So an answer that trickles holds the next call up until its time-out, 2 s after its time, while another connection would be answered at once.

Red now: TestTricklingAnswerKeepsTheBound, both cases with the first table (a node whose readers are all silent, and the only reader: an upstream that has ended is believed in after the bound).

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -133,6 +133,7 @@
 	way    time.Duration // that its answers take
 	// unanswered is how many of its next calls the store never answers.
 	unanswered int
+	trickles   bool          // an answer that never comes comes byte by byte
 	answers    time.Duration // that the store's answers take to this node
 	listing    time.Duration // that a listing takes beyond that
 	dropped    bool          // its next watch finds its history dropped
@@ -159,7 +160,7 @@
 
 // heal ends all that befell the node.
 func (n *testNode) heal() {
-	n.cut, n.silent, n.dead, n.dropped = false, false, false, false
+	n.cut, n.silent, n.dead, n.dropped, n.trickles = false, false, false, false, false
 	n.way, n.answers, n.listing, n.unanswered = 0, 0, 0, 0
 }
 
@@ -176,10 +177,17 @@
 	n.mu.Lock()
 	lost := n.cut || n.unanswered > 0
 	n.unanswered = max(n.unanswered-1, 0)
+	trickles := n.trickles
 	n.mu.Unlock()
-	if lost {
-		<-ctx.Done()
-		return ctx.Err()
+	for lost {
+		if !trickles {
+			<-ctx.Done()
+		}
+		Arrived(ctx)
+		wait(ctx, 50*time.Millisecond)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 	}
 	n.doWork(ctx, false)
 	return nil
