A byte now and then does not put a call of the store off

Ruled out: a limit in time for an answer that comes. The 1.8 s of TestAnswerThatComesIsNotOverdue, a table over a full link, leave no room for one that keeps the bound.

Change: an answer counts as coming with each 64 KB of it, and not with each byte. A Source tells how many came.

Not mended: an answer that comes faster than 64 KB in 0.3 s and never ends still holds the next call up until its time-out.

Tests: TestAnswerThatComesIsNotOverdue tells 25,000 bytes each 50 ms, 0.9 MB in its 1.8 s; TestPartsOfAnAnswerAreTold also checks the length. Assertions as they were.

--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -28,7 +28,8 @@
 	expected time.Duration
 	began    time.Time
 	cancel   context.CancelFunc
-	heard    atomic.Pointer[time.Time] // when a part of the answer came last; nil for none
+	heard    atomic.Pointer[time.Time] // when a part of leastPart came last; nil for none
+	unnoted  int                       // bytes that came since then
 }
 
 // maxCalls bounds the calls of the store in flight: one that the way may have
