--- a/internal/discovery/arriving_test.go
+++ b/internal/discovery/arriving_test.go
@@ -39,11 +39,11 @@
 		return u, err
 	}
 	for came := time.Duration(0); came < s.takes; came += part {
-		Arrived(ctx, partBytes)
-		next := part
+		next, bytes := part, partBytes
 		if s.stalls {
-			next = time.Hour
+			next, bytes = time.Hour, leastPart
 		}
+		Arrived(ctx, bytes)
 		select {
 		case <-time.After(next):
 		case <-ctx.Done():
