--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -133,9 +133,23 @@
 	way    time.Duration // that its answers take
 	// unanswered is how many of its next calls the store never answers.
 	unanswered int
+	trickles   int           // bytes of it that come each 50 ms all the same
 	answers    time.Duration // that the store's answers take to this node
 	listing    time.Duration // that a listing takes beyond that
 	dropped    bool          // its next watch finds its history dropped
+	work       sourceWork    // done in its calls; nil for none
+}
+
+// sourceWork is work of a Source in a call of the store or in Decode.
+type sourceWork func(ctx context.Context, decoding bool)
+
+func (n *testNode) doWork(ctx context.Context, decoding bool) {
+	n.mu.Lock()
+	work := n.work
+	n.mu.Unlock()
+	if work != nil {
+		work(ctx, decoding)
+	}
 }
 
 func (n *testNode) set(edit func(*testNode)) {
@@ -147,7 +161,7 @@
 // heal ends all that befell the node.
 func (n *testNode) heal() {
 	n.cut, n.silent, n.dead, n.dropped = false, false, false, false
-	n.way, n.answers, n.listing, n.unanswered = 0, 0, 0, 0
+	n.way, n.answers, n.listing, n.unanswered, n.trickles = 0, 0, 0, 0, 0
 }
 
 func (n *testNode) state() (cut, silent, dead bool) {
@@ -163,11 +177,19 @@
 	n.mu.Lock()
 	lost := n.cut || n.unanswered > 0
 	n.unanswered = max(n.unanswered-1, 0)
+	trickles := n.trickles
 	n.mu.Unlock()
-	if lost {
-		<-ctx.Done()
-		return ctx.Err()
+	for lost {
+		if trickles == 0 {
+			<-ctx.Done()
+		}
+		Arrived(ctx, trickles)
+		wait(ctx, 50*time.Millisecond)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 	}
+	n.doWork(ctx, false)
 	return nil
 }
 
@@ -252,7 +274,10 @@
 	return n.deliver(ctx, 0)
 }
 
-func (n *testNode) Decode(raw []byte) (*Document, error) { return (&fakeSource{}).Decode(raw) }
+func (n *testNode) Decode(ctx context.Context, raw []byte) (*Document, error) {
+	n.doWork(ctx, true)
+	return (&fakeSource{}).Decode(ctx, raw)
+}
 
 // Ask asks another node over the codec, as on the wire.
 func (n *testNode) Ask(ctx context.Context, node netip.AddrPort, ask Ask) (News, error) {
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -107,7 +107,7 @@
 
 // start makes a call of the store in the background.
 func (f *Follower) start(ctx context.Context, group *sync.WaitGroup, calls *schedule, c *storeCall, answers chan<- storeAnswer) {
-	call, cancel := context.WithTimeout(ctx, calls.timeout(c))
+	call, cancel := context.WithTimeout(WithArrivals(ctx, c.arrived), calls.timeout(c))
 	c.cancel = cancel
 	calls.started(c)
 	group.Go(func() {
@@ -121,13 +121,13 @@
 }
 
 // noteUnanswered takes the store for lost when a call has had no answer for
-// Config.LostAfter beyond its time. It returns how long that need not be looked at.
+// Config.LostAfter beyond its time, nor any part of one. It returns how long that need not be looked at.
 func (f *Follower) noteUnanswered(ctx context.Context, now time.Time, calls *schedule) time.Duration {
 	c := calls.unanswered()
 	if c == nil || f.away.Load() != 0 {
 		return rolePoll
 	}
-	left := c.began.Add(c.expected + f.cfg.LostAfter).Sub(now)
+	left := c.due().Add(f.cfg.LostAfter).Sub(now)
 	if left <= 0 {
 		f.lost(ctx, c.began, errOverdue)
 		return rolePoll
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	expected time.Duration
 	began    time.Time
 	cancel   context.CancelFunc
+	heard    atomic.Pointer[time.Time] // when a part of leastPart came last; nil for none
+	unnoted  int                       // bytes that came since then
 }
 
 // maxCalls bounds the calls of the store in flight: one that the way may have
@@ -39,7 +42,9 @@
 // A call that is overdue may be lost or only slow, so it is neither waited for nor
 // given up: another one goes out beside it, and what is answered first is taken.
 // One lost call so costs Config.CallOverdue in place of its whole timeout, which
-// was 1.5 s of the 2 s in which a change must be in force.
+// was 1.5 s of the 2 s in which a change must be in force. One whose answer is coming
+// is not overdue: a call beside it would bring a table of 0.9 MB once more, over the
+// same link.
 type schedule struct {
 	cfg Config
 	// draw returns a random duration of up to its argument.
@@ -56,7 +61,7 @@
 func (s *schedule) next(now time.Time, kind callKind, slowest time.Duration) (start bool, pause time.Duration) {
 	at := s.notBefore
 	if newest := s.newest(kind); newest != nil {
-		at = later(at, newest.began.Add(newest.expected+s.patience(slowest)))
+		at = later(at, newest.due().Add(s.patience(slowest)))
 	}
 	if len(s.flying) >= maxCalls {
 		at = later(at, s.flying[0].began.Add(s.timeout(s.flying[0])))
