A dial that ended during a stall is made again; other nodes' backlog is answered too

Made once more if it ended 50 ms late. The test of the choice's garbage stands beside its benchmark now.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -127,7 +127,7 @@
 		}
 		_ = cc.nc.Close()
 	}
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := c.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -135,6 +135,21 @@
 	return &clientConn{nc: nc, br: br, addr: addr, epoch: c.countDial()}, nil
 }
 
+// lateDial is how long after its time a dial must end for the process to have stood
+// still meanwhile: several times what a timer is late on a busy machine.
+const lateDial = 50 * time.Millisecond
+
+// dial connects to a server. A dial whose time passed while the process stood still
+// says nothing of the server, so it is made once more.
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	began := time.Now()
+	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err == nil || ctx.Err() != nil || time.Since(began) < c.cfg.DialTimeout+lateDial {
+		return nc, err
+	}
+	return c.dialer.DialContext(ctx, "tcp", addr)
+}
+
 // countDial counts a connection made and returns the epoch that it belongs to.
 func (c *Client) countDial() int {
 	c.mu.Lock()
--- a/internal/routing/pick_bench_test.go
+++ b/internal/routing/pick_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // BenchmarkPick chooses one upstream of a service, all of them eligible and each
@@ -31,3 +33,13 @@
 		})
 	}
 }
+
+// A choice among a hundred upstreams copied all of them three times: 65 KB of
+// garbage for each request, at nodes with a sixth of a core.
+func TestChoiceLeavesNoGarbage(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByTime = true
+	b := newBedWith(cfg, 108)
+	b.pick()
+	assert.Equal(t, testing.AllocsPerRun(100, func() { b.pick() }), 0.0)
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -395,13 +395,3 @@
 	b.members["u1"] = m
 	assert.Equal(t, b.router.Candidates(b.now, Request{Service: b.service}, b.lookup)[1].Weight, 1.0)
 }
-
-// A choice among a hundred upstreams copied all of them three times: 65 KB of
-// garbage for each request, at nodes with a sixth of a core.
-func TestChoiceLeavesNoGarbage(t *testing.T) {
-	cfg := DefaultConfig()
-	cfg.ByTime = true
-	b := newBedWith(cfg, 108)
-	b.pick()
-	assert.Equal(t, testing.AllocsPerRun(100, func() { b.pick() }), 0.0)
-}
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -46,6 +46,7 @@
 		s.servers.peers.Drain()
 	case stopped:
 		s.servers.callers.StopAccepting()
+		s.servers.peers.StopAccepting()
 	}
 	s.log.Info("leaving", "stage", at, "connections", s.servers.callers.Conns())
 }
--- a/internal/sidecar/leave.go
+++ b/internal/sidecar/leave.go
@@ -14,7 +14,7 @@
 //	refusing   answered, told                    refused, not run           refused, not run
 //	cutting    the same                          refused, not run           refused, not run
 //	closing    answered; idle ones are closed    refused, not run           refused, not run
-//	stopped    not accepted; the backlog is      refused, not run           connection closed
+//	stopped    not accepted; the backlog is      refused, not run           the same
 //	           answered
 //
 // Requests behind another one on a connection are read until an answer has told
