--- a/internal/http1/late_test.go
+++ b/internal/http1/late_test.go
@@ -304,7 +304,7 @@
 	t.Helper()
 	var n int32
 	control(t, nc, func(fd uintptr) {
-		_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCINQ, uintptr(unsafe.Pointer(&n)))
+		_, _, errno := syscall.Syscall(syscall.SYS_IOCTL, fd, fionread, uintptr(unsafe.Pointer(&n)))
 		assert.Equal(t, errno, syscall.Errno(0))
 	})
 	return int(n)
