--- a/internal/discovery/table_bench_test.go
+++ b/internal/discovery/table_bench_test.go
@@ -19,9 +19,9 @@
 	}
 	var raw []byte
 	for i := range routes {
-		r := table.Route{Name: fmt.Sprintf("r-%06x", i*7919), Host: fmt.Sprintf("jepu%d.example", i%40), Prefix: fmt.Sprintf("/lepu%d/ny%d/", i, i%100), Service: fmt.Sprintf("s-%d", i%60)}
+		r := table.Route{Name: fmt.Sprintf("r-%06x", i*7919), Host: fmt.Sprintf("shop%d.example", i%40), Prefix: fmt.Sprintf("/part%d/of%d/", i, i%100), Service: fmt.Sprintf("s-%d", i%60)}
 		t.Routes = append(t.Routes, r)
-		raw = fmt.Appendf(raw, `{"Name":%q,"Host":%q,"Prefix":%q,"Kind":"safe","TimeoutMs":2500,"AimMs":800,"Priority":1,"Service":%q,"MaxAttempts":2},`, r.Name, r.Host, r.Prefix, r.Service)
+		raw = fmt.Appendf(raw, `{"Name":%q,"Host":%q,"Prefix":%q,"Kind":"safe","timeout":"2.5s","aim":800,"Priority":1,"Service":%q,"MaxAttempts":2},`, r.Name, r.Host, r.Prefix, r.Service)
 	}
 	return &Document{ID: version.Of(edition, raw), Table: t, Raw: raw}
 }
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -124,11 +124,11 @@
 // the end of this one, before it takes a slot.
 //
 // The load pattern: other nodes hear of the end with the next answers and go on to
-// send here for the announcement, whatever waits before them for slots and for the
-// link: 12 or more had no answer in half a busy minute in which 52 processes ended. Their nodes
-// know other upstreams, so a refusal costs them a way. The limit is the usual time, as
-// a bound by the request's own deadline would refuse nearly all while the announcement
-// lasts.
+// send here during the announcement, whatever waits before them for slots and for the
+// link: 12 or more had no answer in half a busy minute in which 52 processes ended.
+// Their nodes know other upstreams, so a refusal costs them a way. The limit is the
+// usual time: a bound by the request's own deadline would refuse nearly all while the
+// announcement lasts.
 func (c *backendCall) outlivesNode() *Problem {
 	end := c.b.end.Load()
 	if end == nil || !c.remote {
