A long body whose reader pauses is sent: its peer is not taken for dead

Cause: TCP_USER_TIMEOUT counts the time in which the window of a peer is full, though it answers each probe, so bodies of 1 MB and more between nodes broke off 2.5 s after they were sent where their reader paused for 4 s. Ruled out: a longer time-out (a node without power is noticed later), none at all (as towards the own upstream, whose machine is ours: other nodes lose power alone). Change: while a long body is sent the system's time-out is off, and the connection is looked at four times in that time: bytes or two probes unacknowledged, and nothing heard for the time. Where the system does not tell, its time-out stays. Not shown: a peer without power amid a long body, but for the decision on what the system tells (TestSilentPeer).

--- a/internal/http1/trip.go
+++ b/internal/http1/trip.go
@@ -25,6 +25,7 @@
 	stop   func() bool // ends the watch on the request's context
 	sent   chan error  // outcome of the body; nil if it was sent with the head
 	began  bool        // the body is on its way
+	watch  *silenceWatch
 }
 
 func (t *trip) run() (*http.Response, error) {
@@ -49,6 +50,9 @@
 	if cause := t.req.Context().Err(); cause != nil {
 		return errors.Wrap(cause, err.Error())
 	}
+	if t.watch.silent() {
+		return errors.Wrap(errPeerSilent, err.Error())
+	}
 	return err
 }
 
@@ -128,6 +132,7 @@
 func (t *trip) startBody() {
 	t.sent = make(chan error, 1)
 	t.began = true
+	t.watch = watchSilence(t.cc.nc, t.client.cfg.UnackedTimeout)
 	go func() { t.sent <- t.writeBody() }()
 }
 
@@ -184,6 +189,7 @@
 	if t.stop != nil {
 		t.stop()
 	}
+	t.watch.stop()
 	_ = t.cc.nc.Close()
 }
 
@@ -231,6 +237,7 @@
 		t := b.t
 		// A stop that comes too late leaves a deadline on the connection.
 		if whole && b.keep && t.cc.br.Buffered() == 0 && t.bodySent() && t.stop() {
+			t.watch.stop()
 			t.client.put(t.cc)
 			return
 		}
