Upstreams of an evacuated data centre get nothing

Change: an order that the upstreams of a data centre get nothing is published state like others: read by the adapter, ordered by revision, told in news with its end, kept through outages, compaction and stale listings. It is enforced at the choice, where it counts as no evidence (no panic share, no ejection), and at the node beside the upstream, which refuses what waits as not run. Nodes of earlier builds, which tell of no orders, end none. Ruled out: a status of the instance: it would have taken readers of the store out. Shown: property test against an oracle (2,000 histories), the fleet's tests. The test of what waits failed in 5 of 40 runs at first, traced to requests that it sent while the nodes heard of the end one after the other; it waits for all now.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -8,10 +8,10 @@
 
 // Gate is a Queue for use from many goroutines.
 type Gate struct {
-	mu       sync.Mutex
-	queue    *Queue
-	waiters  map[*Ticket]chan Verdict
-	draining bool
+	mu      sync.Mutex
+	queue   *Queue
+	waiters map[*Ticket]chan Verdict
+	closed  Reason // why all is refused; ReasonNone if the gate is open
 }
 
 // NewGate returns a gate with an empty queue.
@@ -24,9 +24,9 @@
 // no longer finish in time, or ctx ends.
 func (g *Gate) Enter(ctx context.Context, t *Ticket) Verdict {
 	g.mu.Lock()
-	if g.draining {
+	if g.closed != ReasonNone {
 		defer g.mu.Unlock()
-		return g.queue.Refusal(ReasonDraining)
+		return g.queue.Refusal(g.closed)
 	}
 	v, displaced := g.queue.Offer(time.Now(), t)
 	if displaced != nil {
@@ -110,26 +110,29 @@
 func (g *Gate) SetDraining(on bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = on
+	g.closed = ReasonNone
+	if on {
+		g.closed = ReasonDraining
+	}
 }
 
-// Dismiss refuses further requests and those that wait; those that run go on.
-// SetDraining takes requests again.
-func (g *Gate) Dismiss() {
+// Dismiss refuses further requests and those that wait, for a reason; those that run
+// go on. SetDraining takes requests again.
+func (g *Gate) Dismiss(why Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.draining = true
+	g.closed = why
 	for t := range g.waiters {
 		g.queue.Remove(t)
-		g.settle(t, g.queue.Refusal(ReasonDraining))
+		g.settle(t, g.queue.Refusal(why))
 	}
 }
 
-// Draining reports whether further requests are refused.
-func (g *Gate) Draining() bool {
+// Closed returns why all requests are refused; ReasonNone if the gate is open.
+func (g *Gate) Closed() Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.draining
+	return g.closed
 }
 
 // Forecast is what a gate expects of the next request of a kind.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,6 +26,7 @@
 	ReasonConcurrency Reason = "concurrency"  // the row's concurrency limit
 	ReasonBusy        Reason = "busy"         // no slot free, and the sender would rather try another upstream
 	ReasonDraining    Reason = "draining"     // the instance leaves
+	ReasonEvacuated   Reason = "evacuated"    // nothing is to be sent to its data centre
 	ReasonLink        Reason = "link-full"    // the answer would wait too long for the link
 	ReasonCancelled   Reason = "cancelled"    // the caller gave up while it waited
 	ReasonWrongTarget Reason = "wrong-target" // sent to a node that is not beside the upstream
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -272,7 +272,7 @@
 			go func() { waiting <- g.Enter(t.Context(), &Ticket{Kind: "k"}) }()
 		}
 		synctest.Wait()
-		g.Dismiss()
+		g.Dismiss(ReasonDraining)
 		for range 3 {
 			assert.Equal(t, (<-waiting).Reason, ReasonDraining)
 		}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/distribution"
 )
 
 // adminTimeout bounds a question to a node's admin address.
@@ -60,16 +62,18 @@
 
 // fleetRow is a node's status as its JSON shows it.
 type fleetRow struct {
-	Name       string `json:"name"`
-	DataCentre string `json:"dc"`
-	Table      string `json:"table"`
-	HeldMs     int64  `json:"held_ms"`
-	From       string `json:"from"`
-	Reader     bool   `json:"reader"`
-	SourceAge  uint64 `json:"source_age_ms"`
-	Refused    string `json:"refused"`
-	Waiting    string `json:"waiting"`
-	Links      int    `json:"links"`
+	Name       string                         `json:"name"`
+	DataCentre string                         `json:"dc"`
+	Table      string                         `json:"table"`
+	HeldMs     int64                          `json:"held_ms"`
+	From       string                         `json:"from"`
+	Reader     bool                           `json:"reader"`
+	SourceAge  uint64                         `json:"source_age_ms"`
+	Refused    string                         `json:"refused"`
+	Waiting    string                         `json:"waiting"`
+	Links      int                            `json:"links"`
+	Upstream   string                         `json:"upstream"`
+	Evacuated  []distribution.EvacuatedCentre `json:"evacuated"`
 }
 
 // unknownAge is the least source age that stands for "never".
@@ -81,18 +85,27 @@
 		return errors.Wrap(err, "status")
 	}
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tWHY\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED")
+	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tWHY\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED\tUPSTREAM GETS NO WORK\tEVACUATED")
 	for _, r := range rows {
 		age := "never"
 		if r.SourceAge < unknownAge {
 			age = (time.Duration(r.SourceAge) * time.Millisecond).String() + " ago"
 		}
-		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\n", r.Name, r.DataCentre, r.Table,
-			time.Duration(r.HeldMs)*time.Millisecond, why(r), r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused))
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\t%s\t%s\n", r.Name, r.DataCentre, r.Table,
+			time.Duration(r.HeldMs)*time.Millisecond, why(r), r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused), dash(r.Upstream), dash(evacuated(r.Evacuated)))
 	}
 	return tw.Flush()
 }
 
+// evacuated lists evacuated data centres, each with how long the node knows of it.
+func evacuated(centres []distribution.EvacuatedCentre) string {
+	told := make([]string, len(centres))
+	for i, c := range centres {
+		told[i] = fmt.Sprintf("%s for %v", c.DataCentre, time.Duration(c.Since)*time.Millisecond)
+	}
+	return strings.Join(told, ", ")
+}
+
 // why says in words why a node holds the version it holds.
 func why(r fleetRow) string {
 	switch {
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -15,6 +15,7 @@
 type Directory struct {
 	members   map[string]membership.Member
 	byAddress map[netip.AddrPort]Known
+	evacuated map[string]bool // data centres whose upstreams get nothing
 }
 
 // At returns the upstream published at an address.
@@ -23,15 +24,27 @@
 	return k, ok
 }
 
+// Evacuated reports whether the upstreams of a data centre are to get nothing.
+func (d *Directory) Evacuated(centre string) bool { return d.evacuated[centre] }
+
 // changed puts a changed belief in force. from is SourceStore or the node that
 // told of the change, empty if only time has passed. The lock is held.
 func (f *Follower) changed(from string) {
 	known := f.registry.UpstreamsOf(f.services)
-	dir := &Directory{members: make(map[string]membership.Member, len(known)), byAddress: make(map[netip.AddrPort]Known, len(known))}
+	dir := &Directory{
+		members:   make(map[string]membership.Member, len(known)),
+		byAddress: make(map[netip.AddrPort]Known, len(known)),
+		evacuated: make(map[string]bool),
+	}
+	for _, e := range f.registry.Evacuated() {
+		dir.evacuated[e.DataCentre] = true
+	}
 	for _, k := range known {
 		dir.byAddress[k.Address] = k
 		if f.services == nil || f.services[k.Service] {
-			dir.members[k.ID] = f.member(k)
+			m := f.member(k)
+			m.Evacuated = dir.evacuated[k.DataCentre]
+			dir.members[k.ID] = m
 		}
 	}
 	f.logChanges(f.dir.Load(), dir, from)
@@ -100,6 +113,16 @@
 			heard.Info("upstream changed", "upstream", id, "service", m.Service, "status", m.Status)
 		}
 	}
+	for centre := range after.evacuated {
+		if !before.evacuated[centre] {
+			heard.Info("data centre evacuated", "data_centre", centre)
+		}
+	}
+	for centre := range before.evacuated {
+		if !after.evacuated[centre] {
+			heard.Info("evacuation over", "data_centre", centre)
+		}
+	}
 	for id, m := range before.members {
 		if _, ok := after.members[id]; !ok {
 			heard.Info("upstream gone", "upstream", id, "service", m.Service)
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -97,11 +97,16 @@
 	Upstreams []Upstream
 	Removed   []Removal
 	Findings  []Finding
+	// Evacuations are orders that the upstreams of a data centre get nothing, and
+	// ends of such orders.
+	Evacuations []Evacuation
+	// Orders says that Evacuations has all that are in force, if the update is whole.
+	Orders bool
 }
 
 // empty reports whether the call brought nothing but a revision.
 func (u *Update) empty() bool {
-	return u.Document == nil && len(u.Upstreams) == 0 && len(u.Removed) == 0 && len(u.Findings) == 0
+	return u.Document == nil && len(u.Upstreams) == 0 && len(u.Removed) == 0 && len(u.Findings) == 0 && len(u.Evacuations) == 0
 }
 
 // ErrHistoryGone reports that the store no longer has the changes asked for;
--- a/internal/discovery/ends.go
+++ b/internal/discovery/ends.go
@@ -130,6 +130,7 @@
 			delete(r.gone, id)
 		}
 	}
+	r.forgetEvacuations(now)
 	if r.away {
 		return false
 	}
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -117,7 +117,7 @@
 	if n.Outage {
 		f.noteOutage(now, now) // others did not reach the store either
 	}
-	u := Update{Revision: n.Revision, Upstreams: n.Upstreams, Removed: n.Removed}
+	u := Update{Revision: n.Revision, Upstreams: n.Upstreams, Removed: n.Removed, Evacuations: n.Evacuations, Orders: n.Orders}
 	changed = f.registry.Merge(now, u, n.Whole, !behind) || changed
 	changed = f.registry.Expire(now) || changed
 	if changed {
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -115,6 +115,8 @@
 	// came from: SourceStore or the node whose news had it.
 	TableAge  time.Duration
 	TableFrom string
+	// Evacuated are the data centres whose upstreams get nothing.
+	Evacuated []EvacuatedCentre
 	// Unusable are the published entries that name no upstream that can be used.
 	Unusable []Removal
 }
@@ -160,7 +162,7 @@
 func (f *Follower) Status(now time.Time) Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Status{Reader: f.reader, Age: now.Sub(f.current), TableFrom: f.from, Unusable: f.registry.Unusable()}
+	s := Status{Reader: f.reader, Age: now.Sub(f.current), TableFrom: f.from, Unusable: f.registry.Unusable(), Evacuated: f.registry.Evacuated()}
 	if !f.since.IsZero() {
 		s.TableAge = now.Sub(f.since)
 	}
--- a/internal/discovery/merge.go
+++ b/internal/discovery/merge.go
@@ -21,6 +21,10 @@
 		u.Upstreams, changed = r.hearLapsed(now, u)
 	}
 	changed = r.take(now, u) || changed
+	changed = r.takeEvacuations(now, u.Evacuations) || changed
+	if whole && u.Orders {
+		changed = r.endUnlisted(now, u.Evacuations, u.Revision) || changed
+	}
 	for _, gone := range u.Removed {
 		if r.ends(now, gone) {
 			changed = r.hearEnd(now, gone) || changed
@@ -118,5 +122,6 @@
 			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision, Unusable: t.unusable})
 		}
 	}
+	u.Evacuations, u.Orders = r.evacuationsSince(sequence, whole), true
 	return u, whole
 }
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -53,6 +53,10 @@
 	Held time.Duration `cbor:"9,keyasint,omitempty"`
 	// Outage says that the store was away for the sender a short while ago.
 	Outage bool `cbor:"10,keyasint,omitempty"`
+	// Evacuations are orders of operators. Orders says that they are told at all,
+	// which nodes of earlier builds do not.
+	Evacuations []Evacuation `cbor:"11,keyasint,omitempty"`
+	Orders      bool         `cbor:"12,keyasint,omitempty"`
 }
 
 // unknownAge is News.Age of a node that does not know yet what there is.
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -13,8 +13,10 @@
 	revision uint64
 	known    map[string]entry
 	gone     map[string]tombstone
-	away     bool      // the last call failed
-	returned time.Time // when a call succeeded after a failure
+	// evacuations holds orders and ends of orders by data centre.
+	evacuations map[string]evacuation
+	away        bool      // the last call failed
+	returned    time.Time // when a call succeeded after a failure
 
 	sequence uint64 // counts the changes of belief
 	// forgotten is the sequence of the newest tombstone that was forgotten.
@@ -49,7 +51,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{known: make(map[string]entry), gone: make(map[string]tombstone)}
+	return &Registry{known: make(map[string]entry), gone: make(map[string]tombstone), evacuations: make(map[string]evacuation)}
 }
 
 // Revision returns the store's revision up to which all is known.
@@ -74,6 +76,8 @@
 		return false // a stale answer
 	}
 	changed := r.take(now, u)
+	changed = r.takeEvacuations(now, u.Evacuations) || changed
+	changed = r.endUnlisted(now, u.Evacuations, u.Revision) || changed
 	changed = r.applyRemoved(now, u.Removed) || changed
 	for _, id := range r.unlisted(u) {
 		changed = r.vanish(now, Removal{ID: id, Revision: u.Revision}) || changed
@@ -86,6 +90,7 @@
 func (r *Registry) Apply(now time.Time, u Update) bool {
 	r.Reached(now)
 	changed := r.take(now, u)
+	changed = r.takeEvacuations(now, u.Evacuations) || changed
 	return r.applyRemoved(now, u.Removed) || changed
 }
 
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -69,6 +69,9 @@
 		Upstreams: u.Upstreams,
 		Removed:   u.Removed,
 		Outage:    f.registry.Outage(now),
+
+		Evacuations: u.Evacuations,
+		Orders:      u.Orders,
 	}
 	if f.current.IsZero() {
 		n.Age = unknownAge
--- a/internal/distribution/message.go
+++ b/internal/distribution/message.go
@@ -109,6 +109,19 @@
 	Waiting   string     `cbor:"10,keyasint,omitempty" json:"waiting,omitempty"`
 	Bytes     Traffic    `cbor:"11,keyasint" json:"bytes"`
 	Links     int        `cbor:"12,keyasint" json:"links"`
+	// Upstream says why the upstream beside the node gets no work, or less; empty if
+	// nothing holds it back.
+	Upstream string `cbor:"13,keyasint,omitempty" json:"upstream,omitempty"`
+	// Evacuated are the data centres whose upstreams get nothing, as far as the node
+	// knows.
+	Evacuated []EvacuatedCentre `cbor:"14,keyasint,omitempty" json:"evacuated,omitempty"`
+}
+
+// EvacuatedCentre is a data centre whose upstreams get nothing.
+type EvacuatedCentre struct {
+	DataCentre string `cbor:"1,keyasint" json:"dc"`
+	// Since is the time since the node heard of it, in milliseconds.
+	Since uint64 `cbor:"2,keyasint" json:"since_ms"`
 }
 
 // SourcePlatform is the From value of a version read from the platform.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -71,6 +71,9 @@
 	// ColdSince is when a process that is slow after its start was first heard of;
 	// zero if it is not known to be.
 	ColdSince time.Time
+	// Evacuated says that operators want nothing sent to the instance: its data centre
+	// is evacuated. It is no word on the instance itself.
+	Evacuated bool
 }
 
 type entry struct {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -171,10 +171,13 @@
 // SetDraining refuses further work, or takes it again.
 func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
 
-// Dismiss refuses further work and what waits for a slot, as the upstream leaves:
-// a request that waits up to its objective would reach it after all others know
-// that it has left.
-func (b *Backend) Dismiss() { b.gate.Dismiss() }
+// Dismiss refuses further work and what waits for a slot, as the upstream leaves or is
+// to get nothing: a request that waits up to its objective would reach it after all
+// others know of it.
+func (b *Backend) Dismiss(why admission.Reason) { b.gate.Dismiss(why) }
+
+// HeldBack says why the upstream gets no work now; empty if it does.
+func (b *Backend) HeldBack() string { return string(b.gate.Closed()) }
 
 // SetLeaving tells callers' nodes with each answer that this node leaves soon,
 // while it still takes work.
@@ -224,6 +227,7 @@
 }
 
 func (b *Backend) refuse(req *http.Request, env Envelope, p *Problem) *http.Response {
+	b.metrics.refused(p.Reason)
 	resp := p.response(req)
 	b.stamp(resp.Header, env, req.ContentLength > receiveFrom)
 	return resp
@@ -241,7 +245,7 @@
 	for _, n := range [...]int64{int64(f.Slots), int64(f.Waiting), f.Service.Microseconds(), f.Wait.Microseconds()} {
 		text = strconv.AppendInt(append(text, '/'), n, 10)
 	}
-	if b.gate.Draining() || b.leaving.Load() {
+	if b.gate.Closed() != admission.ReasonNone || b.leaving.Load() {
 		text = append(text, "/draining"...)
 	}
 	h.Set(headerLoad, string(text))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -31,6 +31,7 @@
 	classes *labelled[tally.Counter]
 	reasons *labelled[tally.Counter]
 	cuts    *labelled[tally.Counter]
+	turned  *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -56,6 +57,7 @@
 		}),
 		classes: newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
 		reasons: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
+		turned:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
 		cuts:    newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
 	}
 }
@@ -130,6 +132,9 @@
 	m.reasons.get(string(r)).Inc(1)
 }
 
+// refused counts a request that the node beside an upstream did not hand to it.
+func (m *Metrics) refused(reason string) { m.turned.get(reason).Inc(1) }
+
 func (m *Metrics) cutBy(r CutReason) {
 	m.cuts.get(string(r)).Inc(1)
 }
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -88,7 +88,7 @@
 	switch v.Reason {
 	case admission.ReasonRate, admission.ReasonConcurrency:
 		status = http.StatusTooManyRequests
-	case admission.ReasonDraining, admission.ReasonWrongTarget:
+	case admission.ReasonDraining, admission.ReasonEvacuated, admission.ReasonWrongTarget:
 		class = retry.Refused
 	}
 	return notRun(status, class, string(v.Reason), v.RetryAfter)
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -56,6 +56,7 @@
 	ZeroWeight      Exclusion = "weight is 0"
 	AlreadyTried    Exclusion = "tried for this request"
 	NotPinned       Exclusion = "route is pinned to another upstream"
+	Evacuated       Exclusion = "its data centre is evacuated"
 	Denied          Exclusion = "its address answers for another instance"
 	Ejected         Exclusion = "left out after failures"                 // soft
 	Silent          Exclusion = "requests wait and none is answered"      // soft
@@ -135,6 +136,8 @@
 		return InstanceGone
 	case m.Status == membership.Departing || e.toldDraining(r.cfg, now):
 		return InstanceLeaving
+	case m.Evacuated:
+		return Evacuated
 	case contains(req.Tried, u.Name):
 		return AlreadyTried
 	case now.Before(e.denied):
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -87,7 +87,7 @@
 		forbidden := func(n string) bool {
 			m, ok := b.members[n]
 			at, told := draining[n]
-			return !ok || m.Status == membership.Gone || m.Status == membership.Departing ||
+			return !ok || m.Evacuated || m.Status == membership.Gone || m.Status == membership.Departing ||
 				(told && b.now.Sub(at) < cfg.DrainMemory) || weight(b, n) == 0
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -126,6 +126,13 @@
 			"status": func(t *rapid.T) {
 				b.setStatus(name.Draw(t, "upstream"), membership.Status(rapid.IntRange(0, 3).Draw(t, "status")))
 			},
+			"evacuate": func(t *rapid.T) {
+				n := name.Draw(t, "upstream")
+				if m, ok := b.members[n]; ok {
+					m.Evacuated = rapid.Bool().Draw(t, "evacuated")
+					b.members[n] = m
+				}
+			},
 			"weight": func(t *rapid.T) {
 				n := name.Draw(t, "upstream")
 				for _, u := range b.service.Upstreams {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -104,6 +104,10 @@
 		SourceAge:  uint64(f.Age.Milliseconds()),
 		Links:      len(f.Sources),
 		Refused:    unusable(f.Unusable),
+		Upstream:   s.backend.HeldBack(),
+	}
+	for _, e := range f.Evacuated {
+		st.Evacuated = append(st.Evacuated, distribution.EvacuatedCentre{DataCentre: e.DataCentre, Since: uint64(now.Sub(e.Heard).Milliseconds())})
 	}
 	if st.Table.IsZero() {
 		st.Waiting = "a first table"
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/proxy"
 )
 
@@ -57,5 +58,5 @@
 func (s *Sidecar) cut() {
 	s.log.Warn("shutdown timeout cuts requests", "requests", s.backend.InFlight()+s.frontend.InFlight())
 	s.frontend.EndRuns()
-	s.backend.Dismiss()
+	s.backend.Dismiss(admission.ReasonDraining)
 }
--- /dev/null
+++ b/internal/sidecar/evacuation_test.go
@@ -0,0 +1,131 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/discovery"
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/routing"
+)
+
+// moveUpstream publishes an upstream in a data centre.
+func (f *fleet) moveUpstream(i int, centre string) {
+	f.store.change(func(u *discovery.Update) {
+		u.Upstreams[i].DataCentre, u.Upstreams[i].Revision = centre, u.Revision
+	})
+}
+
+// evacuate publishes that the upstreams of a data centre get nothing, or that they do
+// again.
+func (f *fleet) evacuate(centre string, over bool) {
+	f.store.change(func(u *discovery.Update) {
+		u.Orders = true
+		u.Evacuations = []discovery.Evacuation{{DataCentre: centre, Revision: u.Revision, Over: over}}
+	})
+}
+
+// awaitEvacuated waits until all sidecars know of a number of evacuated data centres.
+func (f *fleet) awaitEvacuated(n int) {
+	for _, s := range f.sidecars {
+		for len(s.follower.Status(time.Now()).Evacuated) != n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Upstreams of an evacuated data centre get nothing, from any node, their own among
+// them, which goes on to serve its callers; when it is over they get work again.
+func TestEvacuatedUpstreamsGetNothing(t *testing.T) {
+	f := startFleet(t, 3, 0)
+	f.moveUpstream(0, "b")
+	f.evacuate("b", false)
+	f.awaitEvacuated(1)
+	for i := range 60 {
+		req := f.request(i%3, "GET", "/read/x", "")
+		status, _, _ := f.send(req)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, f.upstreams[0].runs(req.Header.Get(testDialect.RequestID)), 0)
+	}
+	f.evacuate("b", true)
+	f.awaitEvacuated(0)
+	for served := 0; served == 0; {
+		req := f.request(1, "GET", "/read/x", "")
+		f.send(req)
+		served = f.upstreams[0].runs(req.Header.Get(testDialect.RequestID))
+	}
+}
+
+// Where all data centres are evacuated, requests are refused at once as not run.
+func TestAllEvacuatedRefusesAtOnce(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	f.evacuate("a", false)
+	f.awaitEvacuated(1)
+	began := time.Now()
+	status, header, _ := f.send(f.request(0, "POST", "/write/x", "body"))
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, header.Get("Retry-After") != "")
+	assert.Equal(t, proxy.Outcome(header.Get(proxy.HeaderOutcome)), proxy.OutcomeNotRun)
+	assert.Assert(t, time.Since(began) < 300*time.Millisecond, "held for %v", time.Since(began))
+}
+
+// What waits for a slot of an upstream whose data centre is evacuated is refused at
+// once, and answered by another one in time: it would reach the upstream after the
+// evacuation.
+func TestWaitingRequestLeavesAnEvacuatedUpstream(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	f.waitLonger()
+	f.moveUpstream(1, "b")
+	f.evacuate("b", false)
+	f.awaitEvacuated(1)
+	release := make(chan struct{})
+	f.misbehave(func(u *upstream, w http.ResponseWriter, _ *http.Request) {
+		if u == f.upstreams[0] {
+			<-release
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	const n = 20
+	ends := make(chan string, n)
+	for range n {
+		req := f.request(0, "GET", "/read/x", "")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				ends <- err.Error()
+				return
+			}
+			_ = resp.Body.Close()
+			ends <- resp.Status + resp.Header.Get(proxy.HeaderReason)
+		}()
+	}
+	backend := f.sidecars[0].backend
+	for load := backend.Load(); load.InUse+load.Waiting < n; load = backend.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	f.evacuate("b", true)
+	f.awaitEvacuated(0)
+	assert.Assert(t, backend.Load().Waiting > 0)
+	f.evacuate("a", false)
+	assert.Equal(t, <-ends, "200 OK", "by the upstream that is not evacuated, as the other stands still")
+	assert.Equal(t, backend.Load().Waiting, 0)
+	close(release)
+}
+
+// Operators see an evacuation in the status of any sidecar, and why an upstream is left
+// out.
+func TestOperatorsSeeAnEvacuation(t *testing.T) {
+	f := startFleet(t, 2, 0)
+	f.evacuate("a", false)
+	f.awaitEvacuated(1)
+	status := string(f.get(0, admin.PathFleet))
+	assert.Assert(t, cmp.Contains(status, `"upstream":"evacuated"`))
+	assert.Assert(t, cmp.Contains(status, `"evacuated":[{"dc":"a"`))
+	assert.Assert(t, cmp.Contains(string(f.get(0, admin.PathExplain+"shop")), string(routing.Evacuated)))
+}
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -356,19 +356,26 @@
 	}
 }
 
-// What waits for a slot of an upstream that leaves is refused at once and may go
-// elsewhere: it reached the upstream later than everybody knew that it had left.
-func TestWaitingRequestLeavesALeavingUpstream(t *testing.T) {
-	f := startFleet(t, 1, 0)
-	f.store.change(func(u *discovery.Update) { // may wait longer than news take
+// waitLonger publishes a table by which requests may wait longer than news take.
+func (f *fleet) waitLonger() {
+	f.store.change(func(u *discovery.Update) {
 		u.Document = document(2)
 		for i := range u.Document.Table.Routes {
 			u.Document.Table.Routes[i].Objective = 2 * time.Second
 		}
 	})
-	for f.sidecars[0].holder.ID().Edition < 2 {
-		time.Sleep(time.Millisecond)
+	for _, s := range f.sidecars {
+		for s.holder.ID().Edition < 2 {
+			time.Sleep(time.Millisecond)
+		}
 	}
+}
+
+// What waits for a slot of an upstream that leaves is refused at once and may go
+// elsewhere: it reached the upstream later than everybody knew that it had left.
+func TestWaitingRequestLeavesALeavingUpstream(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	f.waitLonger()
 	release := make(chan struct{})
 	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
 		<-release
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/periodic"
@@ -48,9 +49,11 @@
 	servers  servers
 	service  atomic.Pointer[string]
 	leaving  atomic.Bool
-	// upstreamReady says that the own upstream is published as ready.
-	upstreamReady atomic.Bool
-	own           discovery.Known // the own upstream as published last, guarded by the follower
+	// own is the own upstream as published last, and closed why it gets no work: at
+	// first since it is not published, which alone refuses nothing. Both are guarded by
+	// the follower.
+	own    discovery.Known
+	closed admission.Reason
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -68,7 +71,7 @@
 func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
 	debug.SetGCPercent(cfg.GCPercent)
-	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}}
+	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, closed: admission.ReasonDraining}
 	s.service.Store(&cfg.Service)
 	s.build()
 	if err := s.bind(); err != nil {
@@ -100,7 +103,19 @@
 	if ok {
 		s.followLife(own)
 	}
-	s.followUpstream(ok && !own.Leaving)
+	s.followUpstream(s.closedFor(d, own, ok))
+}
+
+// closedFor says why the own upstream gets no work, by what is published of it;
+// ReasonNone if it does.
+func (s *Sidecar) closedFor(d *discovery.Directory, own discovery.Known, published bool) admission.Reason {
+	switch {
+	case !published || own.Leaving:
+		return admission.ReasonDraining
+	case d.Evacuated(own.DataCentre):
+		return admission.ReasonEvacuated
+	}
+	return admission.ReasonNone
 }
 
 // followLife gives up what belongs to an earlier life of the own upstream.
@@ -115,18 +130,20 @@
 	s.backend.Restarted()
 }
 
-// followUpstream takes work for the own upstream while that is published as
-// ready. One that was published and leaves, or is gone, gets nothing more.
-func (s *Sidecar) followUpstream(ready bool) {
-	if s.upstreamReady.Swap(ready) == ready {
+// followUpstream takes work for the own upstream while that is published as ready and
+// its data centre is not evacuated. Otherwise it gets nothing more, and what waits for
+// it is refused at once, in time for another one.
+func (s *Sidecar) followUpstream(closed admission.Reason) {
+	if s.closed == closed {
 		return
 	}
-	if ready {
+	s.closed = closed
+	s.log.Info("work of the own upstream", "taken", closed == admission.ReasonNone, "closed", closed, "upstream", s.cfg.Upstream)
+	if closed == admission.ReasonNone {
 		s.backend.SetDraining(s.leaving.Load())
 		return
 	}
-	s.log.Info("own upstream leaves", "upstream", s.cfg.Upstream)
-	s.backend.Dismiss()
+	s.backend.Dismiss(closed)
 }
 
 // Ready reports whether callers may come.
@@ -195,6 +212,7 @@
 	m.Gauge("table_edition").Update(float64(s.holder.ID().Edition))
 	follow := s.follower.Status(time.Now())
 	m.Gauge("store_reader").Update(boolGauge(follow.Reader))
+	m.Gauge("evacuated_data_centres").Update(float64(len(follow.Evacuated)))
 	m.Gauge("store_calls").Update(float64(s.follower.Calls()))
 	m.Gauge("news_age_seconds").Update(follow.Age.Seconds())
 	m.Gauge("store_away_seconds").Update(s.follower.AwayFor(time.Now()).Seconds())
