A cold upstream gets no more than it bears

Change: the node beside an upstream starts at most the published rate in any second while it is cold (a sliding window; waits count with what can be in time, the rest is refused as not run with the time at which it may start). Callers' nodes take an even share of 0.8 of that rate each, so that few are handed over in vain, and refuse at once where all are cold. Cold is what the entry says, its own word, and until that is known what may be: a node that starts, connections that come back, the end of an evacuation.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -12,6 +12,8 @@
 	queue   *Queue
 	waiters map[*Ticket]chan Verdict
 	closed  Reason // why all is refused; ReasonNone if the gate is open
+	// reopening starts what waits for the pace of a cold upstream; nil if nothing does.
+	reopening *time.Timer
 }
 
 // NewGate returns a gate with an empty queue.
@@ -26,11 +28,11 @@
 	g.mu.Lock()
 	if g.closed != ReasonNone {
 		defer g.mu.Unlock()
-		return g.queue.Refusal(g.closed)
+		return g.queue.Refusal(time.Now(), g.closed)
 	}
 	v, displaced := g.queue.Offer(time.Now(), t)
 	if displaced != nil {
-		g.settle(displaced, g.queue.Refusal(ReasonOutweighed))
+		g.settle(displaced, g.queue.Refusal(time.Now(), ReasonOutweighed))
 	}
 	if !v.Waiting {
 		g.mu.Unlock()
@@ -39,6 +41,7 @@
 	ch := make(chan Verdict, 1)
 	g.waiters[t] = ch
 	latest := g.queue.LatestStart(t)
+	g.arm()
 	g.mu.Unlock()
 	return g.wait(ctx, t, ch, latest)
 }
@@ -68,7 +71,7 @@
 		return <-ch // buffered: settled before the lock was taken
 	}
 	delete(g.waiters, t)
-	return g.queue.Refusal(r)
+	return g.queue.Refusal(time.Now(), r)
 }
 
 // settle tells a waiting request its verdict. The lock is held.
@@ -93,8 +96,42 @@
 		g.settle(t, Verdict{Started: true})
 	}
 	for _, t := range late {
-		g.settle(t, g.queue.Refusal(ReasonTooLate))
+		g.settle(t, g.queue.Refusal(time.Now(), ReasonTooLate))
 	}
+	g.arm()
+}
+
+// arm starts what waits for the pace of a cold upstream when that allows it. The lock
+// is held.
+func (g *Gate) arm() {
+	now := time.Now()
+	at, waits := g.queue.Reopens(now)
+	if !waits || g.reopening != nil {
+		return
+	}
+	g.reopening = time.AfterFunc(max(at.Sub(now), 0), func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.reopening = nil
+		g.settleAll(g.queue.Fill(time.Now()))
+	})
+}
+
+// SetColdRate bounds the requests that the upstream gets in any second while it is
+// cold; 0 sets no bound.
+func (g *Gate) SetColdRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetColdRate(perSecond)
+	g.settleAll(g.queue.Fill(time.Now()))
+}
+
+// SetCold says until when the upstream is cold.
+func (g *Gate) SetCold(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetCold(until)
+	g.settleAll(g.queue.Fill(time.Now()))
 }
 
 // SetSlots changes the number of slots.
@@ -124,7 +161,7 @@
 	g.closed = why
 	for t := range g.waiters {
 		g.queue.Remove(t)
-		g.settle(t, g.queue.Refusal(why))
+		g.settle(t, g.queue.Refusal(time.Now(), why))
 	}
 }
 
@@ -140,13 +177,20 @@
 	Load
 	Service time.Duration // smoothed time that a request holds a slot
 	Wait    time.Duration // until it gets a slot
+	Cold    time.Duration // the upstream stays cold; 0 if it is warm or bears any rate
 }
 
 // Forecast returns the present state, as the next request of a kind meets it.
 func (g *Gate) Forecast(kind string, weight float64) Forecast {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Forecast{Load: g.queue.Load(), Service: g.queue.ServiceTime(), Wait: g.queue.Wait(kind, weight)}
+	now := time.Now()
+	return Forecast{
+		Load:    g.queue.Load(),
+		Service: g.queue.ServiceTime(),
+		Wait:    g.queue.Wait(now, kind, weight),
+		Cold:    g.queue.Cold(now),
+	}
 }
 
 // SlotEvery is the time between two slots that come free while all are in use;
@@ -154,14 +198,14 @@
 func (g *Gate) SlotEvery() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.waitBehind(1)
+	return g.queue.waitBehind(time.Now(), 1)
 }
 
 // Refusal returns the verdict for a reason, with the advice when to come back.
 func (g *Gate) Refusal(r Reason) Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.Refusal(r)
+	return g.queue.Refusal(time.Now(), r)
 }
 
 // Load returns the present state.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -27,6 +27,7 @@
 	ReasonBusy        Reason = "busy"         // no slot free, and the sender would rather try another upstream
 	ReasonDraining    Reason = "draining"     // the instance leaves
 	ReasonEvacuated   Reason = "evacuated"    // nothing is to be sent to its data centre
+	ReasonCold        Reason = "cold"         // the upstream is cold and has got what it can take
 	ReasonLink        Reason = "link-full"    // the answer would wait too long for the link
 	ReasonCancelled   Reason = "cancelled"    // the caller gave up while it waited
 	ReasonWrongTarget Reason = "wrong-target" // sent to a node that is not beside the upstream
@@ -91,6 +92,7 @@
 	pass     float64      // progress of the fair order
 	observed time.Time    // when service was last updated
 	service  float64      // smoothed service time in seconds; 0 before the first
+	pace     pace
 }
 
 // NewQueue returns an empty queue.
@@ -99,6 +101,25 @@
 // SetSlots changes the number of slots. Requests in progress stay.
 func (q *Queue) SetSlots(n int) { q.cfg.Slots = n }
 
+// SetColdRate bounds the requests that the upstream gets in any second while it is
+// cold; 0 sets no bound.
+func (q *Queue) SetColdRate(perSecond float64) { q.pace.setRate(perSecond) }
+
+// SetCold says until when the upstream is cold.
+func (q *Queue) SetCold(until time.Time) { q.pace.until = until }
+
+// Cold is how long the upstream stays cold; 0 if it is warm or bears any rate.
+func (q *Queue) Cold(now time.Time) time.Duration { return q.pace.left(now) }
+
+// Reopens returns when Fill may start a request that waits for nothing but the pace of
+// a cold upstream; false if none does.
+func (q *Queue) Reopens(now time.Time) (time.Time, bool) {
+	if q.waiting == 0 || q.inUse >= q.cfg.Slots {
+		return time.Time{}, false
+	}
+	return now.Add(q.pace.wait(now, 1)), true
+}
+
 // Load is the state of a queue, told to callers.
 type Load struct {
 	InUse   int
@@ -116,20 +137,20 @@
 // best spare may be displaced; the caller refuses it.
 func (q *Queue) Offer(now time.Time, t *Ticket) (v Verdict, displaced *Ticket) {
 	t.arrived = now
-	if q.inUse < q.cfg.Slots && q.waiting == 0 {
-		q.inUse++
+	if q.inUse < q.cfg.Slots && q.waiting == 0 && q.pace.open(now) {
+		q.start(now)
 		return Verdict{Started: true}, nil
 	}
 	if t.NoWait {
-		return q.Refusal(ReasonBusy), nil
+		return q.Refusal(now, ReasonBusy), nil
 	}
 	if q.tooLate(now, t) {
-		return q.Refusal(ReasonTooLate), nil
+		return q.Refusal(now, q.lateReason(now)), nil
 	}
 	if q.waiting >= q.cfg.QueueLimit {
 		displaced = q.displace(t)
 		if displaced == nil {
-			return q.Refusal(ReasonQueueFull), nil
+			return q.Refusal(now, ReasonQueueFull), nil
 		}
 	}
 	q.kind(t).push(t)
@@ -137,6 +158,20 @@
 	return Verdict{Waiting: true}, displaced
 }
 
+// start takes a slot.
+func (q *Queue) start(now time.Time) {
+	q.inUse++
+	q.pace.started(now)
+}
+
+// lateReason says why a request would start too late.
+func (q *Queue) lateReason(now time.Time) Reason {
+	if q.pace.open(now) {
+		return ReasonTooLate
+	}
+	return ReasonCold
+}
+
 // Release frees the slot of a request that held it for the given time, and
 // returns the requests to start now and those to refuse as too late.
 func (q *Queue) Release(now time.Time, held time.Duration) (start, late []*Ticket) {
@@ -147,13 +182,13 @@
 
 // Fill starts waiting requests while slots are free.
 func (q *Queue) Fill(now time.Time) (start, late []*Ticket) {
-	for q.inUse < q.cfg.Slots && q.waiting > 0 {
+	for q.inUse < q.cfg.Slots && q.waiting > 0 && q.pace.open(now) {
 		t := q.take()
 		if q.expired(now, t) {
 			late = append(late, t)
 			continue
 		}
-		q.inUse++
+		q.start(now)
 		start = append(start, t)
 	}
 	return start, late
@@ -185,37 +220,37 @@
 }
 
 // Refusal returns the verdict for a reason, with the advice when to come back.
-func (q *Queue) Refusal(r Reason) Verdict {
-	return Verdict{Reason: r, RetryAfter: q.retryAfter()}
+func (q *Queue) Refusal(now time.Time, r Reason) Verdict {
+	return Verdict{Reason: r, RetryAfter: q.retryAfter(now)}
 }
 
 // Wait is the time that a further request of the kind is expected to wait for a
 // slot.
-func (q *Queue) Wait(kind string, weight float64) time.Duration {
+func (q *Queue) Wait(now time.Time, kind string, weight float64) time.Duration {
 	if q.inUse < q.cfg.Slots && q.waiting == 0 {
-		return 0
+		return q.pace.wait(now, 1)
 	}
-	return q.waitBehind(q.ahead(&Ticket{Kind: kind, Weight: weight}))
+	return q.waitBehind(now, q.ahead(&Ticket{Kind: kind, Weight: weight}))
 }
 
 // retryAfter is the time in which the present queue drains.
-func (q *Queue) retryAfter() time.Duration {
-	wait := q.waitBehind(q.waiting + 1)
+func (q *Queue) retryAfter(now time.Time) time.Duration {
+	wait := q.waitBehind(now, q.waiting+1)
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // waitBehind is the time until n requests ahead have been started.
-func (q *Queue) waitBehind(n int) time.Duration {
+func (q *Queue) waitBehind(now time.Time, n int) time.Duration {
 	if q.cfg.Slots <= 0 {
 		return maxRetryAfter
 	}
 	seconds := float64(n) * q.service / float64(q.cfg.Slots)
-	return time.Duration(seconds * float64(time.Second))
+	return max(time.Duration(seconds*float64(time.Second)), q.pace.wait(now, n))
 }
 
 func (q *Queue) tooLate(now time.Time, t *Ticket) bool {
 	latest := q.LatestStart(t)
-	return !latest.IsZero() && now.Add(q.waitBehind(q.ahead(t))).After(latest)
+	return !latest.IsZero() && now.Add(q.waitBehind(now, q.ahead(t))).After(latest)
 }
 
 // expired reports whether a request that waited has no time left.
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -40,9 +40,11 @@
 		dir.evacuated[e.DataCentre] = true
 	}
 	for _, k := range known {
+		k = f.mayBeCold(k)
 		dir.byAddress[k.Address] = k
 		if f.services == nil || f.services[k.Service] {
 			m := f.member(k)
+			m.ColdFrom, m.ColdUntil, m.ColdRate = k.ColdFrom, k.ColdUntil, f.coldShare(k.Service, len(known))
 			m.Evacuated = dir.evacuated[k.DataCentre]
 			dir.members[k.ID] = m
 		}
@@ -67,6 +69,42 @@
 	f.holder.Advance(snap)
 }
 
+// mayBeCold takes an upstream of a data centre whose evacuation has ended for cold, as
+// long as it would be after a start: it may have started again or lost what it kept
+// meanwhile, and its entry tells late.
+func (f *Follower) mayBeCold(k Known) Known {
+	reopened := f.registry.reopened(k.DataCentre)
+	if reopened.IsZero() || f.document == nil {
+		return k
+	}
+	until := reopened.Add(f.document.Starts[k.Service].Cold)
+	if until.After(k.ColdUntil) {
+		k.ColdFrom, k.ColdUntil = reopened, until
+	}
+	return k
+}
+
+// callersShare is the part of the rate of a cold upstream that the nodes send together:
+// they come by chance, so at the whole rate half of all seconds would have too many.
+const callersShare = 0.8
+
+// coldShare is the rate of requests that a cold upstream of a service bears from this
+// node, as one of so many; 0 for any rate.
+func (f *Follower) coldShare(service string, nodes int) float64 {
+	if f.document == nil {
+		return 0
+	}
+	return callersShare * f.document.Starts[service].Rate / float64(max(nodes, 1))
+}
+
+// Starts tells how the upstreams of a service start; the zero value if nothing is known.
+func (f *Follower) Starts(service string) StartTerms {
+	if t := f.starts.Load(); t != nil {
+		return (*t)[service]
+	}
+	return StartTerms{}
+}
+
 // chooseRole computes whether this node reads the store for others, and whose
 // news it follows.
 func (f *Follower) chooseRole(dir *Directory) {
--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -55,9 +55,21 @@
 	Table *table.Table // without upstreams
 	// Limits bound what callers may send.
 	Limits CallerLimits
+	// Starts tells how the upstreams of a service start, by its name.
+	Starts map[string]StartTerms
 	Raw    []byte
 }
 
+// StartTerms tell how the upstreams of a service start, and how to ask one.
+type StartTerms struct {
+	// Cold is how long one is cold after its start, and Rate the requests a second
+	// that it bears then; 0 for any.
+	Cold time.Duration
+	Rate float64
+	// Health is the path at which an upstream tells of itself; empty if none does.
+	Health string
+}
+
 // CallerLimits bound what callers may send; 0 means the default.
 type CallerLimits struct {
 	HeaderBytes   int
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -29,6 +29,7 @@
 
 	dir    atomic.Pointer[Directory]
 	limits atomic.Pointer[CallerLimits]
+	starts atomic.Pointer[map[string]StartTerms]
 	calls  atomic.Int64 // of the store
 	away   atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
 	// currentAt is current, for those who do not take the lock; nil for none.
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -26,6 +26,7 @@
 type entry struct {
 	Upstream
 	seen time.Time // when this life of the process was first heard of
+	told time.Time // when this version of the entry was heard of
 	// lapsed is the revision at which the entry vanished; zero if it is
 	// published. It is believed until expires or, where that is zero, until the
 	// end is confirmed.
@@ -49,6 +50,16 @@
 	return up.Lapsed == 0 && revision >= e.lapsed
 }
 
+// publicly is what is published of an entry. Its cold time is counted from when it was
+// heard of: that is later than it was told, and so on the safe side.
+func (e entry) publicly() Known {
+	k := Known{Upstream: e.Upstream, Seen: e.seen}
+	if e.Cold > 0 {
+		k.ColdFrom, k.ColdUntil = e.told, e.told.Add(e.Cold)
+	}
+	return k
+}
+
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{known: make(map[string]entry), gone: make(map[string]tombstone), evacuations: make(map[string]evacuation)}
@@ -132,7 +143,7 @@
 			continue
 		}
 		r.sequence++
-		e := entry{Upstream: up, seen: now, sequence: r.sequence}
+		e := entry{Upstream: up, seen: now, told: now, sequence: r.sequence}
 		if ok && old.Born == up.Born {
 			e.seen = old.seen
 		}
@@ -151,6 +162,9 @@
 type Known struct {
 	Upstream
 	Seen time.Time
+	// ColdFrom and ColdUntil are the times between which it is cold, as far as that is
+	// published; both zero if it is not.
+	ColdFrom, ColdUntil time.Time
 }
 
 // Upstreams returns the believed upstreams, sorted by ID. Of two at one address
@@ -173,7 +187,7 @@
 	out := make([]Known, 0, len(r.known))
 	for _, e := range r.known {
 		if !e.Address.IsValid() || holder[e.Address].ID == e.ID {
-			out = append(out, Known{Upstream: e.Upstream, Seen: e.seen})
+			out = append(out, e.publicly())
 		}
 	}
 	slices.SortFunc(out, func(a, b Known) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -69,6 +69,7 @@
 func (f *Follower) hold(d *Document) {
 	f.document, f.services, f.deflated = d, servicesOf(d.Table), nil
 	f.limits.Store(&d.Limits)
+	f.starts.Store(&d.Starts)
 }
 
 // refuse goes back from a table of which no snapshot can be built to the one before,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -71,6 +71,11 @@
 	// ColdSince is when a process that is slow after its start was first heard of;
 	// zero if it is not known to be.
 	ColdSince time.Time
+	// ColdFrom and ColdUntil are the times, as far as they are published, between which
+	// the instance is cold and bears ColdRate requests a second from this node; a
+	// ColdRate of 0 means any rate.
+	ColdFrom, ColdUntil time.Time
+	ColdRate            float64
 	// Evacuated says that operators want nothing sent to the instance: its data centre
 	// is evacuated. It is no word on the instance itself.
 	Evacuated bool
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -115,7 +115,7 @@
 	t := &admission.Ticket{Kind: QueueKind("k", late), Weight: Weight(0, replayObjective, late), Deadline: c.expiry, Latest: r.now.Add(patience)}
 	v, displaced := r.queue.Offer(r.now, t)
 	if displaced != nil {
-		r.refuse(displaced, r.queue.Refusal(admission.ReasonOutweighed))
+		r.refuse(displaced, r.queue.Refusal(r.now, admission.ReasonOutweighed))
 	}
 	r.waiting[t] = c
 	switch {
@@ -124,7 +124,7 @@
 	case v.Waiting:
 		r.at(r.queue.LatestStart(t).Sub(r.now), func() {
 			if r.queue.Remove(t) {
-				r.refuse(t, r.queue.Refusal(admission.ReasonTooLate))
+				r.refuse(t, r.queue.Refusal(r.now, admission.ReasonTooLate))
 			}
 		})
 	default:
@@ -148,7 +148,7 @@
 		r.answers = append(r.answers, answered{first: c.first, inTime: ok})
 		start, late := r.queue.Release(r.now, held)
 		for _, t := range late {
-			r.refuse(t, r.queue.Refusal(admission.ReasonTooLate))
+			r.refuse(t, r.queue.Refusal(r.now, admission.ReasonTooLate))
 		}
 		for _, t := range start {
 			r.start(t)
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/url"
@@ -31,6 +32,9 @@
 	Dialect Dialect
 	// Transport calls the upstream; nil means net/http with a pool.
 	Transport http.RoundTripper
+	// Reached is called with each request to the upstream: whether a connection to it
+	// could be made. Nil for none.
+	Reached func(ok bool)
 	// WholeAnswers is as in FrontendConfig.
 	WholeAnswers int64
 	// Receivers is the number of bodies that are received from other nodes at
@@ -118,6 +122,9 @@
 		history: ledger.NewHistory(cfg.Ledger),
 	}
 	b.life.Store(newLife())
+	if cfg.Reached == nil {
+		b.cfg.Reached = func(bool) {}
+	}
 	if cfg.Receivers > 0 {
 		b.receiver = newTurns(cfg.Receivers)
 	}
@@ -176,8 +183,24 @@
 // others know of it.
 func (b *Backend) Dismiss(why admission.Reason) { b.gate.Dismiss(why) }
 
-// HeldBack says why the upstream gets no work now; empty if it does.
-func (b *Backend) HeldBack() string { return string(b.gate.Closed()) }
+// HeldBack says why the upstream gets no work now, or less; empty if nothing holds it
+// back.
+func (b *Backend) HeldBack() string {
+	if closed := b.gate.Closed(); closed != admission.ReasonNone {
+		return string(closed)
+	}
+	if cold := b.gate.Forecast("", 1).Cold; cold > 0 {
+		return fmt.Sprintf("%s for %v more", admission.ReasonCold, cold.Round(time.Millisecond))
+	}
+	return ""
+}
+
+// SetColdRate bounds the requests that the upstream gets in any second while it is cold;
+// 0 sets no bound.
+func (b *Backend) SetColdRate(perSecond float64) { b.gate.SetColdRate(perSecond) }
+
+// SetCold says until when the upstream is cold.
+func (b *Backend) SetCold(until time.Time) { b.gate.SetCold(until) }
 
 // SetLeaving tells callers' nodes with each answer that this node leaves soon,
 // while it still takes work.
@@ -246,7 +269,10 @@
 		text = strconv.AppendInt(append(text, '/'), n, 10)
 	}
 	if b.gate.Closed() != admission.ReasonNone || b.leaving.Load() {
-		text = append(text, "/draining"...)
+		text = append(text, "/"+toldDraining...)
+	}
+	if f.Cold > 0 {
+		text = strconv.AppendInt(append(text, "/"+toldCold...), f.Cold.Milliseconds()+1, 10)
 	}
 	h.Set(headerLoad, string(text))
 	typical, safe := b.runTime(env.Kind, overload.TypicalRun), b.runTime(env.Kind, overload.SafeRun)
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -158,8 +158,9 @@
 }
 
 // readLoad reads what an admitting node said of its load, nil if nothing:
-// "in use/slots/waiting/service time/expected wait", times in microseconds, and
-// "/draining" if it leaves.
+// "in use/slots/waiting/service time/expected wait", times in microseconds, then
+// "/draining" if it takes no more, and "/cold:" with the milliseconds for which the
+// upstream stays cold. Nodes pass over words that they do not know.
 func readLoad(h http.Header) *routing.Told {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var n [5]int
@@ -173,13 +174,29 @@
 		}
 		n[i] = v
 	}
-	return &routing.Told{
-		Runs:     readRuns(h),
-		InUse:    n[0],
-		Slots:    n[1],
-		Waiting:  n[2],
-		Service:  time.Duration(n[3]) * time.Microsecond,
-		Wait:     time.Duration(n[4]) * time.Microsecond,
-		Draining: len(parts) > len(n),
+	told := &routing.Told{
+		Runs:    readRuns(h),
+		InUse:   n[0],
+		Slots:   n[1],
+		Waiting: n[2],
+		Service: time.Duration(n[3]) * time.Microsecond,
+		Wait:    time.Duration(n[4]) * time.Microsecond,
 	}
+	for _, word := range parts[len(n):] {
+		if word == toldDraining {
+			told.Draining = true
+		}
+		if ms, ok := strings.CutPrefix(word, toldCold); ok {
+			if v, err := strconv.ParseInt(ms, 10, 32); err == nil && v > 0 {
+				told.Cold = time.Duration(v) * time.Millisecond
+			}
+		}
+	}
+	return told
 }
+
+// Words of a told load.
+const (
+	toldDraining = "draining"
+	toldCold     = "cold:"
+)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -27,6 +27,9 @@
 	NotExecuted string
 	// Load in an upstream's answer is "running,waiting,slots".
 	Load string
+	// Cold in an answer of an upstream's health end point is for how long it stays
+	// cold: milliseconds.
+	Cold string
 	// FractionalRetryAfter allows fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -34,6 +37,19 @@
 // DefaultDialect names the headers of a deployment that uses the project's own.
 func DefaultDialect() Dialect { return Dialect{Deadline: HeaderTimeout} }
 
+// ColdLeft is for how long an upstream stays cold by its own word; false if it says
+// nothing that can be read.
+func (d Dialect) ColdLeft(h http.Header) (time.Duration, bool) {
+	if d.Cold == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(h.Get(d.Cold), 64)
+	if err != nil || !(ms >= 0) {
+		return 0, false
+	}
+	return time.Duration(min(ms, float64(maxCallerWait.Milliseconds())) * float64(time.Millisecond)), true
+}
+
 // callerTimeout is the limit, or the time that the caller waits if that is
 // shorter.
 func (d Dialect) callerTimeout(h http.Header, limit time.Duration) time.Duration {
@@ -43,7 +59,7 @@
 	return limit
 }
 
-// maxCallerWait bounds what a caller may say that it waits.
+// maxCallerWait bounds the times that callers and upstreams may tell.
 const maxCallerWait = time.Hour
 
 // callerWait is the time that the caller says it waits; false if it says none.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -33,12 +33,18 @@
 	outer := cancel
 	cancel = func() { outlives(); outer() }
 	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			connected.Store(true)
+			c.b.cfg.Reached(true)
+		},
 	}))
 	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
 	if err != nil {
 		ended := ctx.Err()
 		cancel()
+		if !connected.Load() && ended == nil {
+			c.b.cfg.Reached(false)
+		}
 		return nil, c.failure(ended, err, connected.Load())
 	}
 	stripOwn(resp.Header)
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -76,6 +76,9 @@
 	}
 	c, ok := x.pick()
 	if !ok {
+		if c.Wait > 0 { // all that are left are cold
+			return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, string(admission.ReasonCold), c.Wait)
+		}
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonNoUpstream, defaultRetryAfter)
 	}
 	x.place(c)
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -57,6 +57,7 @@
 	AlreadyTried    Exclusion = "tried for this request"
 	NotPinned       Exclusion = "route is pinned to another upstream"
 	Evacuated       Exclusion = "its data centre is evacuated"
+	ColdFull        Exclusion = "is cold and has got what it can take from this node"
 	Denied          Exclusion = "its address answers for another instance"
 	Ejected         Exclusion = "left out after failures"                 // soft
 	Silent          Exclusion = "requests wait and none is answered"      // soft
@@ -142,6 +143,8 @@
 		return AlreadyTried
 	case now.Before(e.denied):
 		return Denied
+	case r.coldFull(now, e, m):
+		return ColdFull
 	case m.Status == membership.Suspect:
 		return SuspectInstance
 	case e.isEjected(now):
--- a/internal/routing/evidence.go
+++ b/internal/routing/evidence.go
@@ -87,6 +87,8 @@
 	// Runs is how long requests of the same kind run.
 	Runs     Runs
 	Draining bool
+	// Cold is how long the upstream stays cold; 0 if it is warm.
+	Cold time.Duration
 }
 
 // Runs is how long requests of a kind run at an upstream; 0 if not known.
@@ -114,6 +116,7 @@
 	latency    float64   // smoothed seconds to the answer
 	way        float64   // smoothed seconds to its node and back
 	wayAt      time.Time
+	allowance  allowance
 }
 
 // Smoothing of the time on the way. A way that fills is noticed within two or
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -29,7 +29,8 @@
 }
 
 // Pick chooses an upstream: two are drawn by weight, the one with the lesser
-// cost wins. It returns false if none may be used.
+// cost wins. It returns false if none may be used, with the time until a cold one may
+// be, if there is one.
 func (r *Router) Pick(now time.Time, rnd *rand.Rand, req Request, members Members) (Candidate, bool) {
 	r.scratch = r.appendCandidates(r.scratch[:0], now, req, members)
 	all := r.scratch
@@ -47,7 +48,7 @@
 	}
 	switch len(usable) {
 	case 0:
-		return Candidate{}, false
+		return Candidate{Wait: r.coldWait(now, all, members)}, false
 	case 1:
 		return usable[0], true
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -82,6 +82,7 @@
 		e.unanswered = now
 	}
 	e.inFlight++
+	e.allowance.spend()
 }
 
 // Heard notes that an upstream answered a request, which may go on.
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -101,6 +101,7 @@
 		Ledger:       ledger.DefaultConfig(),
 		Dialect:      s.platform.Dialect,
 		Transport:    s.upstream,
+		Reached:      s.upstreamReached,
 		WholeAnswers: wholeAnswers,
 		Receivers:    receivers,
 		ReceiveLimit: int64(s.cfg.BufferLimit),
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,6 +54,14 @@
 	// the follower.
 	own    discovery.Known
 	closed admission.Reason
+
+	began        time.Time   // when this process started
+	upstreamLost atomic.Bool // no connection to the own upstream could be made last
+	asks         sync.WaitGroup
+	asking       context.Context // ends with this process
+	stopAsking   context.CancelFunc
+	coldMu       sync.Mutex // guards cold
+	cold         ownCold
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -71,7 +79,8 @@
 func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
 	debug.SetGCPercent(cfg.GCPercent)
-	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, closed: admission.ReasonDraining}
+	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, closed: admission.ReasonDraining, began: time.Now()}
+	s.asking, s.stopAsking = context.WithCancel(context.Background())
 	s.service.Store(&cfg.Service)
 	s.build()
 	if err := s.bind(); err != nil {
@@ -102,6 +111,7 @@
 	}
 	if ok {
 		s.followLife(own)
+		s.followCold(own)
 	}
 	s.followUpstream(s.closedFor(d, own, ok))
 }
@@ -177,6 +187,8 @@
 	stop()
 	s.closeAll()
 	group.Wait()
+	s.stopAsking()
+	s.asks.Wait()
 	s.hop.Close()
 	s.news.Close()
 	s.upstream.Close()
