Tables go between nodes as the difference against the one held

Change: news bring the splices from the table that the asking node holds, over several versions as well, where they are short beside the table; the result has to be the announced version, digest included. What does not fit changes nothing and is asked for whole, with a line; nodes of earlier builds get whole tables.

--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -14,6 +14,8 @@
 	source    membership.Instance
 	cursor    Cursor
 	wantTable bool
+	// wantWhole asks for a whole table, as a difference could not be taken.
+	wantWhole bool
 	failing   bool
 }
 
@@ -63,7 +65,7 @@
 	call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
 	defer cancel()
 	sent := time.Now()
-	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable, Age: f.knownAge(sent)}
+	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable, Age: f.knownAge(sent), Patches: !link.wantWhole}
 	n, err := f.peers.Ask(call, link.source.Peer, ask)
 	if err != nil {
 		return version.ID{}, err
@@ -73,9 +75,13 @@
 		f.log.Info("news regained", "source", link.source.Name, "age", n.Age)
 	}
 	if err := f.takeNews(ctx, sent.Add(n.Held-n.Age), link.source.Name, n); err != nil {
+		if len(n.Patch) > 0 {
+			link.wantWhole = true
+			f.log.Warn("difference of tables not taken, asking for the whole", "source", link.source.Name, "base", n.Base, "version", n.Table, "err", err)
+		}
 		return version.ID{}, err
 	}
-	link.cursor = n.Cursor
+	link.cursor, link.wantWhole = n.Cursor, false
 	return n.Table, nil
 }
 
@@ -135,6 +141,9 @@
 
 // restore returns the table that came with news; nil if none did.
 func (f *Follower) restore(ctx context.Context, n News) (*Document, error) {
+	if len(n.Patch) > 0 {
+		return f.restorePatch(ctx, n)
+	}
 	if len(n.Document) == 0 {
 		return nil, nil
 	}
@@ -144,3 +153,19 @@
 	}
 	return f.source.Decode(ctx, raw)
 }
+
+// restorePatch is restore for a difference. Where another source has brought a newer
+// table meanwhile, there is nothing to restore.
+func (f *Follower) restorePatch(ctx context.Context, n News) (*Document, error) {
+	f.mu.Lock()
+	base := f.document
+	f.mu.Unlock()
+	if base == nil || base.ID != n.Base {
+		return nil, nil
+	}
+	raw, err := applyPatch(base, n.Patch, n.Table)
+	if err != nil {
+		return nil, err
+	}
+	return f.source.Decode(ctx, raw)
+}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -14,6 +14,7 @@
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/periodic"
 	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/version"
 )
 
 // Follower keeps the snapshot in force up to date with a Source and with the
@@ -35,15 +36,19 @@
 	// currentAt is current, for those who do not take the lock; nil for none.
 	currentAt atomic.Pointer[time.Time]
 
-	mu        sync.Mutex // guards what follows
-	registry  *Registry
-	document  *Document
-	services  map[string]bool // named by document; nil before there is one
-	before    *Document       // the table before document, if that may still be refused
-	reported  reported
-	since     time.Time // when document came
-	from      string    // where it came from
-	deflated  []byte    // document, for other nodes; nil until one asks
+	mu       sync.Mutex // guards what follows
+	registry *Registry
+	document *Document
+	services map[string]bool // named by document; nil before there is one
+	before   *Document       // the table before document, if that may still be refused
+	reported reported
+	since    time.Time // when document came
+	from     string    // where it came from
+	deflated []byte    // document, for other nodes; nil until one asks
+	asked    time.Time // when a node asked for news last
+	steps    steps     // that led to document
+	// patches are the encoded differences of document, by their base.
+	patches   map[version.ID][]byte
 	listed    bool
 	glanced   bool      // the first listing, which may be old, is there
 	firstNews time.Time // until when a node without any news waits for them
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -28,6 +28,9 @@
 	Table version.ID `cbor:"2,keyasint"` // held by the asking node
 	// WantTable asks for the newer table itself, not only for its ID.
 	WantTable bool `cbor:"3,keyasint,omitempty"`
+	// Patches says that the asking node takes the difference of a table in place of a
+	// whole one; one of an earlier build does not.
+	Patches bool `cbor:"5,keyasint,omitempty"`
 	// Age is how old what the asking node knows was when it asked.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
@@ -57,6 +60,10 @@
 	// which nodes of earlier builds do not.
 	Evacuations []Evacuation `cbor:"11,keyasint,omitempty"`
 	Orders      bool         `cbor:"12,keyasint,omitempty"`
+	// Patch is the difference of the sender's table against Base, in place of
+	// Document: splices, encoded and deflated.
+	Patch []byte     `cbor:"13,keyasint,omitempty"`
+	Base  version.ID `cbor:"14,keyasint,omitempty"`
 }
 
 // unknownAge is News.Age of a node that does not know yet what there is.
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -59,15 +59,30 @@
 		return false
 	}
 	f.before = f.document
+	f.remember(d)
 	f.hold(d)
 	f.since, f.from = time.Now(), from
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
 	return true
 }
 
+// askedLately is the time after its last question during which a node that asks others
+// for news is expected to ask again: many times the pause between two.
+const askedLately = 10 * time.Second
+
+// remember keeps the difference of a newer table for nodes that ask for it. The lock is
+// held.
+func (f *Follower) remember(next *Document) {
+	if f.document == nil || time.Since(f.asked) > askedLately {
+		f.steps = nil
+		return
+	}
+	f.steps.add(f.document, next)
+}
+
 // hold makes a table the one from which snapshots are built. The lock is held.
 func (f *Follower) hold(d *Document) {
-	f.document, f.services, f.deflated = d, servicesOf(d.Table), nil
+	f.document, f.services, f.deflated, f.patches = d, servicesOf(d.Table), nil, nil
 	f.limits.Store(&d.Limits)
 	f.starts.Store(&d.Starts)
 }
@@ -78,7 +93,7 @@
 func (f *Follower) refuse(err error) bool {
 	f.reportFindings([]Finding{{Entry: "table " + f.document.ID.String(), Err: err}})
 	before := f.before
-	f.before = nil
+	f.before, f.steps = nil, nil
 	if before == nil {
 		f.document, f.services, f.deflated = nil, nil, nil
 		return false
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -14,6 +14,7 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked = began
 	known := began.Add(-ask.Age)
 	for waited := false; !waited && !f.hasNews(ask) && !f.knowsLater(known); {
 		tick := f.tick
@@ -79,6 +80,16 @@
 	if !ask.WantTable || !n.Table.Newer(ask.Table) {
 		return n, nil
 	}
+	if ask.Patches {
+		patch, err := f.patch(ask.Table)
+		if err != nil {
+			return News{}, err
+		}
+		if patch != nil {
+			n.Patch, n.Base = patch, ask.Table
+			return n, nil
+		}
+	}
 	if f.deflated == nil {
 		var err error
 		if f.deflated, err = deflate(f.document.Raw); err != nil {
