--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -27,9 +27,10 @@
 	NotExecuted string
 	// Load in an upstream's answer is "running,waiting,slots".
 	Load string
-	// Cold in an answer of an upstream's health end point is for how long it stays
-	// cold: milliseconds.
-	Cold string
+	// Instance in an answer of an upstream's health end point is the instance that
+	// answers, and Cold for how long it stays cold, in milliseconds; one that is warm
+	// may leave it out.
+	Instance, Cold string
 	// FractionalRetryAfter allows fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -40,9 +41,12 @@
 // ColdLeft is for how long an upstream stays cold by its own word; false if it says
 // nothing that can be read.
 func (d Dialect) ColdLeft(h http.Header) (time.Duration, bool) {
-	if d.Cold == "" {
+	if d.Cold == "" || h.Get(d.Instance) == "" {
 		return 0, false
 	}
+	if h.Get(d.Cold) == "" {
+		return 0, true
+	}
 	ms, err := strconv.ParseFloat(h.Get(d.Cold), 64)
 	if err != nil || !(ms >= 0) {
 		return 0, false
--- a/internal/sidecar/cold_test.go
+++ b/internal/sidecar/cold_test.go
@@ -37,7 +37,10 @@
 		a.mu.Lock()
 		if r.URL.Path == "/healthy" {
 			a.asked++
-			w.Header().Set(testDialect.Cold, strconv.FormatInt(max(0, time.Until(a.cold).Milliseconds()), 10))
+			w.Header().Set(testDialect.Instance, u.id)
+			if time.Now().Before(a.cold) {
+				w.Header().Set(testDialect.Cold, strconv.FormatInt(time.Until(a.cold).Milliseconds(), 10))
+			}
 			a.mu.Unlock()
 			return
 		}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -36,6 +36,7 @@
 	CallerService:        "Test-Caller",
 	NotExecuted:          "Test-Not-Executed",
 	Load:                 "Test-Load",
+	Instance:             "Test-Answering-Instance",
 	Cold:                 "Test-Cold-Ms",
 	FractionalRetryAfter: true,
 }
