Readers of the store ask other nodes about links

My test had all upstreams published before the nodes started, where all agree. Tried: readers that ask their sources every 2 s: 6 readers in 2 of 60 fleets, as two groups may name each other. Change: a reader asks a node drawn at random, once a second, about links alone.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -321,27 +322,34 @@
 // startFollowers runs perCentre nodes in each data centre until the test ends,
 // and waits until roles are settled.
 func startFollowers(t *testing.T, perCentre int, centres ...string) *testFleet {
-	return startFollowersWith(t, func(*Config) {}, perCentre, centres...)
+	return startFollowersWith(t, func(*Config) {}, 0, perCentre, centres...)
 }
 
-// startFollowersWith is startFollowers with settings changed.
-func startFollowersWith(t *testing.T, change func(*Config), perCentre int, centres ...string) *testFleet {
+// startFollowersWith is startFollowers with settings changed, and with upstreams that are
+// published one after the other with a pause, beside nodes that run already.
+func startFollowersWith(t *testing.T, change func(*Config), pause time.Duration, perCentre int, centres ...string) *testFleet {
 	f := &testFleet{store: newTestStore(), nodes: make(map[netip.Addr]*testNode)}
 	f.store.publish(1)
+	var entries []Upstream
 	for c, centre := range centres {
 		for i := range perCentre {
 			addr := netip.MustParseAddrPort(fmt.Sprintf("10.%d.0.%d:80", c, i+1))
-			f.store.put(Upstream{ID: fmt.Sprintf("%s-%d", centre, i), Service: "s", Address: addr, DataCentre: centre, Slots: 1})
+			entries = append(entries, Upstream{ID: fmt.Sprintf("%s-%d", centre, i), Service: "s", Address: addr, DataCentre: centre, Slots: 1})
 			f.nodes[addr.Addr()] = &testNode{store: f.store, fleet: f, addr: addr}
 		}
 	}
+	if pause == 0 {
+		for _, up := range entries {
+			f.store.put(up)
+		}
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	t.Cleanup(func() { stop(); group.Wait() })
 	for _, n := range f.nodes {
 		cfg := DefaultConfig()
 		cfg.Self, cfg.PeerPort = n.addr, 7000
-		for _, up := range f.published() {
+		for _, up := range entries {
 			if up.Address == n.addr {
 				cfg.DataCentre = up.DataCentre
 			}
@@ -353,6 +361,13 @@
 	for _, n := range f.nodes {
 		group.Go(func() { n.follower.Run(ctx) })
 	}
+	if pause > 0 {
+		rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+		for _, up := range entries {
+			f.store.put(up)
+			time.Sleep(pause)
+		}
+	}
 	time.Sleep(3 * time.Second)
 	return f
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -200,6 +200,7 @@
 		for slot := range membership.MaxNewsSources {
 			group.Go(func() { f.followPeers(ctx, slot) })
 		}
+		group.Go(func() { f.shareLinks(ctx) })
 	}
 	group.Go(func() { periodic.Run(ctx, staleCheck, f.noteAge) })
 	f.followStore(ctx)
--- a/internal/discovery/links.go
+++ b/internal/discovery/links.go
@@ -1,7 +1,13 @@
 package discovery
 
 import (
+	"context"
 	"encoding/binary"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -80,3 +86,47 @@
 	own, _ := f.dir.Load().At(f.cfg.Self)
 	return NodeLink{Node: own.ID, Mbps: f.cfg.LinkMbps}
 }
+
+// linksPause lies between two questions of a reader of the store about links. Readers
+// ask nobody else for news, so what each hears of its own followers stays with it: of
+// 101 nodes that started while their upstreams were published 13 took themselves for one
+// of three readers for good.
+const linksPause = time.Second
+
+// shareLinks asks some other node about links now and then while this one is a reader,
+// until ctx ends.
+func (f *Follower) shareLinks(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, linksPause)
+		node, ask, ok := f.linksQuestion()
+		if !ok {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
+		n, err := f.peers.Ask(call, node, ask)
+		cancel()
+		if err != nil {
+			continue // it may have left; another is asked soon
+		}
+		f.mu.Lock()
+		f.hearLinks(n.Links...)
+		f.mu.Unlock()
+	}
+}
+
+// linksQuestion returns a node drawn at random and what to ask it; false if this node is
+// no reader or knows no other.
+func (f *Follower) linksQuestion() (node netip.AddrPort, ask Ask, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := f.ownLink()
+	if !f.reader || own.Mbps == 0 {
+		return node, ask, false
+	}
+	others := slices.DeleteFunc(slices.Collect(maps.Values(f.dir.Load().members)), func(m membership.Member) bool { return m.Name == own.Node })
+	if len(others) == 0 {
+		return node, ask, false
+	}
+	ask = Ask{Link: own, LinksHash: f.links.hash, Links: f.links.told, OnlyLinks: true}
+	return others[rand.IntN(len(others))].Peer, ask, true
+}
--- a/internal/discovery/links_test.go
+++ b/internal/discovery/links_test.go
@@ -20,7 +20,7 @@
 			if strong(c.Self.String()) {
 				c.LinkMbps = 140
 			}
-		}, 30, "a", "b", "c")
+		}, 0, 30, "a", "b", "c")
 		names := make(map[string]bool)
 		for _, n := range f.sorted() {
 			if strong(n.addr.String()) {
@@ -47,6 +47,28 @@
 	})
 }
 
+// Whichever nodes are strong, all agree on the readers soon, though they start before all
+// upstreams are published, so that each first knows others: the readers of the start tell
+// each other what each heard of its own followers.
+func TestNodesAgreeOnTheReaders(t *testing.T) {
+	for strong := 1; strong <= 12; strong++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFollowersWith(t, func(c *Config) {
+				c.LinkMbps = 7
+				if c.Self.Addr().As4()[3] == byte(strong) {
+					c.LinkMbps = 140
+				}
+			}, 25*time.Millisecond, 30, "a", "b", "c")
+			time.Sleep(6 * time.Second)
+			readers, _ := f.roles()
+			assert.Equal(t, len(readers), 3, "strong: %d", strong)
+			for _, r := range readers {
+				assert.Equal(t, r.addr.Addr().As4()[3], byte(strong))
+			}
+		})
+	}
+}
+
 // What other nodes tell of links counts for nodes that are known, and agreeing nodes tell
 // each other nothing.
 func TestLinksAreToldWhereTheyDiffer(t *testing.T) {
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -36,6 +36,8 @@
 	Link      NodeLink   `cbor:"6,keyasint,omitempty"`
 	LinksHash uint64     `cbor:"7,keyasint,omitempty"`
 	Links     []NodeLink `cbor:"8,keyasint,omitempty"`
+	// OnlyLinks asks for nothing else, at once.
+	OnlyLinks bool `cbor:"9,keyasint,omitempty"`
 	// Age is how old what the asking node knows was when it asked.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -14,8 +14,11 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.asked = began
 	f.hearLinks(append(ask.Links, ask.Link)...)
+	if ask.OnlyLinks {
+		return News{Age: unknownAge, Links: f.links.told, LinksHash: f.links.hash}, nil
+	}
+	f.asked = began
 	known := began.Add(-ask.Age)
 	for waited := false; !waited && !f.hasNews(ask) && !f.knowsLater(known); {
 		tick := f.tick
