The guard of a cold upstream is a type of its own

Moved out of the sidecar, no change of behaviour but one: a question that is under way is not waited for at the end of the process.

--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -22,18 +22,43 @@
 				bed.router.Start(bed.now, m.Instance)
 				bed.router.End(bed.now, bed.rnd, m.Name, Outcome{Told: &told, Kind: "k"})
 			}
-			req := Request{Service: bed.service, Kind: "k", Aim: bed.now.Add(time.Second)}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for b.Loop() {
-				if _, ok := bed.router.Pick(bed.now, bed.rnd, req, bed.lookup); !ok {
-					b.Fatal("no upstream")
+			benchmarkPick(b, bed)
+		})
+	}
+}
+
+// BenchmarkPickAmongEvacuatedAndCold is BenchmarkPick where a third of the upstreams is
+// evacuated and a third cold.
+func BenchmarkPickAmongEvacuatedAndCold(b *testing.B) {
+	for _, n := range []int{108, 500, 2300} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			cfg := DefaultConfig()
+			cfg.ByTime, cfg.ColdTold = true, true
+			bed := newBedWith(cfg, n)
+			for i := range n {
+				m := bed.members[fmt.Sprintf("u%d", i)]
+				m.Evacuated = i%3 == 0
+				if i%3 == 1 {
+					m.ColdFrom, m.ColdUntil, m.ColdRate = bed.now, bed.now.Add(time.Minute), 0.1
 				}
+				bed.members[m.Name] = m
 			}
+			benchmarkPick(b, bed)
 		})
 	}
 }
 
+func benchmarkPick(b *testing.B, bed *bed) {
+	req := Request{Service: bed.service, Kind: "k", Aim: bed.now.Add(time.Second)}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		if _, ok := bed.router.Pick(bed.now, bed.rnd, req, bed.lookup); !ok {
+			b.Fatal("no upstream")
+		}
+	}
+}
+
 // A choice among a hundred upstreams copied all of them three times: 65 KB of
 // garbage for each request, at nodes with a sixth of a core.
 func TestChoiceLeavesNoGarbage(t *testing.T) {
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -101,7 +101,7 @@
 		Ledger:       ledger.DefaultConfig(),
 		Dialect:      s.platform.Dialect,
 		Transport:    s.upstream,
-		Reached:      s.upstreamReached,
+		Reached:      func(ok bool) { s.guard.reached(ok) },
 		WholeAnswers: wholeAnswers,
 		Receivers:    receivers,
 		ReceiveLimit: int64(s.cfg.BufferLimit),
@@ -110,6 +110,8 @@
 		AnswerTotal:  int64(s.cfg.MemoryLimit) << 20 / bufferShare,
 	}, s.holder, nil, requests, time.Now())
 
+	s.guard = newColdGuard(s)
+
 	policy := retry.DefaultPolicy()
 	policy.Ratio, policy.Reserve, policy.FreeTries = s.cfg.RetryRatio, float64(s.cfg.RetryReserve), freeTries
 	choice := routing.DefaultConfig()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,16 +54,7 @@
 	// the follower.
 	own    discovery.Known
 	closed admission.Reason
-
-	began        time.Time    // when this process started
-	sentUnasked  atomic.Int64 // requests sent since the own upstream was asked last
-	asked        atomic.Bool  // it is asked now
-	upstreamLost atomic.Bool  // no connection to the own upstream could be made last
-	asks         sync.WaitGroup
-	asking       context.Context // ends with this process
-	stopAsking   context.CancelFunc
-	coldMu       sync.Mutex // guards cold
-	cold         ownCold
+	guard  *coldGuard
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -81,8 +72,7 @@
 func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
 	debug.SetGCPercent(cfg.GCPercent)
-	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, closed: admission.ReasonDraining, began: time.Now()}
-	s.asking, s.stopAsking = context.WithCancel(context.Background())
+	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, closed: admission.ReasonDraining}
 	s.service.Store(&cfg.Service)
 	s.build()
 	if err := s.bind(); err != nil {
@@ -113,7 +103,7 @@
 	}
 	if ok {
 		s.followLife(own)
-		s.followCold(own)
+		s.guard.follow(own)
 	}
 	s.followUpstream(s.closedFor(d, own, ok))
 }
@@ -189,8 +179,7 @@
 	stop()
 	s.closeAll()
 	group.Wait()
-	s.stopAsking()
-	s.asks.Wait()
+	s.guard.stop()
 	s.hop.Close()
 	s.news.Close()
 	s.upstream.Close()
