One budget of lines, one age of the table

Two types each held a limiter and a count of what was left out; the age of the table was kept by the proxy beside the follower. The test of the proxy's age moved to the follower's, with the same times; the proxy's test checks that records carry it.

--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -186,3 +186,27 @@
 		assert.Equal(t, holder.ID().Edition, uint64(2))
 	})
 }
+
+// The age of the table counts from when it was taken, whatever else changes.
+func TestAgeOfTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFollower(DefaultConfig(), &fakeSource{}, nil, &snapshot.Holder{}, log.New(io.Discard), func(*Directory) {})
+		assert.Equal(t, f.TableAge(time.Now()), time.Duration(0))
+		take := func(edition uint64) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.takeDocument(testDocument(edition), SourceStore)
+		}
+		take(1)
+		time.Sleep(time.Second)
+		take(1)
+		f.mu.Lock()
+		f.changed("")
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		assert.Equal(t, f.TableAge(time.Now()), 2*time.Second)
+		take(2)
+		time.Sleep(time.Second)
+		assert.Equal(t, f.TableAge(time.Now()), time.Second)
+	})
+}
--- a/internal/proxy/cut.go
+++ b/internal/proxy/cut.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/walldrift/walldrift/internal/version"
 )
 
 // CutReason says why an answer broke off after its status had gone out.
@@ -25,8 +22,8 @@
 type CutRecord struct {
 	Reason CutReason // empty for answers that are whole
 	Sent   int64     // bytes of the body passed on
-	// TableAge is the time since the first request met the table in force, to
-	// tell what a change brings from what happens at any time.
+	// TableAge is the time since the table in force was taken, to tell what a change
+	// brings from what happens at any time.
 	TableAge time.Duration
 }
 
@@ -38,7 +35,7 @@
 	x.cut = CutRecord{
 		Reason:   x.cutReason(err),
 		Sent:     sent,
-		TableAge: x.f.tables.age(now),
+		TableAge: x.f.cfg.TableAge(now),
 	}
 	x.f.metrics.cutBy(x.cut.Reason)
 }
@@ -56,27 +53,3 @@
 	}
 	return CutHopLost
 }
-
-// tablesSeen holds the table that requests met last.
-type tablesSeen struct{ atomic.Pointer[tableSeen] }
-
-// tableSeen is a table and when a request first met it.
-type tableSeen struct {
-	id    version.ID
-	since time.Time
-}
-
-// age returns the time since a request first met the table in force.
-func (s *tablesSeen) age(now time.Time) time.Duration {
-	if seen := s.Load(); seen != nil {
-		return now.Sub(seen.since)
-	}
-	return 0
-}
-
-// note takes over the table that a request met.
-func (s *tablesSeen) note(now time.Time, id version.ID) {
-	if seen := s.Load(); seen == nil || seen.id != id {
-		s.Store(&tableSeen{id: id, since: now})
-	}
-}
--- a/internal/proxy/cut_test.go
+++ b/internal/proxy/cut_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/retry"
-	"github.com/walldrift/walldrift/internal/version"
 )
 
 // brokenBody gives some bytes, and then its error.
@@ -70,7 +69,7 @@
 				return resp, nil
 			}}}
 			var got Record
-			f = newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), Record: func(r *Record) { got = *r }}, everyMember, s)
+			f = newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), Record: func(r *Record) { got = *r }, TableAge: func(time.Time) time.Duration { return time.Minute }}, everyMember, s)
 			scope := tally.NewTestScope("", nil)
 			f.metrics = NewMetrics(scope)
 			var w http.ResponseWriter = httptest.NewRecorder()
@@ -84,21 +83,9 @@
 			assert.Equal(t, got.Outcome, "cut")
 			assert.Equal(t, got.Cut.Reason, reason)
 			assert.Equal(t, got.Cut.Sent, c.sent)
+			assert.Equal(t, got.Cut.TableAge, time.Minute)
 			assert.Equal(t, got.Leaving != nil, reason == CutNodeEnds)
 			assert.Equal(t, scope.Snapshot().Counters()["answers_cut+reason="+string(reason)].Value(), int64(1))
 		})
 	}
 }
-
-// The age of the table counts from the first request that met it, whatever else
-// changes.
-func TestAgeOfTheTableSeen(t *testing.T) {
-	var s tablesSeen
-	begin := time.Now()
-	assert.Equal(t, s.age(begin), time.Duration(0))
-	s.note(begin, version.ID{Edition: 1})
-	s.note(begin.Add(time.Second), version.ID{Edition: 1})
-	assert.Equal(t, s.age(begin.Add(2*time.Second)), 2*time.Second)
-	s.note(begin.Add(3*time.Second), version.ID{Edition: 2})
-	assert.Equal(t, s.age(begin.Add(4*time.Second)), time.Second)
-}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -39,7 +39,6 @@
 	held        atomic.Int64    // bytes of answers kept as this node leaves
 	endingRuns  context.Context // ends with EndRuns
 	endRuns     context.CancelFunc
-	tables      tablesSeen      // for records of answers that were cut
 	ending      context.Context // ends with EndAll
 	end         context.CancelFunc
 
@@ -90,6 +89,9 @@
 	// NewsAge returns how old the news of the upstreams are, for records. Default:
 	// not known, 0.
 	NewsAge func(now time.Time) time.Duration
+	// TableAge returns the time since the table in force was taken, for records.
+	// Default: not known, 0.
+	TableAge func(now time.Time) time.Duration
 	// BodyLimit returns the longest request body allowed, in bytes; 0 for any.
 	BodyLimit func() int64
 }
@@ -111,6 +113,9 @@
 	if cfg.NewsAge == nil {
 		cfg.NewsAge = func(time.Time) time.Duration { return 0 }
 	}
+	if cfg.TableAge == nil {
+		cfg.TableAge = func(time.Time) time.Duration { return 0 }
+	}
 	if cfg.BodyLimit == nil {
 		cfg.BodyLimit = func() int64 { return 0 }
 	}
@@ -166,7 +171,6 @@
 		return
 	}
 	defer f.inFlight.Add(-1)
-	f.tables.note(start, snap.ID)
 	route := snap.Match(r.Host, r.Method, rawPath(r))
 	if route == nil {
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -137,6 +137,7 @@
 		Record:         newRecorder(s.log).record,
 		CallerService:  func() string { return *s.service.Load() },
 		NewsAge:        s.follower.Age,
+		TableAge:       s.follower.TableAge,
 		BodyLimit:      func() int64 { return s.follower.Limits().BodyBytes },
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
 }
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -1,23 +1,19 @@
 package sidecar
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/time/rate"
 
 	"github.com/walldrift/walldrift/internal/http1"
 )
 
 // ends counts the connections that ended by their cause, and writes a line for
-// each that left a request without an answer or bytes unread, within the budget
-// of a recorder; what is left out is counted and said with the next line.
+// each that left a request without an answer or bytes unread, within a budget.
 type ends struct {
 	log    *log.Logger
-	budget *rate.Limiter
-	missed atomic.Int64
+	budget *lineBudget
 	state  func(now time.Time) nodeState
 	counts map[http1.EndCause]endCounts
 	side   string
@@ -35,7 +31,7 @@
 func newEnds(l *log.Logger, scope tally.Scope, side string, state func(time.Time) nodeState) *ends {
 	e := &ends{
 		log:    l,
-		budget: rate.NewLimiter(recordsPerSecond, recordBurst),
+		budget: newLineBudget(),
 		state:  state,
 		counts: make(map[http1.EndCause]endCounts),
 		side:   side,
@@ -63,8 +59,8 @@
 	if !left || end.Cause == http1.EndCallerGone || end.Cause == http1.EndTold && end.Unanswered == 0 {
 		return
 	}
-	if !e.budget.Allow() {
-		e.missed.Add(1)
+	leftOut, ok := e.budget.take()
+	if !ok {
 		return
 	}
 	state := e.state(end.At)
@@ -77,7 +73,7 @@
 		"late_ms", millis(end.Late),
 		"table_age_ms", millis(state.tableAge),
 		"leaving", state.leaving,
-		"left_out", e.missed.Swap(0),
+		"left_out", leftOut,
 	)
 }
 
--- a/internal/sidecar/ends_test.go
+++ b/internal/sidecar/ends_test.go
@@ -45,11 +45,11 @@
 func TestLinesOfEndsAreBounded(t *testing.T) {
 	var out bytes.Buffer
 	e := newEnds(log.New(&out), tally.NoopScope, "callers", func(time.Time) nodeState { return nodeState{} })
-	for range 10 * recordBurst {
+	for range 10 * lineBurst {
 		e.ended(http1.ConnEnd{Cause: http1.EndCut, Unanswered: 1})
 	}
-	assert.Assert(t, strings.Count(out.String(), "\n") < 5*recordBurst)
-	assert.Assert(t, e.missed.Load() > 0)
+	assert.Assert(t, strings.Count(out.String(), "\n") < 5*lineBurst)
+	assert.Assert(t, e.budget.missed.Load() > 0)
 }
 
 // The metrics address shows the ends of both listening sides.
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -4,37 +4,26 @@
 	"math"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"golang.org/x/time/rate"
 
 	"github.com/walldrift/walldrift/internal/proxy"
 )
 
-// Bounds of the lines about requests. A second's worth is what an on-call
-// engineer can use and costs under a hundredth of a small machine's core.
-const (
-	recordsPerSecond = 20
-	recordBurst      = 100
-)
-
-// recorder writes a line for each request whose decisions matter, within a
-// budget; what is left out is counted and said with the next line.
+// recorder writes a line for each request whose decisions matter, within a budget.
 type recorder struct {
 	log    *log.Logger
-	budget *rate.Limiter
-	missed atomic.Int64
+	budget *lineBudget
 }
 
 func newRecorder(l *log.Logger) *recorder {
-	return &recorder{log: l, budget: rate.NewLimiter(recordsPerSecond, recordBurst)}
+	return &recorder{log: l, budget: newLineBudget()}
 }
 
 func (r *recorder) record(rec *proxy.Record) {
-	if !r.budget.Allow() {
-		r.missed.Add(1)
+	leftOut, ok := r.budget.take()
+	if !ok {
 		return
 	}
 	fields := []any{
@@ -56,7 +45,7 @@
 		"sent", rec.Cut.Sent,
 		"table_age_ms", millis(rec.Cut.TableAge),
 		"tries", formatTries(rec.Tries),
-		"left_out", r.missed.Swap(0),
+		"left_out", leftOut,
 	}
 	r.log.Info("request", append(fields, leavingFields(rec.Leaving)...)...)
 }
