--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -39,7 +39,8 @@
 }
 
 // endUnlisted ends the evacuations that a whole listing of a revision lacks. Those
-// ordered after it are no matter of the listing.
+// ordered after it are no matter of the listing: their revision is later than that of
+// such an end.
 func (r *Registry) endUnlisted(now time.Time, orders []Evacuation, revision uint64) bool {
 	listed := make(map[string]bool, len(orders))
 	for _, o := range orders {
@@ -47,7 +48,7 @@
 	}
 	var ends []Evacuation
 	for centre, e := range r.evacuations {
-		if !e.Over && !listed[centre] && e.Revision < revision {
+		if !e.Over && !listed[centre] {
 			ends = append(ends, Evacuation{DataCentre: centre, Revision: revision, Over: true})
 		}
 	}
