--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -27,10 +27,8 @@
 // Evacuated reports whether the upstreams of a data centre are to get nothing.
 func (d *Directory) Evacuated(centre string) bool { return d.evacuated[centre] }
 
-// changed puts a changed belief in force. from is SourceStore or the node that
-// told of the change, empty if only time has passed. The lock is held.
-func (f *Follower) changed(from string) {
-	known := f.registry.UpstreamsOf(f.services)
+// directoryOf returns the directory of what is believed. The lock is held.
+func (f *Follower) directoryOf(known []Known) *Directory {
 	dir := &Directory{
 		members:   make(map[string]membership.Member, len(known)),
 		byAddress: make(map[netip.AddrPort]Known, len(known)),
@@ -44,11 +42,19 @@
 		dir.byAddress[k.Address] = k
 		if f.services == nil || f.services[k.Service] {
 			m := f.member(k)
-			m.ColdFrom, m.ColdUntil, m.ColdRate = k.ColdFrom, k.ColdUntil, f.coldShare(k.Service, len(known))
+			m.ColdRate = f.coldShare(k.Service, len(known))
 			m.Evacuated = dir.evacuated[k.DataCentre]
 			dir.members[k.ID] = m
 		}
 	}
+	return dir
+}
+
+// changed puts a changed belief in force. from is SourceStore or the node that
+// told of the change, empty if only time has passed. The lock is held.
+func (f *Follower) changed(from string) {
+	known := f.registry.UpstreamsOf(f.services)
+	dir := f.directoryOf(known)
 	f.logChanges(f.dir.Load(), dir, from)
 	f.dir.Store(dir)
 	f.chooseRole(dir)
@@ -69,42 +75,6 @@
 	f.holder.Advance(snap)
 }
 
-// mayBeCold takes an upstream of a data centre whose evacuation has ended for cold, as
-// long as it would be after a start: it may have started again or lost what it kept
-// meanwhile, and its entry tells late.
-func (f *Follower) mayBeCold(k Known) Known {
-	reopened := f.registry.reopened(k.DataCentre)
-	if reopened.IsZero() || f.document == nil {
-		return k
-	}
-	until := reopened.Add(f.document.Starts[k.Service].Cold)
-	if until.After(k.ColdUntil) {
-		k.ColdFrom, k.ColdUntil = reopened, until
-	}
-	return k
-}
-
-// callersShare is the part of the rate of a cold upstream that the nodes send together:
-// they come by chance, so at the whole rate half of all seconds would have too many.
-const callersShare = 0.8
-
-// coldShare is the rate of requests that a cold upstream of a service bears from this
-// node, as one of so many; 0 for any rate.
-func (f *Follower) coldShare(service string, nodes int) float64 {
-	if f.document == nil {
-		return 0
-	}
-	return callersShare * f.document.Starts[service].Rate / float64(max(nodes, 1))
-}
-
-// Starts tells how the upstreams of a service start; the zero value if nothing is known.
-func (f *Follower) Starts(service string) StartTerms {
-	if t := f.starts.Load(); t != nil {
-		return (*t)[service]
-	}
-	return StartTerms{}
-}
-
 // chooseRole computes whether this node reads the store for others, and whose
 // news it follows.
 func (f *Follower) chooseRole(dir *Directory) {
@@ -183,6 +153,7 @@
 		State:      membership.Live,
 		Generation: k.Born,
 	}}
+	m.ColdFrom, m.ColdUntil = k.ColdFrom, k.ColdUntil
 	if k.Cold > 0 {
 		m.ColdSince = k.Seen
 	}
