Steps between tables are kept by one type; tests use no names of the platform

Replica and follower each kept the last advances of a table as splices, bounded by count and bytes, with the same estimate of their size. table.Steps serves both; the bounds of each stand.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -14,6 +14,7 @@
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/periodic"
 	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
 	"github.com/walldrift/walldrift/internal/version"
 )
 
@@ -42,12 +43,12 @@
 	services map[string]bool // named by document; nil before there is one
 	before   *Document       // the table before document, if that may still be refused
 	reported reported
-	since    time.Time // when document came
-	from     string    // where it came from
-	deflated []byte    // document, for other nodes; nil until one asks
-	links    links     // of nodes
-	asked    time.Time // when a node asked for news last
-	steps    steps     // that led to document
+	since    time.Time   // when document came
+	from     string      // where it came from
+	deflated []byte      // document, for other nodes; nil until one asks
+	links    links       // of nodes
+	asked    time.Time   // when a node asked for news last
+	steps    table.Steps // that led to document
 	// patches are the encoded differences of document, by their base.
 	patches   map[version.ID][]byte
 	listed    bool
@@ -79,6 +80,7 @@
 		onChange: onChange,
 		epoch:    rand.Uint64(),
 		tick:     make(chan struct{}),
+		steps:    table.Steps{MaxSteps: maxSteps, MaxBytes: maxStepBytes},
 		reader:   true, // until the first listing tells
 	}
 	f.dir.Store(&Directory{})
--- a/internal/discovery/patch.go
+++ b/internal/discovery/patch.go
@@ -24,57 +24,15 @@
 	patchShare = 4
 )
 
-// step is one advance of the table in force.
-type step struct {
-	from, to version.ID
-	splices  []table.Splice
-	size     int // bytes
-}
-
-// steps are the last advances, each from where the one before led.
-type steps []step
-
-// spliceOverhead approximates the encoded size of a splice without its bytes.
-const spliceOverhead = 12
-
-// add appends an advance and forgets what is too much.
-func (s *steps) add(from, to *Document) {
-	next := step{from: from.ID, to: to.ID, splices: table.Between(from.Raw, to.Raw)}
-	for _, splice := range next.splices {
-		next.size += len(splice.Insert) + spliceOverhead
-	}
-	*s = append(*s, next)
-	for len(*s) > maxSteps || s.size(0) > maxStepBytes {
-		*s = (*s)[1:]
-	}
-}
-
-// size is that of the steps from a place on.
-func (s *steps) size(from int) int {
-	total := 0
-	for _, one := range (*s)[from:] {
-		total += one.size
-	}
-	return total
-}
-
-// since returns the splices that lead from a version to the last one, a table of a
-// length, and whether they are known and short beside it.
-func (s *steps) since(base version.ID, length int) ([]table.Splice, bool) {
-	for i, one := range *s {
-		if one.from != base {
-			continue
-		}
-		if s.size(i) > length/patchShare {
-			return nil, false
-		}
-		var all []table.Splice
-		for _, later := range (*s)[i:] {
-			all = append(all, later.splices...)
-		}
-		return all, true
+// splicesSince returns the splices that lead from a version to the table in force; false
+// if they are not kept or not short beside it. The lock is held.
+func (f *Follower) splicesSince(base version.ID) ([]table.Splice, bool) {
+	var all []table.Splice
+	steps := f.steps.Since(base)
+	for _, s := range steps {
+		all = append(all, s.Splices...)
 	}
-	return nil, false
+	return all, len(steps) > 0 && table.SpliceBytes(all) <= len(f.document.Raw)/patchShare
 }
 
 // patch returns the encoded difference of the table in force against another; nil if
@@ -83,7 +41,7 @@
 	if p, ok := f.patches[base]; ok {
 		return p, nil
 	}
-	splices, ok := f.steps.since(base, len(f.document.Raw))
+	splices, ok := f.splicesSince(base)
 	if !ok {
 		return nil, nil
 	}
--- a/internal/discovery/patch_test.go
+++ b/internal/discovery/patch_test.go
@@ -18,9 +18,9 @@
 	"github.com/walldrift/walldrift/internal/version"
 )
 
-// writtenTable is a table in the form of a document of the platform: one line of JSON.
+// writtenTable is a table in the form of a published document: one line of JSON.
 func writtenTable(edition uint64, routes []string) *Document {
-	raw := fmt.Appendf(nil, `{"Version":"%08x","Routes":[%s],"Limits":{"MaxBodyBytes":100}}`, edition, joined(routes))
+	raw := fmt.Appendf(nil, `{"Version":"%08x","Routes":[%s],"Limits":{"body":100}}`, edition, joined(routes))
 	return &Document{ID: version.Of(edition, raw), Raw: raw}
 }
 
@@ -45,7 +45,7 @@
 
 func routeOf(i, timeout, service int) string {
 	name := (i + 1) * 7919 % 1_000_003
-	return fmt.Sprintf(`{"Name":"r-%06x","Host":"shop%d.example","Prefix":"/p%x/of%d/","Kind":"safe","TimeoutMs":%d,"AimMs":800,"Priority":1,"Service":"s-%d","MaxAttempts":2}`,
+	return fmt.Sprintf(`{"Name":"r-%06x","Host":"shop%d.example","Prefix":"/p%x/of%d/","Kind":"safe","timeout":%d,"objective":800,"Priority":1,"Service":"s-%d","tries":2}`,
 		name, i%40, name*31, i%100, timeout, service)
 }
 
@@ -57,6 +57,22 @@
 	"all time limits changed": func(r []string) []string { return routesOf(len(r), 1800) },
 }
 
+// advanced returns a follower that was asked for news and took tables one after the
+// other, for differences alone.
+func advanced(first *Document, later ...*Document) *Follower {
+	f := NewFollower(DefaultConfig(), nil, nil, nil, nil, nil)
+	f.asked, f.document = time.Now(), first
+	for _, d := range later {
+		f.advance(d)
+	}
+	return f
+}
+
+func (f *Follower) advance(d *Document) {
+	f.remember(d)
+	f.document, f.patches = d, nil
+}
+
 // A difference takes a small part of the bytes of a table: what a reader with a link of
 // 7 Mbit/s sends to 24 followers at each version of a storm.
 func TestDifferenceOfATableIsSmall(t *testing.T) {
@@ -64,9 +80,7 @@
 		for name, change := range tableChanges {
 			from := writtenTable(1, routesOf(n, 1500))
 			to := writtenTable(2, change(routesOf(n, 1500)))
-			var s steps
-			s.add(from, to)
-			f := &Follower{document: to, steps: s}
+			f := advanced(from, to)
 			patch, err := f.patch(from.ID)
 			assert.NilError(t, err)
 			whole, err := deflate(to.Raw)
@@ -92,7 +106,7 @@
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		routes := routesOf(rapid.IntRange(1, 60).Draw(t, "routes"), 1500)
 		held := writtenTable(1, routes)
-		f := &Follower{document: held}
+		f := advanced(held)
 		past := []*Document{held}
 		for edition := uint64(2); edition < uint64(rapid.IntRange(3, 50).Draw(t, "versions")); edition++ {
 			for range rnd.IntN(4) {
@@ -107,8 +121,7 @@
 				}
 			}
 			next := writtenTable(edition, routes)
-			f.steps.add(f.document, next)
-			f.document, f.patches = next, nil
+			f.advance(next)
 			past = append(past, next)
 		}
 		for _, base := range past[:len(past)-1] {
@@ -123,16 +136,14 @@
 			_, err = applyPatch(past[0], patch, base.ID)
 			assert.Assert(t, err != nil, "a difference leads to a version that it was not made for")
 		}
-		assert.Assert(t, len(f.steps) <= maxSteps && f.steps.size(0) <= maxStepBytes)
+		assert.Assert(t, f.steps.Len() <= maxSteps && f.steps.Bytes() <= maxStepBytes)
 	})
 }
 
 // Whatever comes as a difference, no table but the announced one results.
 func FuzzDifference(f *testing.F) {
 	from, to := writtenTable(1, routesOf(20, 1500)), writtenTable(2, routesOf(20, 1800))
-	var s steps
-	s.add(from, to)
-	patch, err := (&Follower{document: to, steps: s}).patch(from.ID)
+	patch, err := advanced(from, to).patch(from.ID)
 	assert.NilError(f, err)
 	f.Add(patch)
 	f.Add([]byte{})
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/table"
 )
 
 // What a follower takes over from the store, and what its silence says.
@@ -74,10 +76,10 @@
 // held.
 func (f *Follower) remember(next *Document) {
 	if f.document == nil || time.Since(f.asked) > askedLately {
-		f.steps = nil
+		f.steps.Forget()
 		return
 	}
-	f.steps.add(f.document, next)
+	f.steps.Add(table.Step{From: f.document.ID, To: next.ID, Splices: table.Between(f.document.Raw, next.Raw)})
 }
 
 // hold makes a table the one from which snapshots are built. The lock is held.
@@ -93,7 +95,8 @@
 func (f *Follower) refuse(err error) bool {
 	f.reportFindings([]Finding{{Entry: "table " + f.document.ID.String(), Err: err}})
 	before := f.before
-	f.before, f.steps = nil, nil
+	f.before = nil
+	f.steps.Forget()
 	if before == nil {
 		f.document, f.services, f.deflated = nil, nil, nil
 		return false
--- a/internal/distribution/replica.go
+++ b/internal/distribution/replica.go
@@ -38,13 +38,6 @@
 	Err  error
 }
 
-// step is one advance of this replica, kept to serve neighbours.
-type step struct {
-	from, to version.ID
-	splices  []table.Splice
-	size     int
-}
-
 // replica holds one document and decides what to take, ask for and send.
 type replica struct {
 	doc     Doc
@@ -54,7 +47,7 @@
 	whole   []byte // compressed raw, made when first needed
 	since   time.Time
 	from    string
-	steps   []step
+	steps   table.Steps           // for neighbours that are behind
 	known   map[string]version.ID // what each neighbour is known to hold
 	refused []Refusal
 	wanted  time.Time // when the last Want went out
@@ -62,7 +55,12 @@
 }
 
 func newReplica(doc Doc, check Check) *replica {
-	return &replica{doc: doc, check: check, known: make(map[string]version.ID)}
+	return &replica{
+		doc:   doc,
+		check: check,
+		steps: table.Steps{MaxSteps: maxSteps, MaxBytes: maxStepSize},
+		known: make(map[string]version.ID),
+	}
 }
 
 // offer takes a whole document. It reports the document's ID and whether the
@@ -83,31 +81,13 @@
 
 func (r *replica) advance(now time.Time, from string, id version.ID, raw []byte) {
 	if !r.held.IsZero() {
-		r.remember(step{from: r.held, to: id, splices: table.Between(r.raw, raw)})
+		r.steps.Add(table.Step{From: r.held, To: id, Splices: table.Between(r.raw, raw)})
 	}
 	r.held, r.raw, r.whole = id, raw, nil
 	r.since, r.from = now, from
 	r.wanted = time.Time{}
 }
 
-func (r *replica) remember(s step) {
-	for _, sp := range s.splices {
-		s.size += len(sp.Insert) + spliceOverhead
-	}
-	r.steps = append(r.steps, s)
-	total := 0
-	for _, st := range r.steps {
-		total += st.size
-	}
-	for len(r.steps) > 0 && (len(r.steps) > maxSteps || total > maxStepSize) {
-		total -= r.steps[0].size
-		r.steps = slices.Delete(r.steps, 0, 1)
-	}
-}
-
-// spliceOverhead approximates the encoded size of a splice without its bytes.
-const spliceOverhead = 12
-
 func (r *replica) refusal(id version.ID) *Refusal {
 	for i := range r.refused {
 		if r.refused[i].ID == id {
@@ -225,13 +205,12 @@
 
 // chain returns the kept steps from have to the held version, or nil.
 func (r *replica) chain(have version.ID) []Update {
-	at := slices.IndexFunc(r.steps, func(s step) bool { return s.from == have })
-	if at < 0 || have.IsZero() {
+	if have.IsZero() {
 		return nil
 	}
-	out := make([]Update, 0, len(r.steps)-at)
-	for _, s := range r.steps[at:] {
-		out = append(out, Update{Doc: r.doc, From: s.from, To: s.to, Splices: s.splices})
+	var out []Update
+	for _, s := range r.steps.Since(have) {
+		out = append(out, Update{Doc: r.doc, From: s.From, To: s.To, Splices: s.Splices})
 	}
 	return out
 }
@@ -250,9 +229,7 @@
 	}
 	size := 0
 	for _, u := range chain {
-		for _, sp := range u.Splices {
-			size += len(sp.Insert) + spliceOverhead
-		}
+		size += table.SpliceBytes(u.Splices)
 	}
 	if size > maxDeltaLen {
 		return nil, true
--- a/internal/proxy/dialect_test.go
+++ b/internal/proxy/dialect_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestColdLeft(t *testing.T) {
-	d := Dialect{Instance: "Who", Cold: "Cold-Ms"}
+	d := Dialect{Instance: "Who", Cold: "Cold-Left"}
 	for _, tc := range []struct {
 		who, cold string
 		left      time.Duration
@@ -27,7 +27,7 @@
 	} {
 		h := http.Header{}
 		h.Set("Who", tc.who)
-		h.Set("Cold-Ms", tc.cold)
+		h.Set("Cold-Left", tc.cold)
 		left, ok := d.ColdLeft(h)
 		assert.Equal(t, ok, tc.ok, "%q %q", tc.who, tc.cold)
 		assert.Equal(t, left, tc.left, "%q %q", tc.who, tc.cold)
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -37,7 +37,7 @@
 	NotExecuted:          "Test-Not-Executed",
 	Load:                 "Test-Load",
 	Instance:             "Test-Answering-Instance",
-	Cold:                 "Test-Cold-Ms",
+	Cold:                 "Test-Cold-Left",
 	FractionalRetryAfter: true,
 }
 
