Loops, locks and sorts that stood twice are called once

The watch of a silent peer and the sharing of links use periodic.Run, as other background work does; the gate's setters share one change; the readers' order gives members, so that the store's readers need no second look-up by name (and no number of nodes a reader, which they did not use); both ways of asking the own upstream share one question. No change of behaviour.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -110,37 +110,29 @@
 		return
 	}
 	g.reopening = time.AfterFunc(max(at.Sub(now), 0), func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.reopening = nil
-		g.settleAll(g.queue.Fill(time.Now()))
+		g.change(func(*Queue) { g.reopening = nil })
 	})
 }
 
-// SetColdRate bounds the requests that the upstream gets in any second while it is
-// cold; 0 sets no bound.
-func (g *Gate) SetColdRate(perSecond float64) {
+// change changes what the queue may start, and starts what waited for that.
+func (g *Gate) change(apply func(*Queue)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.SetColdRate(perSecond)
+	apply(g.queue)
 	g.settleAll(g.queue.Fill(time.Now()))
 }
 
-// SetCold says until when the upstream is cold.
-func (g *Gate) SetCold(until time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.queue.SetCold(until)
-	g.settleAll(g.queue.Fill(time.Now()))
+// SetColdRate bounds the requests that the upstream gets in any second while it is
+// cold; 0 sets no bound.
+func (g *Gate) SetColdRate(perSecond float64) {
+	g.change(func(q *Queue) { q.SetColdRate(perSecond) })
 }
 
+// SetCold says until when the upstream is cold.
+func (g *Gate) SetCold(until time.Time) { g.change(func(q *Queue) { q.SetCold(until) }) }
+
 // SetSlots changes the number of slots.
-func (g *Gate) SetSlots(n int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.queue.SetSlots(n)
-	g.settleAll(g.queue.Fill(time.Now()))
-}
+func (g *Gate) SetSlots(n int) { g.change(func(q *Queue) { q.SetSlots(n) }) }
 
 // SetDraining refuses further requests, or takes them again; those that wait
 // or run go on.
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -92,7 +92,7 @@
 		members[i].Link = f.links.rates[members[i].Name]
 	}
 	f.links.tell(membership.ReaderCandidates(members, f.cfg.NodesPerReader))
-	reader := slices.Contains(membership.StoreReaders(members, f.cfg.NodesPerReader), self.Name)
+	reader := slices.Contains(membership.StoreReaders(members), self.Name)
 	f.sources = nil
 	for _, name := range membership.NewsSources(self, members, f.cfg.NodesPerReader) {
 		f.sources = append(f.sources, dir.members[name].Instance)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -202,7 +202,9 @@
 		for slot := range membership.MaxNewsSources {
 			group.Go(func() { f.followPeers(ctx, slot) })
 		}
-		group.Go(func() { f.shareLinks(ctx) })
+		group.Go(func() {
+			periodic.Run(ctx, linksPause, func(time.Time) { f.shareLinks(ctx) })
+		})
 	}
 	group.Go(func() { periodic.Run(ctx, staleCheck, f.noteAge) })
 	f.followStore(ctx)
--- a/internal/discovery/links.go
+++ b/internal/discovery/links.go
@@ -93,25 +93,21 @@
 // of three readers for good.
 const linksPause = time.Second
 
-// shareLinks asks some other node about links now and then while this one is a reader,
-// until ctx ends.
+// shareLinks asks some other node about links if this one is a reader.
 func (f *Follower) shareLinks(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait(ctx, linksPause)
-		node, ask, ok := f.linksQuestion()
-		if !ok {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
-		n, err := f.peers.Ask(call, node, ask)
-		cancel()
-		if err != nil {
-			continue // it may have left; another is asked soon
-		}
-		f.mu.Lock()
-		f.hearLinks(n.Links...)
-		f.mu.Unlock()
+	node, ask, ok := f.linksQuestion()
+	if !ok {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
+	defer cancel()
+	n, err := f.peers.Ask(ctx, node, ask)
+	if err != nil {
+		return // it may have left; another is asked soon
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hearLinks(n.Links...)
 }
 
 // linksQuestion returns a node drawn at random and what to ask it; false if this node is
--- a/internal/http1/late_reader.go
+++ b/internal/http1/late_reader.go
@@ -1,13 +1,15 @@
 package http1
 
 import (
+	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/periodic"
 )
 
 // errPeerSilent reports a peer that acknowledges nothing any more.
@@ -25,8 +27,7 @@
 	nc    net.Conn
 	raw   syscall.RawConn
 	limit time.Duration
-	once  sync.Once // closes done
-	done  chan struct{}
+	end   context.CancelFunc
 	ended chan struct{}
 	found atomic.Bool // the peer was silent
 }
@@ -42,30 +43,27 @@
 	if err != nil {
 		return nil
 	}
-	w := &silenceWatch{nc: nc, raw: raw, limit: limit, done: make(chan struct{}), ended: make(chan struct{})}
+	w := &silenceWatch{nc: nc, raw: raw, limit: limit, ended: make(chan struct{})}
 	if _, known := w.look(); !known {
 		return nil
 	}
 	w.setTimeout(0)
-	go w.run()
+	ctx, end := context.WithCancel(context.Background())
+	w.end = end
+	go func() {
+		defer close(w.ended)
+		periodic.Run(ctx, max(limit/silenceChecks, time.Millisecond), w.check)
+	}()
 	return w
 }
 
-func (w *silenceWatch) run() {
-	defer close(w.ended)
-	ticker := time.NewTicker(max(w.limit/silenceChecks, time.Millisecond))
-	defer ticker.Stop()
-	for {
-		select {
-		case <-w.done:
-			return
-		case <-ticker.C:
-		}
-		if silent, _ := w.look(); silent {
-			w.found.Store(true)
-			_ = w.nc.Close() // ends the reads and writes of its request
-			return
-		}
+// check closes the connection to a silent peer, which ends the reads and writes of its
+// request.
+func (w *silenceWatch) check(time.Time) {
+	if silent, _ := w.look(); silent {
+		w.found.Store(true)
+		_ = w.nc.Close()
+		w.end()
 	}
 }
 
@@ -88,7 +86,7 @@
 	if w == nil {
 		return
 	}
-	w.once.Do(func() { close(w.done) })
+	w.end()
 	<-w.ended
 	w.setTimeout(w.limit)
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -280,7 +280,7 @@
 			add(fmt.Sprintf("dc%d", c), i)
 		}
 	}
-	few := StoreReaders(members, perReader)
+	few := StoreReaders(members)
 	assert.Equal(t, len(few), storeReaders)
 	centres := make(map[string]bool)
 	for _, m := range members {
@@ -302,6 +302,6 @@
 	kept := slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
 		return !slices.Contains(few, m.Name) && strings.HasSuffix(m.Name, "3")
 	})
-	assert.DeepEqual(t, StoreReaders(kept, perReader), few)
-	assert.Equal(t, len(StoreReaders(members[:1], perReader)), 1)
+	assert.DeepEqual(t, StoreReaders(kept), few)
+	assert.Equal(t, len(StoreReaders(members[:1])), 1)
 }
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -14,20 +14,24 @@
 			near = append(near, m)
 		}
 	}
-	return slices.Index(readerOrder(self.DataCentre, near), self.Name)
+	return slices.Index(namesOf(readerOrder(self.DataCentre, near)), self.Name)
 }
 
 // strongest sorts nodes by the rate of their links, the greatest first, and those alike by
 // their rendezvous score for key. A reader reads each version of the table whole and
 // tells it to many: on links of 7 Mbit/s, with one of 140 beside 15 of them, a storm of
 // tables left 0.5 to 0.6 of the requests in time where it filled those of readers.
-func strongest(key string, members []Member) []string {
+func strongest(key string, members []Member) []Member {
 	all := slices.Clone(members)
 	slices.SortFunc(all, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(score(key, b.Name), score(key, a.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	names := make([]string, len(all))
-	for i, m := range all {
+	return all
+}
+
+func namesOf(members []Member) []string {
+	names := make([]string, len(members))
+	for i, m := range members {
 		names[i] = m.Name
 	}
 	return names
@@ -35,7 +39,7 @@
 
 // readerOrder is the order in which the nodes of a data centre are chosen as
 // readers of the platform.
-func readerOrder(centre string, members []Member) []string {
+func readerOrder(centre string, members []Member) []Member {
 	return strongest("readers of "+centre, members)
 }
 
@@ -43,7 +47,7 @@
 // every perReader nodes alive, and at least one if there are any.
 func Readers(centre string, members []Member, perReader int) []string {
 	alive := aliveIn(centre, members)
-	return readerOrder(centre, alive)[:readersOf(len(alive), perReader)]
+	return namesOf(readerOrder(centre, alive)[:readersOf(len(alive), perReader)])
 }
 
 // readersOf is the number of readers among so many nodes of a data centre.
@@ -66,7 +70,7 @@
 	for centre := range newTopology(members).centres {
 		alive := aliveIn(centre, members)
 		n := min(2*readersOf(len(alive), perReader)+2, len(alive))
-		out = append(out, readerOrder(centre, alive)[:n]...)
+		out = append(out, namesOf(readerOrder(centre, alive)[:n])...)
 	}
 	slices.Sort(out)
 	return out
@@ -81,18 +85,14 @@
 // StoreReaders returns the nodes that read the platform: of the first reader of
 // each data centre a few. The other readers follow them and pass on what they hear,
 // so that calls of the platform do not grow with the data centres.
-func StoreReaders(members []Member, perReader int) []string {
-	byName := make(map[string]Member, len(members))
-	for _, m := range members {
-		byName[m.Name] = m
-	}
+func StoreReaders(members []Member) []string {
 	var first []Member
 	for centre := range newTopology(members).centres {
-		if readers := Readers(centre, members, perReader); len(readers) > 0 {
-			first = append(first, byName[readers[0]])
+		if alive := aliveIn(centre, members); len(alive) > 0 {
+			first = append(first, readerOrder(centre, alive)[0])
 		}
 	}
-	return strongest("readers for all", first)[:min(storeReaders, len(first))]
+	return namesOf(strongest("readers for all", first)[:min(storeReaders, len(first))])
 }
 
 // relaySources returns the store readers that a reader of its data centre follows;
@@ -101,7 +101,7 @@
 	if !slices.Contains(Readers(self.DataCentre, members, perReader), self.Name) {
 		return nil, false
 	}
-	others := slices.DeleteFunc(StoreReaders(members, perReader), func(name string) bool { return name == self.Name })
+	others := slices.DeleteFunc(StoreReaders(members), func(name string) bool { return name == self.Name })
 	others = rank(self.Name, others)
 	return others[:min(MaxNewsSources, len(others))], true
 }
--- a/internal/sidecar/cold_guard.go
+++ b/internal/sidecar/cold_guard.go
@@ -125,10 +125,7 @@
 	go func() {
 		defer g.asked.Store(false)
 		g.unasked.Store(0)
-		at := time.Now()
-		if left, err := g.fetch(); err == nil { // otherwise it is asked again soon
-			g.told(at, left)
-		}
+		_ = g.ask() // where it does not say, it is asked again soon
 	}()
 }
 
@@ -148,10 +145,8 @@
 // not say.
 func (g *coldGuard) askUntilTold() {
 	for try := 1; ; try++ {
-		asked := time.Now()
-		left, err := g.fetch()
+		err := g.ask()
 		if err == nil {
-			g.told(asked, left)
 			return
 		}
 		if try == askTries || g.ctx.Err() != nil {
@@ -165,6 +160,16 @@
 	}
 }
 
+// ask asks the own upstream once, and takes over what it says.
+func (g *coldGuard) ask() error {
+	asked := time.Now()
+	left, err := g.fetch()
+	if err == nil {
+		g.told(asked, left)
+	}
+	return err
+}
+
 func (g *coldGuard) told(asked time.Time, left time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
