--- a/internal/http1/stall_test.go
+++ b/internal/http1/stall_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -137,13 +138,35 @@
 	_, _ = io.WriteString(w, r.URL.Path+string(body))
 }
 
-func TestRequestBeforeTheIdleDeadlineIsAnswered(t *testing.T) {
+// standAtIdleDeadline connects to a server that stands still as it waits for a request,
+// with a brief idle time.
+func standAtIdleDeadline(t *testing.T) (net.Conn, *bufio.Reader, *point) {
+	t.Helper()
 	limits := DefaultLimits()
 	limits.IdleTimeout = brief
 	at := newPoint(1)
 	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsOf(limits)}, stalls{wait: at})
 	nc, br := dial(t, addr)
 	<-at.standing
+	return nc, br, at
+}
+
+// standInHead sends the beginning of a head to a server that then stands still, with a
+// brief time for the rest.
+func standInHead(t *testing.T, beginning string) (net.Conn, *bufio.Reader, *point) {
+	t.Helper()
+	limits := DefaultLimits()
+	limits.HeaderTimeout = brief
+	at := newPoint(2)
+	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsOf(limits)}, stalls{read: at})
+	nc, br := dial(t, addr)
+	write(t, nc, beginning)
+	<-at.standing
+	return nc, br, at
+}
+
+func TestRequestBeforeTheIdleDeadlineIsAnswered(t *testing.T) {
+	nc, br, at := standAtIdleDeadline(t)
 	write(t, nc, get("/a"))
 	over()
 	close(at.goOn)
@@ -153,12 +176,7 @@
 
 // What came is the beginning of a request: its rest has the time of a head.
 func TestPartOfAHeadBeforeTheIdleDeadline(t *testing.T) {
-	limits := DefaultLimits()
-	limits.IdleTimeout = brief
-	at := newPoint(1)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsOf(limits)}, stalls{wait: at})
-	nc, br := dial(t, addr)
-	<-at.standing
+	nc, br, at := standAtIdleDeadline(t)
 	request := get("/a")
 	write(t, nc, request[:9])
 	over()
@@ -170,14 +188,8 @@
 }
 
 func TestHeadBeforeItsDeadlineIsRead(t *testing.T) {
-	limits := DefaultLimits()
-	limits.HeaderTimeout = brief
-	at := newPoint(2)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsOf(limits)}, stalls{read: at})
-	nc, br := dial(t, addr)
 	request := get("/a")
-	write(t, nc, request[:9])
-	<-at.standing
+	nc, br, at := standInHead(t, request[:9])
 	write(t, nc, request[9:])
 	over()
 	close(at.goOn)
@@ -188,14 +200,8 @@
 
 // A head of which only a part came until its deadline is refused as before.
 func TestHeadAfterItsDeadlineIsRefused(t *testing.T) {
-	limits := DefaultLimits()
-	limits.HeaderTimeout = brief
-	at := newPoint(2)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsOf(limits)}, stalls{read: at})
-	nc, br := dial(t, addr)
 	request := get("/a")
-	write(t, nc, request[:9])
-	<-at.standing
+	nc, br, at := standInHead(t, request[:9])
 	write(t, nc, request[9:15])
 	over()
 	close(at.goOn)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -233,18 +233,6 @@
 	assert.Assert(t, got < 2300, "%d of 6000", got)
 }
 
-func TestColdInstanceStartsSlowly(t *testing.T) {
-	b := newBed(2)
-	b.pick()
-	m := b.members["u1"]
-	m.Generation = uint64(b.now.UnixMilli())
-	b.members["u1"] = m
-	cold := b.share(5000)["u1"]
-	b.now = b.now.Add(DefaultConfig().SlowStart)
-	warm := b.share(5000)["u1"]
-	assert.Assert(t, cold < 1200 && warm > 2300, "cold %d, warm %d", cold, warm)
-}
-
 func TestOtherRegionsGetLittleWhileNearOnesServe(t *testing.T) {
 	b := newBed(2)
 	m := b.members["u1"]
@@ -387,18 +375,3 @@
 	b.router.Start(b.now, earlier) // chosen before the restart was known
 	check()
 }
-
-// A cold upstream's share grows from when it was first heard of.
-func TestColdUpstreamIsTold(t *testing.T) {
-	cfg := DefaultConfig()
-	cfg.ColdTold = true
-	b := newBedWith(cfg, 2)
-	m := b.members["u1"]
-	m.Generation, m.ColdSince = uint64(b.now.UnixMilli()), b.now.Add(-cfg.SlowStart/2)
-	b.members["u1"] = m
-	all := b.router.Candidates(b.now, Request{Service: b.service}, b.lookup)
-	assert.Assert(t, all[1].Weight > 0.5 && all[1].Weight < 0.7, "%v", all[1].Weight)
-	m.Generation, m.ColdSince = m.Generation+1, time.Time{}
-	b.members["u1"] = m
-	assert.Equal(t, b.router.Candidates(b.now, Request{Service: b.service}, b.lookup)[1].Weight, 1.0)
-}
--- a/internal/sidecar/leaving_wait_test.go
+++ b/internal/sidecar/leaving_wait_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -71,3 +72,53 @@
 	}
 	assert.Equal(t, len(began()), len(running), "begun after the cut")
 }
+
+// waitLonger publishes a table by which requests may wait longer than news take.
+func (f *fleet) waitLonger() {
+	f.store.change(func(u *discovery.Update) {
+		u.Document = document(2)
+		for i := range u.Document.Table.Routes {
+			u.Document.Table.Routes[i].Objective = 2 * time.Second
+		}
+	})
+	for _, s := range f.sidecars {
+		for s.holder.ID().Edition < 2 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// What waits for a slot of an upstream that leaves is refused at once and may go
+// elsewhere: it reached the upstream later than everybody knew that it had left.
+func TestWaitingRequestLeavesALeavingUpstream(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	f.waitLonger()
+	release := make(chan struct{})
+	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "ok")
+	})
+	const n = 20
+	reasons := make(chan string, n)
+	for range n {
+		req := f.request(0, "GET", "/read/x", "")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				reasons <- err.Error()
+				return
+			}
+			_ = resp.Body.Close()
+			reasons <- resp.Header.Get(proxy.HeaderReason)
+		}()
+	}
+	backend := f.sidecars[0].backend
+	for backend.Load().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.store.change(func(u *discovery.Update) {
+		u.Upstreams[0].Leaving, u.Upstreams[0].Revision = true, u.Revision
+	})
+	assert.Equal(t, <-reasons, string(admission.ReasonDraining))
+	close(release)
+}
