--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -80,7 +80,7 @@
 // evacuation.
 func TestWaitingRequestLeavesAnEvacuatedUpstream(t *testing.T) {
 	f := startFleet(t, 2, 0)
-	f.waitLonger()
+	f.waitLonger(2*time.Second, 2*time.Second)
 	f.moveUpstream(1, "b")
 	f.evacuate("b", false)
 	f.awaitEvacuated(1)
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -11,7 +11,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/proxy"
 	"github.com/walldrift/walldrift/internal/table"
--- a/internal/sidecar/leaving_wait_test.go
+++ b/internal/sidecar/leaving_wait_test.go
@@ -9,7 +9,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/discovery"
+	"github.com/walldrift/walldrift/internal/proxy"
 )
 
 // Requests of another node waited for a slot as a leaving node was out of time. As its
@@ -18,15 +20,7 @@
 // at the cut is refused as such and goes elsewhere.
 func TestLeavingNodeRefusesWhatWaitsAtTheCut(t *testing.T) {
 	f := startFleet(t, 2, 0)
-	f.store.change(func(u *discovery.Update) { // may wait longer than the node stays
-		u.Document = document(2)
-		for i := range u.Document.Table.Routes {
-			u.Document.Table.Routes[i].Timeout, u.Document.Table.Routes[i].Objective = 20*time.Second, 15*time.Second
-		}
-	})
-	for f.sidecars[0].holder.ID().Edition < 2 || f.sidecars[1].holder.ID().Edition < 2 {
-		time.Sleep(time.Millisecond)
-	}
+	f.waitLonger(20*time.Second, 15*time.Second) // than the node stays
 	release := make(chan struct{})
 	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) { <-release })
 	const n = 60 // more than the slots of both upstreams
@@ -73,12 +67,13 @@
 	assert.Equal(t, len(began()), len(running), "begun after the cut")
 }
 
-// waitLonger publishes a table by which requests may wait longer than news take.
-func (f *fleet) waitLonger() {
+// waitLonger publishes a table with the time limit and the objective of all routes, so that
+// requests may wait longer than news take.
+func (f *fleet) waitLonger(timeout, objective time.Duration) {
 	f.store.change(func(u *discovery.Update) {
 		u.Document = document(2)
 		for i := range u.Document.Table.Routes {
-			u.Document.Table.Routes[i].Objective = 2 * time.Second
+			u.Document.Table.Routes[i].Timeout, u.Document.Table.Routes[i].Objective = timeout, objective
 		}
 	})
 	for _, s := range f.sidecars {
@@ -92,7 +87,7 @@
 // elsewhere: it reached the upstream later than everybody knew that it had left.
 func TestWaitingRequestLeavesALeavingUpstream(t *testing.T) {
 	f := startFleet(t, 1, 0)
-	f.waitLonger()
+	f.waitLonger(2*time.Second, 2*time.Second)
 	release := make(chan struct{})
 	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) {
 		<-release
