Sight: falls of the upstream and fingerprints of requests in the lines

What could not be told: whether one request comes again or different ones fell with the upstream. No line had anything that is the same for two attempts, and none said that a process ended or what it may have been running.

A request has a fingerprint (service, method, host, target, customer, body), which nodes tell each other with the hand-over. A node whose request lost its connection asks the upstream for a new one; where that is refused, the process has ended, and all that was passed to it and not answered is told in one line. Nothing is decided by it.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -35,6 +35,13 @@
 	// Reached is called with each request to the upstream: whether a connection to it
 	// could be made. Nil for none.
 	Reached func(ok bool)
+	// Refuses reports whether the upstream refuses connections now, as it does when its
+	// process has ended; it is asked when the connection of a request broke. Nil: falls
+	// of the upstream are not noticed.
+	Refuses func() bool
+	// Fell is told of a fall of the upstream under requests, more than once if more is
+	// learnt of it. Nil for none.
+	Fell func(Fall)
 	// WholeAnswers is as in FrontendConfig.
 	WholeAnswers int64
 	// Receivers is the number of bodies that are received from other nodes at
@@ -72,6 +79,7 @@
 	sender   *turns                    // nil if long answers are sent as they come
 	kept     atomic.Int64              // bytes of answers kept for their turn
 	life     atomic.Pointer[life]      // of the upstream
+	falls    *fallWatch
 
 	mu      sync.Mutex // guards what follows
 	runs    *overload.RunTimes
@@ -120,6 +128,7 @@
 		limits:  admission.NewLimits(),
 		ledger:  ledger.New(cfg.Ledger, now),
 		history: ledger.NewHistory(cfg.Ledger),
+		falls:   newFallWatch(cfg.Refuses, cfg.Fell),
 	}
 	b.life.Store(newLife())
 	if cfg.Reached == nil {
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -20,6 +20,7 @@
 	key     ledger.Key
 	keyed   bool
 	started time.Time // when the slot was taken
+	sent    time.Time // when it was passed to the upstream
 	left    bool      // the slot was given back
 	remote  bool      // from another node
 	// received is when the body was here, if it was received first.
@@ -137,6 +138,7 @@
 		return
 	}
 	c.left = true
+	c.b.falls.ended(c)
 	held := time.Since(c.started)
 	c.b.mu.Lock()
 	c.b.limits.Done()
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -38,15 +38,21 @@
 			c.b.cfg.Reached(true)
 		},
 	}))
+	c.sent = time.Now()
+	c.b.falls.sent(c)
 	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
 	if err != nil {
 		ended := ctx.Err()
 		cancel()
 		if !connected.Load() && ended == nil {
 			c.b.cfg.Reached(false)
+			c.b.falls.fell()
 		}
-		return nil, c.failure(ended, err, connected.Load())
+		problem := c.failure(ended, err, connected.Load())
+		c.noteLost(ended, problem)
+		return nil, problem
 	}
+	c.b.falls.answered(c)
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
 	if problem := c.unusable(resp); problem != nil {
@@ -61,7 +67,9 @@
 		if err != nil {
 			return nil, c.failure(err, err, true)
 		}
-		return nil, unknownOutcome(http.StatusBadGateway, reasonLost)
+		problem := unknownOutcome(http.StatusBadGateway, reasonLost)
+		c.noteLost(nil, problem)
+		return nil, problem
 	}
 	if complete {
 		// The upstream is done: its slot need not wait for the caller's link.
@@ -115,8 +123,19 @@
 	return unknownOutcome(http.StatusBadGateway, reasonLost)
 }
 
+// noteLost notes a request that the upstream may have begun and whose connection broke,
+// with nobody on this side having ended it.
+func (c *backendCall) noteLost(ended error, p *Problem) {
+	if ended == nil && p.class == retry.Ambiguous {
+		c.b.falls.lostConnection(c)
+	}
+}
+
 // ended is called once when the answer's body ends.
 func (c *backendCall) ended(resp *http.Response, body *endingBody, whole bool, cancel context.CancelFunc) {
+	if !whole && c.req.Context().Err() == nil && time.Now().Before(c.start.Add(c.env.Timeout)) {
+		c.b.falls.lostConnection(c)
+	}
 	c.leave(whole)
 	cancel()
 	if !whole {
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/walldrift/walldrift/internal/overload"
+	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
 // Headers between callers and nodes.
@@ -48,6 +49,7 @@
 	headerNoWait     = "Walldrift-No-Wait"
 	headerLeft       = "Walldrift-Objective-Left-Ms"
 	headerLate       = "Walldrift-Late"
+	headerPrint      = "Walldrift-Fingerprint"
 	headerLoad       = "Walldrift-Load"
 	// headerHeld is the time that an answer took at the admitting node and the
 	// upstream, in microseconds.
@@ -77,6 +79,9 @@
 	Empty bool
 	// NoWait asks for a refusal in place of waiting for a slot.
 	NoWait bool
+	// Fingerprint tells all attempts of the request from other requests; 0 if it is not
+	// known, as from a node of an earlier build.
+	Fingerprint quarantine.Fingerprint
 }
 
 // Aim is how a request stands to its objective.
@@ -109,6 +114,7 @@
 	}
 	setIf(h, headerTenantID, e.Tenant)
 	setIf(h, headerKeyValue, e.Key)
+	setIf(h, headerPrint, e.Fingerprint.String())
 	setFlag(h, headerIdempotent, e.Idempotent)
 	setFlag(h, headerAwait, e.Await)
 	setFlag(h, headerEmpty, e.Empty)
@@ -153,6 +159,9 @@
 		}
 		e.Aim = &Aim{Left: time.Duration(ms) * time.Millisecond, Late: h.Get(headerLate) == flagSet}
 	}
+	if e.Fingerprint, err = quarantine.ParseFingerprint(h.Get(headerPrint)); err != nil {
+		return e, err
+	}
 	e.KindWeight, err = strconv.ParseFloat(h.Get(headerKindWeight), 64)
 	return e, errors.Wrap(err, "kind weight")
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/http1"
+	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/version"
@@ -60,6 +61,7 @@
 		x.finish(w, x.f.answer(bodyProblem(err), x.req))
 		return
 	}
+	x.env.Fingerprint = x.fingerprint()
 	if problem := x.overBeforeTry(ctx); problem != nil {
 		x.finish(w, x.f.answer(problem, x.req))
 		return
@@ -108,6 +110,22 @@
 	}
 }
 
+// fingerprint tells all attempts of the request from other requests.
+func (x *exchange) fingerprint() quarantine.Fingerprint {
+	r := quarantine.Request{
+		Service: x.service.Name,
+		Method:  x.req.Method,
+		Host:    x.req.Host,
+		Target:  x.req.URL.RequestURI(),
+		Tenant:  x.env.Tenant,
+		Body:    x.body.buffered,
+	}
+	if x.body.streams() {
+		r.Length = x.body.length
+	}
+	return r.Fingerprint()
+}
+
 // overBeforeTry says why a request whose body has come is not tried at all; nil if
 // it is. A body that lay in the kernel during a stall of this process is read after
 // the time of its request is over, or with the close of its caller behind it: 33 to 73
--- /dev/null
+++ b/internal/proxy/fall.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/walldrift/walldrift/internal/quarantine"
+)
+
+// Fall tells that the process of an upstream ended while it may have been running
+// requests.
+type Fall struct {
+	// ID is the same for what is learnt later of the same fall, and no other has it.
+	ID       uint64
+	Upstream string
+	Requests []quarantine.Fingerprint
+}
+
+// fallWatch finds out whether requests lost their connection because the upstream
+// beside this node ended, and which it may have been running then.
+type fallWatch struct {
+	refuses func() bool // whether the upstream refuses connections now
+	tell    func(Fall)
+
+	mu      sync.Mutex // guards what follows
+	running map[*backendCall]struct{}
+	lost    []lostRequest
+	looking bool
+	fall    Fall      // the last one; its ID is 0 once the upstream is known to be back
+	at      time.Time // when it was noticed
+}
+
+// lostRequest is a request whose connection broke.
+type lostRequest struct {
+	fingerprint quarantine.Fingerprint
+	at          time.Time
+}
+
+const (
+	// lostMemory is how long after a broken connection a refused one explains it.
+	lostMemory = 2 * time.Second
+	// secondLook is the wait before an upstream that accepts a connection is looked at
+	// again: a process that ends may close its listener after its connections.
+	secondLook = 20 * time.Millisecond
+	// fallSettles is how long connections made before a fall may still take requests.
+	fallSettles = 50 * time.Millisecond
+)
+
+func newFallWatch(refuses func() bool, tell func(Fall)) *fallWatch {
+	return &fallWatch{refuses: refuses, tell: tell, running: make(map[*backendCall]struct{})}
+}
+
+// sent notes that a request is passed to the upstream.
+func (f *fallWatch) sent(c *backendCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[c] = struct{}{}
+}
+
+// ended notes that the upstream runs a request no more.
+func (f *fallWatch) ended(c *backendCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, c)
+}
+
+// answered notes that the upstream lives.
+func (f *fallWatch) answered(c *backendCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteBack(c)
+}
+
+// noteBack ends the last fall if a request reached the upstream after it. The lock is
+// held.
+func (f *fallWatch) noteBack(c *backendCall) {
+	if c.env.Target != f.fall.Upstream || c.sent.After(f.at.Add(fallSettles)) {
+		f.fall.ID = 0
+	}
+}
+
+// lostConnection notes that the connection of a request broke, and looks whether the
+// upstream is there.
+func (f *fallWatch) lostConnection(c *backendCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noteBack(c)
+	f.fall.Upstream = c.env.Target
+	f.lost = append(f.lost, lostRequest{c.env.Fingerprint, time.Now()})
+	if f.looking || f.refuses == nil {
+		return
+	}
+	f.looking = true
+	go f.look()
+}
+
+// look asks the upstream for a connection, twice if it gives one.
+func (f *fallWatch) look() {
+	refused := f.refuses()
+	if !refused {
+		time.Sleep(secondLook)
+		refused = f.refuses()
+	}
+	f.mu.Lock()
+	f.looking = false
+	f.mu.Unlock()
+	if refused {
+		f.fell()
+	}
+}
+
+// fell notes that the upstream has ended, by whatever showed it. That explains the
+// connections lost a short while ago and those that will be.
+func (f *fallWatch) fell() {
+	fall, ok := f.takeFall(time.Now())
+	if ok && f.tell != nil {
+		f.tell(fall)
+	}
+}
+
+func (f *fallWatch) takeFall(now time.Time) (Fall, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var requests []quarantine.Fingerprint
+	for _, l := range f.lost {
+		if now.Sub(l.at) < lostMemory {
+			requests = append(requests, l.fingerprint)
+		}
+	}
+	if len(requests) == 0 {
+		return Fall{}, false
+	}
+	for c := range f.running {
+		requests = append(requests, c.env.Fingerprint)
+	}
+	f.lost = nil
+	if f.fall.ID == 0 {
+		f.fall.ID, f.at = rand.Uint64(), now
+	}
+	fall := f.fall
+	fall.Requests = requests
+	return fall, true
+}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/version"
 )
@@ -29,6 +30,8 @@
 	NewsAge time.Duration
 	Cut     CutRecord
 	Tries   []TryRecord
+	// Fingerprint is the same for all attempts of a request.
+	Fingerprint quarantine.Fingerprint
 	// Leaving is set for a request that a leaving node took, refused or cut.
 	Leaving *Leaving
 }
@@ -95,6 +98,8 @@
 		NewsAge:  x.f.cfg.NewsAge(time.Now()),
 		Cut:      x.cut,
 		Tries:    x.trail,
-		Leaving:  x.leaving,
+
+		Fingerprint: x.env.Fingerprint,
+		Leaving:     x.leaving,
 	})
 }
--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -23,6 +23,7 @@
 // its deadline. What waits for a slot has not run and goes to the new process, of
 // which nothing is known yet.
 func (b *Backend) Restarted() {
+	b.falls.fell()
 	b.life.Swap(newLife()).end()
 	b.denied.Store(nil)
 	b.mu.Lock()
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -102,6 +102,8 @@
 		Dialect:      s.platform.Dialect,
 		Transport:    s.upstream,
 		Reached:      func(ok bool) { s.guard.reached(ok) },
+		Refuses:      func() bool { return refuses(s.cfg.Upstream.String()) },
+		Fell:         s.fell,
 		WholeAnswers: wholeAnswers,
 		Receivers:    receivers,
 		ReceiveLimit: int64(s.cfg.BufferLimit),
--- a/internal/sidecar/record.go
+++ b/internal/sidecar/record.go
@@ -44,6 +44,7 @@
 		"cut", string(rec.Cut.Reason),
 		"sent", rec.Cut.Sent,
 		"table_age_ms", millis(rec.Cut.TableAge),
+		"fingerprint", rec.Fingerprint.String(),
 		"tries", formatTries(rec.Tries),
 		"left_out", leftOut,
 	}
