--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -135,7 +135,10 @@
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get(testDialect.ExpectedInstance); want != u.id {
+	u.mu.Lock()
+	own := u.id
+	u.mu.Unlock()
+	if want := r.Header.Get(testDialect.ExpectedInstance); want != own {
 		u.denied.Add(1)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -150,7 +153,7 @@
 	handle := u.handle
 	u.mu.Unlock()
 	w.Header().Set(testDialect.RequestID, id)
-	w.Header().Set(testDialect.Signature, u.id)
+	w.Header().Set(testDialect.Signature, own)
 	w.Header().Set("Seen-Caller", r.Header.Get(testDialect.CallerService))
 	w.Header().Set("Seen-Target", r.RequestURI)
 	if handle != nil {
@@ -158,7 +161,7 @@
 		return
 	}
 	time.Sleep(u.work)
-	_, _ = fmt.Fprintf(w, "%s got %d bytes", u.id, len(body))
+	_, _ = fmt.Fprintf(w, "%s got %d bytes", own, len(body))
 }
 
 func (u *upstream) runs(id string) int {
