A request under which upstreams end is held back

Callers saw over half of their reads refused for as long as one request came: all upstreams of a service ended again and again.

Cause: nothing tied a broken connection to the request that met it. The upstream was blamed, so the request went on to those that were well, at once by the node itself (it is a read) and by its caller later, at any node. The class: evidence about a request was kept only as evidence about the upstream.

Change: the node beside an upstream remembers the fingerprints of what was running when it fell, and tells the nodes beside the other upstreams of the service at once; all nodes compare what they remember now and then, and one that starts asks a few. A request that was running at two falls with no answer since is held back everywhere: where it comes in, before it waits for a slot, and right before the upstream. An answer of any upstream clears it.

Ruled out: holding back by route or path (all requests of a kind), holding back after one fall (some 20 innocent ones each time), news as the way (1.3 s, in which a whole service is gone).

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -42,6 +42,8 @@
 	// Fell is told of a fall of the upstream under requests, more than once if more is
 	// learnt of it. Nil for none.
 	Fell func(Fall)
+	// Quarantine holds requests back that end upstreams. Default: none are.
+	Quarantine Quarantine
 	// WholeAnswers is as in FrontendConfig.
 	WholeAnswers int64
 	// Receivers is the number of bodies that are received from other nodes at
@@ -134,6 +136,9 @@
 	if cfg.Reached == nil {
 		b.cfg.Reached = func(bool) {}
 	}
+	if cfg.Quarantine == nil {
+		b.cfg.Quarantine = noQuarantine{}
+	}
 	if cfg.Receivers > 0 {
 		b.receiver = newTurns(cfg.Receivers)
 	}
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -71,6 +71,9 @@
 // enter passes limits and the gate.
 func (c *backendCall) enter(ctx context.Context) *Problem {
 	b := c.b
+	if problem := c.heldBack(); problem != nil {
+		return problem
+	}
 	b.mu.Lock()
 	reason, after := b.limits.Start(time.Now())
 	b.mu.Unlock()
@@ -105,6 +108,10 @@
 		c.leave(false)
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
 	}
+	if problem := c.heldAtStart(); problem != nil {
+		c.leave(false)
+		return problem
+	}
 	return nil
 }
 
@@ -139,6 +146,9 @@
 	}
 	c.left = true
 	c.b.falls.ended(c)
+	if whole {
+		c.b.cfg.Quarantine.Answered(c.env.Fingerprint, c.env.Service)
+	}
 	held := time.Since(c.started)
 	c.b.mu.Lock()
 	c.b.limits.Done()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -66,6 +66,10 @@
 		x.finish(w, x.f.answer(problem, x.req))
 		return
 	}
+	if problem := x.heldBack(); problem != nil {
+		x.finish(w, x.f.answer(problem, x.req))
+		return
+	}
 	x.f.buffered.Add(x.body.kept())
 	defer func() { x.f.buffered.Add(-x.body.kept()) }()
 	x.f.earn(x.service.Name)
@@ -100,6 +104,7 @@
 			Retries:    x.retries(),
 			Remaining:  x.remaining(class),
 			Replayable: x.body.replayable(),
+			Everywhere: resp.Header.Get(HeaderReason) == reasonQuarantined,
 		})
 		if reason != retry.Go || x.endsNow(ctx) {
 			x.f.metrics.notRetried(reason)
@@ -113,12 +118,11 @@
 // fingerprint tells all attempts of the request from other requests.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
 	r := quarantine.Request{
-		Service: x.service.Name,
-		Method:  x.req.Method,
-		Host:    x.req.Host,
-		Target:  x.req.URL.RequestURI(),
-		Tenant:  x.env.Tenant,
-		Body:    x.body.buffered,
+		Method: x.req.Method,
+		Host:   x.req.Host,
+		Target: x.req.URL.RequestURI(),
+		Tenant: x.env.Tenant,
+		Body:   x.body.buffered,
 	}
 	if x.body.streams() {
 		r.Length = x.body.length
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -92,6 +92,8 @@
 	// TableAge returns the time since the table in force was taken, for records.
 	// Default: not known, 0.
 	TableAge func(now time.Time) time.Duration
+	// Quarantine is as in BackendConfig.
+	Quarantine Quarantine
 	// BodyLimit returns the longest request body allowed, in bytes; 0 for any.
 	BodyLimit func() int64
 }
@@ -116,6 +118,9 @@
 	if cfg.TableAge == nil {
 		cfg.TableAge = func(time.Time) time.Duration { return 0 }
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = noQuarantine{}
+	}
 	if cfg.BodyLimit == nil {
 		cfg.BodyLimit = func() int64 { return 0 }
 	}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,5 +1,3 @@
-// Package quarantine finds the requests that end the upstreams which run them, and
-// keeps them from the others.
 package quarantine
 
 import (
@@ -17,12 +15,11 @@
 
 // Request is what makes two attempts the same request.
 type Request struct {
-	Service string // that runs it: what one service cannot bear another one may
-	Method  string
-	Host    string
-	Target  string // path and query as the caller wrote them
-	Tenant  string
-	Body    []byte
+	Method string
+	Host   string
+	Target string // path and query as the caller wrote them
+	Tenant string
+	Body   []byte
 	// Length stands for a body that is not read before the request is passed on; 0 if
 	// Body has it, negative if the length is not known.
 	Length int64
@@ -31,7 +28,7 @@
 // Fingerprint returns the fingerprint of the request.
 func (r Request) Fingerprint() Fingerprint {
 	sum := xxhash.New()
-	for _, part := range [...]string{r.Service, r.Method, r.Host, r.Target, r.Tenant} {
+	for _, part := range [...]string{r.Method, r.Host, r.Target, r.Tenant} {
 		_, _ = sum.Write(binary.AppendUvarint(nil, uint64(len(part))))
 		_, _ = sum.WriteString(part)
 	}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -99,6 +99,8 @@
 	Remaining time.Duration
 	// Replayable says that the request body can be sent again.
 	Replayable bool
+	// Everywhere says that all upstreams would refuse the request alike.
+	Everywhere bool
 }
 
 // Reason says why no further try is made.
@@ -113,6 +115,8 @@
 	ReasonTime   Reason = "no-time"
 	ReasonBody   Reason = "body-gone"
 	ReasonBudget Reason = "budget"
+	// ReasonEverywhere means that no upstream would take it.
+	ReasonEverywhere Reason = "refused-everywhere"
 	// ReasonNoUpstream is given by the caller of Again: there is no upstream
 	// left to try.
 	ReasonNoUpstream Reason = "no-upstream"
@@ -125,6 +129,8 @@
 		return ReasonDone
 	case !t.Class.NotRun() && !t.Idempotent:
 		return ReasonMayRun
+	case t.Everywhere:
+		return ReasonEverywhere
 	case b.exhausted(t):
 		return ReasonTries
 	case t.Remaining < b.policy.MinRemaining:
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -94,6 +94,7 @@
 	s.hop = http1.NewClient(toPeers)
 	s.news = http1.NewClient(newsClient())
 	s.follower = s.newFollower()
+	s.held = newHeldRequests(s)
 	s.backend = proxy.NewBackend(proxy.BackendConfig{
 		Upstream:     upstreamURL(s.cfg.Upstream),
 		Slots:        s.cfg.Slots,
@@ -104,6 +105,7 @@
 		Reached:      func(ok bool) { s.guard.reached(ok) },
 		Refuses:      func() bool { return refuses(s.cfg.Upstream.String()) },
 		Fell:         s.fell,
+		Quarantine:   s.held,
 		WholeAnswers: wholeAnswers,
 		Receivers:    receivers,
 		ReceiveLimit: int64(s.cfg.BufferLimit),
@@ -140,6 +142,7 @@
 		CallerService:  func() string { return *s.service.Load() },
 		NewsAge:        s.follower.Age,
 		TableAge:       s.follower.TableAge,
+		Quarantine:     s.held,
 		BodyLimit:      func() int64 { return s.follower.Limits().BodyBytes },
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
 }
@@ -153,10 +156,13 @@
 // news and status.
 func (s *Sidecar) peerHandler() http.Handler {
 	news, requests := discovery.NewsHandler(s.follower), proxy.NewPeerHandler(s.backend)
+	held := http.HandlerFunc(s.held.answer)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header.Get(discovery.HeaderNews) != "":
 			news.ServeHTTP(w, r)
+		case r.Header.Get(headerHeld) != "":
+			held.ServeHTTP(w, r)
 		case r.Header.Get(headerStatus) != "":
 			s.tellStatus(w)
 		default:
--- a/internal/sidecar/fall_test.go
+++ b/internal/sidecar/fall_test.go
@@ -15,12 +15,15 @@
 	"github.com/walldrift/walldrift/internal/discovery"
 )
 
-// Callers saw two thirds of their reads refused: one request ended the process of each
+// Callers saw over half of their reads refused: one request ended the process of each
 // upstream that ran it, came again, and was passed on to the next one. All six upstreams
 // of a service fell within half a second and again whenever they were back, 36 times in
-// 20 s. Of the 811 fingerprints in the 36 lines "own upstream fell"
+// 20 s. Nothing tied a broken connection to the request that met it: the upstream was
+// blamed, and the request went on to those that were well, at once by the node itself
+// and later by its caller. Of the 811 fingerprints in the 36 lines "own upstream fell"
 // one, 607cd7dc28b0b463, stands in each and the next one in 4; none of its 178 lines has
-// status 200.
+// status 200. Held back where it was running at two falls with no answer since, and told
+// to the nodes beside the other upstreams at once, it ended four.
 
 // deadlyPath is that of requests that end the process of an upstream which runs them.
 const deadlyPath = "/deadly"
--- /dev/null
+++ b/internal/sidecar/held.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/quarantine"
+)
+
+// heldRequests is the memory of requests that end upstreams, shared by all that this
+// sidecar runs and kept alike with other sidecars.
+type heldRequests struct {
+	log     *log.Logger
+	lines   *lineBudget
+	refused tally.Counter
+	others  *heldPeers
+	// urgent and soon ask for the changes to be told to other sidecars.
+	urgent, soon chan struct{}
+
+	mu   sync.Mutex // guards what follows
+	book *quarantine.Book
+}
+
+func newHeldRequests(s *Sidecar) *heldRequests {
+	cfg := quarantine.DefaultConfig()
+	cfg.Seed = rand.Uint64()
+	return &heldRequests{
+		log:     s.log,
+		lines:   newLineBudget(),
+		refused: s.metrics.Scope.Counter("quarantine_refusals"),
+		others: &heldPeers{
+			client:  s.hop,
+			members: s.follower.Members,
+			self:    s.cfg.Upstream.Addr(),
+			service: func() string { return *s.service.Load() },
+		},
+		urgent: make(chan struct{}, 1),
+		soon:   make(chan struct{}, 1),
+		book:   quarantine.NewBook(cfg),
+	}
+}
+
+// ask wakes who waits at a channel of capacity 1.
+func ask(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// fell takes over a fall of the own upstream.
+func (h *heldRequests) fell(f proxy.Fall) {
+	h.mu.Lock()
+	h.book.Fell(time.Now(), f.ID, h.others.service(), f.Requests)
+	h.mu.Unlock()
+	ask(h.urgent)
+}
+
+// Check is described at proxy.Quarantine.
+func (h *heldRequests) Check(r quarantine.Fingerprint, service string) quarantine.Verdict {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.Check(time.Now(), r, service)
+}
+
+// Start is described at proxy.Quarantine.
+func (h *heldRequests) Start(r quarantine.Fingerprint, service string) quarantine.Verdict {
+	h.mu.Lock()
+	v := h.book.Start(time.Now(), r, service)
+	h.mu.Unlock()
+	if v.Trial {
+		ask(h.urgent)
+		h.log.Warn("request tried again", "fingerprint", r.String(), "service", service, "falls", v.Falls)
+	}
+	return v
+}
+
+// Answered is described at proxy.Quarantine.
+func (h *heldRequests) Answered(r quarantine.Fingerprint, service string) {
+	h.mu.Lock()
+	cleared := h.book.Answered(time.Now(), r, service)
+	h.mu.Unlock()
+	if cleared {
+		ask(h.soon)
+	}
+}
+
+// Refused is described at proxy.Quarantine.
+func (h *heldRequests) Refused(r quarantine.Fingerprint, service string, about quarantine.About) {
+	h.refused.Inc(1)
+	now := time.Now()
+	h.mu.Lock()
+	v := h.book.Check(now, r, service)
+	first := h.book.Refused(now, r, service, about)
+	h.mu.Unlock()
+	if !first {
+		return
+	}
+	leftOut, ok := h.lines.take()
+	if !ok {
+		return
+	}
+	h.log.Warn("request held back",
+		"fingerprint", r.String(),
+		"service", service,
+		"falls", v.Falls,
+		"tried_again", v.After,
+		"method", about.Method,
+		"host", about.Host,
+		"target", about.Target,
+		"customer", about.Tenant,
+		"left_out", leftOut,
+	)
+}
+
+// release lets a request through again, here and soon at all other sidecars.
+func (h *heldRequests) release(r quarantine.Fingerprint) bool {
+	h.mu.Lock()
+	held := h.book.Release(time.Now(), r)
+	h.mu.Unlock()
+	if held {
+		ask(h.urgent)
+		h.log.Warn("request released", "fingerprint", r.String())
+	}
+	return held
+}
+
+// list returns what is held back now.
+func (h *heldRequests) list(now time.Time) []quarantine.HeldRequest {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.HeldBack(now)
+}
+
+func (h *heldRequests) sweep(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.Sweep(now)
+}
--- /dev/null
+++ b/internal/sidecar/held_peers.go
@@ -0,0 +1,269 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/quarantine"
+)
+
+// headerHeld marks a request between sidecars as one about requests that end upstreams.
+const headerHeld = "Walldrift-Held"
+
+const (
+	// clearedPause gathers requests that are cleared one after the other into one
+	// message: some twenty after each fall.
+	clearedPause = 20 * time.Millisecond
+	// compareEvery and compareMost bound the pause between two comparisons with another
+	// sidecar. It doubles while both remember the same.
+	compareEvery = time.Second
+	compareMost  = 16 * time.Second
+	// startSiblings is the number of sidecars beside upstreams of the own service that
+	// one which starts compares with: most of a small service, so that what is known
+	// outlives the loss of half of it.
+	startSiblings = 4
+	// startPoll is how often one which starts looks for others, startWait for how long.
+	startPoll = 20 * time.Millisecond
+	startWait = 10 * time.Second
+	// heldTimeout bounds a message and its answer.
+	heldTimeout = time.Second
+	// heldWidth is the number of sidecars told at once.
+	heldWidth = 32
+	// maxHeldMessage bounds an encoded message: all records of a full book.
+	maxHeldMessage = 1 << 20
+)
+
+// heldMessage is what sidecars tell each other of requests that end upstreams.
+type heldMessage struct {
+	Records []quarantine.Record `cbor:"1,keyasint,omitempty"`
+	// Compare asks for all records where the digests differ; Digest is of all that the
+	// sender remembers.
+	Compare bool   `cbor:"2,keyasint,omitempty"`
+	Digest  uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// heldPeers finds the other sidecars and sends them messages.
+type heldPeers struct {
+	client  http.RoundTripper
+	members func() []membership.Member
+	self    netip.Addr
+	service func() string
+}
+
+// siblings returns the sidecars beside the other upstreams of the own service, and the
+// rest, each in random order.
+func (p *heldPeers) siblings() (siblings, rest []netip.AddrPort) {
+	service := p.service()
+	for _, m := range p.members() {
+		switch {
+		case m.Peer.Addr() == p.self || m.Status == membership.Gone:
+		case m.Service == service:
+			siblings = append(siblings, m.Peer)
+		default:
+			rest = append(rest, m.Peer)
+		}
+	}
+	shuffle(siblings)
+	shuffle(rest)
+	return siblings, rest
+}
+
+func shuffle(all []netip.AddrPort) {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+}
+
+// send sends a message and returns the answer.
+func (p *heldPeers) send(ctx context.Context, to netip.AddrPort, m heldMessage) (reply heldMessage, err error) {
+	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	defer cancel()
+	raw, err := cbor.Marshal(m)
+	if err != nil {
+		return reply, errors.Wrap(err, "held requests")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/", bytes.NewReader(raw))
+	if err != nil {
+		return reply, errors.Wrap(err, "held requests")
+	}
+	req.Header.Set(headerHeld, "1")
+	resp, err := p.client.RoundTrip(req)
+	if err != nil {
+		return reply, errors.Wrapf(err, "held requests to %s", to)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return reply, errors.Newf("held requests to %s: %s", to, resp.Status)
+	}
+	return readHeld(resp.Body)
+}
+
+func readHeld(r io.Reader) (m heldMessage, err error) {
+	raw, err := io.ReadAll(io.LimitReader(r, maxHeldMessage))
+	if err != nil {
+		return m, errors.Wrap(err, "held requests")
+	}
+	return m, errors.Wrap(cbor.Unmarshal(raw, &m), "held requests")
+}
+
+// run tells other sidecars what changes, and compares with one now and then, until ctx
+// ends.
+func (h *heldRequests) run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { h.learn(ctx) })
+	pause := compareEvery
+	compare := time.NewTimer(pause)
+	defer compare.Stop()
+	var cleared <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.urgent:
+			pause = compareEvery
+			group.Go(func() { h.tell(ctx) })
+		case <-h.soon:
+			if cleared == nil {
+				cleared = time.After(clearedPause)
+			}
+		case <-cleared:
+			cleared, pause = nil, compareEvery
+			group.Go(func() { h.tell(ctx) })
+		case <-compare.C:
+			if h.compareWithOne(ctx) {
+				pause = min(2*pause, compareMost)
+			} else {
+				pause = compareEvery
+			}
+			compare.Reset(pause)
+		}
+	}
+}
+
+// tell sends what has changed to the sidecars beside the other upstreams of the service,
+// which would run such a request next. Others hear of it by comparison. News go on from
+// reader to reader and take up to 1.3 s, in which such a request ends a whole service.
+func (h *heldRequests) tell(ctx context.Context) {
+	h.mu.Lock()
+	m := heldMessage{Records: h.book.Changes(time.Now())}
+	h.mu.Unlock()
+	if len(m.Records) == 0 {
+		return
+	}
+	siblings, _ := h.others.siblings()
+	h.toAll(siblings, func(to netip.AddrPort) { _, _ = h.others.send(ctx, to, m) }) // a comparison makes up for one that is lost
+}
+
+// toAll does something with several sidecars at once.
+func (h *heldRequests) toAll(to []netip.AddrPort, do func(netip.AddrPort)) {
+	var group sync.WaitGroup
+	places := make(chan struct{}, heldWidth)
+	for _, addr := range to {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			do(addr)
+		})
+	}
+	group.Wait()
+}
+
+// learn asks a few others what they remember, as soon as it knows any: a process that
+// starts knows nothing, and there is no other place where it could be kept.
+func (h *heldRequests) learn(ctx context.Context) {
+	for range int(startWait / startPoll) {
+		siblings, rest := h.others.siblings()
+		if len(siblings)+len(rest) > 0 {
+			ask := slices.Concat(siblings[:min(len(siblings), startSiblings)], rest[:min(len(rest), 1)])
+			h.toAll(ask, func(to netip.AddrPort) { _ = h.compare(ctx, to) })
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(startPoll):
+		}
+	}
+}
+
+// compareWithOne compares with one other sidecar, if anything is remembered, and reports
+// whether both remembered the same.
+func (h *heldRequests) compareWithOne(ctx context.Context) bool {
+	h.mu.Lock()
+	empty := h.book.Empty()
+	h.mu.Unlock()
+	siblings, rest := h.others.siblings()
+	if len(siblings) == 0 || len(rest) > 0 && rand.IntN(2) == 0 {
+		siblings = rest
+	}
+	if empty || len(siblings) == 0 {
+		return true
+	}
+	return h.compare(ctx, siblings[0])
+}
+
+// compare makes this sidecar and another one remember the same. It reports whether they
+// did before.
+func (h *heldRequests) compare(ctx context.Context, with netip.AddrPort) bool {
+	h.mu.Lock()
+	own := h.book.Digest()
+	h.mu.Unlock()
+	reply, err := h.others.send(ctx, with, heldMessage{Compare: true, Digest: own})
+	if err != nil || reply.Digest == own {
+		return err == nil
+	}
+	now := time.Now()
+	h.mu.Lock()
+	h.book.Merge(now, reply.Records)
+	m := heldMessage{}
+	if h.book.Digest() != reply.Digest {
+		m.Records = h.book.Records(now)
+	}
+	h.mu.Unlock()
+	if len(m.Records) > 0 {
+		_, _ = h.others.send(ctx, with, m) // the next comparison makes up for it
+	}
+	return false
+}
+
+// answer serves the messages of other sidecars.
+func (h *heldRequests) answer(w http.ResponseWriter, r *http.Request) {
+	m, err := readHeld(r.Body)
+	if err != nil {
+		h.log.Warn("message about held requests not read", "err", err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	raw, err := cbor.Marshal(h.take(time.Now(), m))
+	if err != nil {
+		h.log.Error("held requests not told", "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // a sidecar that has left compares again
+}
+
+// take takes over a message and returns the answer.
+func (h *heldRequests) take(now time.Time, m heldMessage) (reply heldMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.Merge(now, m.Records)
+	if !m.Compare {
+		return reply
+	}
+	reply.Digest = h.book.Digest()
+	if reply.Digest != m.Digest {
+		reply.Records = h.book.Records(now)
+	}
+	return reply
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 	own    discovery.Known
 	closed admission.Reason
 	guard  *coldGuard
+	held   *heldRequests
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -168,6 +169,7 @@
 		group.Go(func() { failed <- server.Serve(listener) })
 	}
 	group.Go(func() { s.follower.Run(run) })
+	group.Go(func() { s.held.run(run) })
 	group.Go(func() { periodic.Run(run, sweepInterval, s.sweep) })
 	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
 	var err error
@@ -192,6 +194,7 @@
 	s.news.Sweep(now)
 	s.upstream.Sweep(now)
 	s.frontend.Prune()
+	s.held.sweep(now)
 	s.gauges()
 }
 
