A request that was running at two falls is tried again after 5 s

The innocent requests that fell twice beside it were free after that second, but no caller waits so long: those that come again later, or at once in great number, are served as before, as the next answer clears them.

Change: 5 s, 30 s and 2 min in place of 1 s, 15 s and 1 min.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -15,8 +15,8 @@
 	// Trials are the times after the last fall or trial at which a request is let
 	// through once more, by the number of its falls from HoldAfter on. After the last
 	// one it waits until it is released or was not seen for Memory. Longer spares
-	// upstreams, shorter clears innocent requests sooner. Default 1 s, 15 s, 1 min: an
-	// innocent request is free after a second, and the cause ends three more
+	// upstreams, shorter clears innocent requests sooner. Default 5 s, 30 s, 2 min: an
+	// innocent request that comes again is free soon, and the cause ends three more
 	// upstreams at most.
 	Trials []time.Duration
 	// Memory is how long a request is remembered after its last attempt. Longer
@@ -37,7 +37,7 @@
 func DefaultConfig() Config {
 	return Config{
 		HoldAfter:     2,
-		Trials:        []time.Duration{time.Second, 15 * time.Second, time.Minute},
+		Trials:        []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
 		Memory:        time.Hour,
 		ClearedMemory: time.Minute,
 		MaxRecords:    2048,
