Ages and deadlines of a sidecar count suspensions of the machine

What callers and other nodes would see: after a suspension of 3 s a reader of the store told news that were 3 s older than it said, so that others, who were not suspended, held to tables and upstreams past the bound; requests that had waited were run after their callers had left, and upstreams given more time than was left.

Cause: all times were of the steady clock, which stands still meanwhile. The class: the time for which a process does not run is counted by one clock and not by another.

Change: discovery, proxy, admission and sidecar reckon in the time of internal/clock, and convert where a timer or a connection's deadline follows the steady clock. A sidecar looks every 100 ms for what the steady clock has not counted, writes a line, counts it and asks for news at once. For these 100 ms times are still too young. A suspension is now what a freeze was before: noticed by all that judges by age.

Nodes on platforms that issue certificates (internal/distribution, internal/node) do not look yet.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/clock"
 )
 
 // Gate is a Queue for use from many goroutines.
@@ -28,11 +30,11 @@
 	g.mu.Lock()
 	if g.closed != ReasonNone {
 		defer g.mu.Unlock()
-		return g.queue.Refusal(time.Now(), g.closed)
+		return g.queue.Refusal(clock.Now(), g.closed)
 	}
-	v, displaced := g.queue.Offer(time.Now(), t)
+	v, displaced := g.queue.Offer(clock.Now(), t)
 	if displaced != nil {
-		g.settle(displaced, g.queue.Refusal(time.Now(), ReasonOutweighed))
+		g.settle(displaced, g.queue.Refusal(clock.Now(), ReasonOutweighed))
 	}
 	if !v.Waiting {
 		g.mu.Unlock()
@@ -49,7 +51,7 @@
 func (g *Gate) wait(ctx context.Context, t *Ticket, ch chan Verdict, latest time.Time) Verdict {
 	var late <-chan time.Time
 	if !latest.IsZero() {
-		timer := time.NewTimer(time.Until(latest))
+		timer := time.NewTimer(clock.Until(latest))
 		defer timer.Stop()
 		late = timer.C
 	}
@@ -71,7 +73,7 @@
 		return <-ch // buffered: settled before the lock was taken
 	}
 	delete(g.waiters, t)
-	return g.queue.Refusal(time.Now(), r)
+	return g.queue.Refusal(clock.Now(), r)
 }
 
 // settle tells a waiting request its verdict. The lock is held.
@@ -88,7 +90,7 @@
 func (g *Gate) Leave(held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.settleAll(g.queue.Release(time.Now(), held))
+	g.settleAll(g.queue.Release(clock.Now(), held))
 }
 
 func (g *Gate) settleAll(start, late []*Ticket) {
@@ -96,7 +98,7 @@
 		g.settle(t, Verdict{Started: true})
 	}
 	for _, t := range late {
-		g.settle(t, g.queue.Refusal(time.Now(), ReasonTooLate))
+		g.settle(t, g.queue.Refusal(clock.Now(), ReasonTooLate))
 	}
 	g.arm()
 }
@@ -104,7 +106,7 @@
 // arm starts what waits for the pace of a cold upstream when that allows it. The lock
 // is held.
 func (g *Gate) arm() {
-	now := time.Now()
+	now := clock.Now()
 	at, waits := g.queue.Reopens(now)
 	if !waits || g.reopening != nil {
 		return
@@ -119,7 +121,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	apply(g.queue)
-	g.settleAll(g.queue.Fill(time.Now()))
+	g.settleAll(g.queue.Fill(clock.Now()))
 }
 
 // SetColdRate bounds the requests that the upstream gets in any second while it is
@@ -153,7 +155,7 @@
 	g.closed = why
 	for t := range g.waiters {
 		g.queue.Remove(t)
-		g.settle(t, g.queue.Refusal(time.Now(), why))
+		g.settle(t, g.queue.Refusal(clock.Now(), why))
 	}
 }
 
@@ -176,7 +178,7 @@
 func (g *Gate) Forecast(kind string, weight float64) Forecast {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return Forecast{
 		Load:    g.queue.Load(),
 		Service: g.queue.ServiceTime(),
@@ -190,14 +192,14 @@
 func (g *Gate) SlotEvery() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.waitBehind(time.Now(), 1)
+	return g.queue.waitBehind(clock.Now(), 1)
 }
 
 // Refusal returns the verdict for a reason, with the advice when to come back.
 func (g *Gate) Refusal(r Reason) Verdict {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.Refusal(time.Now(), r)
+	return g.queue.Refusal(clock.Now(), r)
 }
 
 // Load returns the present state.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -18,12 +18,15 @@
 	"github.com/walldrift/walldrift/internal/periodic"
 )
 
-// suspended is the time that the steady clock has not counted, in nanoseconds.
-var suspended atomic.Int64
+// suspended is the time that the steady clock has not counted, in nanoseconds: as the
+// system tells, and added by Advance.
+var suspended, added atomic.Int64
+
+func uncountedYet() time.Duration { return time.Duration(suspended.Load() + added.Load()) }
 
 // Now returns the time. Of two times the difference counts suspensions that were
 // noticed between them.
-func Now() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+func Now() time.Time { return time.Now().Add(uncountedYet()) }
 
 // Since returns the time that has passed since t, a time of this package.
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
@@ -37,7 +40,7 @@
 	if t.IsZero() {
 		return t
 	}
-	return t.Add(-time.Duration(suspended.Load()))
+	return t.Add(-uncountedYet())
 }
 
 // WithDeadline is context.WithDeadline for a time of this package.
@@ -45,9 +48,9 @@
 	return context.WithDeadline(ctx, Steady(at))
 }
 
-// Advance adds time that the steady clock has not counted. Watch calls it; tests do in
-// place of a suspension.
-func Advance(d time.Duration) { suspended.Add(int64(d)) }
+// Advance adds time that the steady clock has not counted, for tests without a
+// suspension.
+func Advance(d time.Duration) { added.Add(int64(d)) }
 
 const (
 	// watchEvery is how often a suspension is looked for. For so long after one, times
@@ -58,18 +61,21 @@
 	leastSuspension = 10 * time.Millisecond
 )
 
+// atStart is what the steady clock had not counted when the process started.
+var atStart, known = uncounted()
+
 // Watch notices suspensions of the machine until ctx ends, and tells of each. It does
 // nothing on systems that do not tell.
 func Watch(ctx context.Context, noticed func(time.Duration)) {
-	known, ok := uncounted()
-	if !ok {
+	if !known {
 		return
 	}
+	last := atStart
 	periodic.Run(ctx, watchEvery, func(time.Time) {
-		now, _ := uncounted()
-		if gap := now - known; gap >= leastSuspension {
-			known = now
-			Advance(gap)
+		now, ok := uncounted()
+		if gap := now - last; ok && gap >= leastSuspension {
+			last = now
+			suspended.Store(int64(now - atStart))
 			noticed(gap)
 		}
 	})
--- a/internal/discovery/arriving.go
+++ b/internal/discovery/arriving.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/clock"
 )
 
 // arrivalKey marks the function of a context that is told of arrivals.
@@ -37,7 +39,7 @@
 		return
 	}
 	c.unnoted = 0
-	now := time.Now()
+	now := clock.Now()
 	c.heard.Store(&now)
 }
 
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -4,8 +4,8 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/snapshot"
 	"github.com/walldrift/walldrift/internal/table"
@@ -115,7 +115,7 @@
 // logChanges writes a line for each upstream that is believed otherwise than
 // before, with the age of the news that requests were decided by until then.
 func (f *Follower) logChanges(before, after *Directory, from string) {
-	heard := f.log.With("from", from, "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
+	heard := f.log.With("from", from, "news_age", f.newsAge(clock.Now()), "revision", f.registry.Revision())
 	for id, m := range after.members {
 		old, ok := before.members[id]
 		switch {
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/version"
 )
@@ -32,10 +33,10 @@
 		if source.Peer != link.source.Peer {
 			link = peerLink{source: source}
 		}
-		asked := time.Now()
+		asked := clock.Now()
 		announced, err := f.askOnce(ctx, slot, &link)
 		if err != nil {
-			f.peerFailed(ctx, &link, time.Since(asked), err)
+			f.peerFailed(ctx, &link, clock.Since(asked), err)
 			wait(ctx, f.cfg.NewsRetry+rand.N(f.cfg.NewsRetry+1))
 			continue
 		}
@@ -53,7 +54,7 @@
 func (f *Follower) sourceAt(slot int) (membership.Instance, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	inTime := f.awaySince.IsZero() && time.Since(f.current) < f.cfg.NewsMaxAge
+	inTime := f.awaySince.IsZero() && clock.Since(f.current) < f.cfg.NewsMaxAge
 	if slot >= len(f.sources) || f.reader && inTime {
 		return membership.Instance{}, false
 	}
@@ -65,7 +66,7 @@
 func (f *Follower) askOnce(ctx context.Context, slot int, link *peerLink) (version.ID, error) {
 	call, cancel := context.WithTimeout(ctx, f.cfg.NewsTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable, Age: f.knownAge(sent), Patches: !link.wantWhole}
 	f.tellLinks(&ask, link)
 	n, err := f.peers.Ask(call, link.source.Peer, ask)
@@ -113,7 +114,7 @@
 // Where that node holds a newer table than this one does then, this one is not
 // current.
 func (f *Follower) takeNews(ctx context.Context, at time.Time, from string, n News) error {
-	now := time.Now()
+	now := clock.Now()
 	doc, err := f.restore(ctx, n)
 	if err != nil {
 		return err
--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/clock"
 )
 
 // storeAnswer is how a call of the store ended.
@@ -28,10 +30,10 @@
 	defer stop()
 	calls := schedule{cfg: f.cfg, draw: upToRandom}
 	answers := make(chan storeAnswer)
-	due := time.Now() // when this loop was to go on
+	due := clock.Now() // when this loop was to go on
 	for ctx.Err() == nil {
-		f.takeReady(ctx, &calls, answers, graceAfter(time.Since(due)))
-		now := time.Now()
+		f.takeReady(ctx, &calls, answers, graceAfter(clock.Since(due)))
+		now := clock.Now()
 		due = now
 		kind, pause, moved := f.need(now)
 		if kind != callNone {
@@ -46,10 +48,10 @@
 		timer := time.NewTimer(pause)
 		select {
 		case a := <-answers:
-			due = time.Now()
+			due = clock.Now()
 			f.ended(ctx, &calls, a)
 		case <-moved:
-			due = time.Now()
+			due = clock.Now()
 		case <-timer.C:
 			due = now.Add(pause)
 		case <-ctx.Done():
@@ -124,7 +126,7 @@
 // Config.LostAfter beyond its time, nor any part of one. It returns how long that need not be looked at.
 func (f *Follower) noteUnanswered(ctx context.Context, now time.Time, calls *schedule) time.Duration {
 	c := calls.unanswered()
-	if c == nil || f.away.Load() != 0 {
+	if c == nil || f.away.Load() != nil {
 		return rolePoll
 	}
 	left := c.due().Add(f.cfg.LostAfter).Sub(now)
@@ -156,7 +158,7 @@
 
 // ended takes over how a call ended.
 func (f *Follower) ended(ctx context.Context, calls *schedule, a storeAnswer) {
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case a.err == nil:
 		f.noteCall(a.call, nil)
@@ -227,7 +229,7 @@
 func (f *Follower) backoffMax() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reader && time.Since(f.current) > f.cfg.NewsMaxAge {
+	if f.reader && clock.Since(f.current) > f.cfg.NewsMaxAge {
 		return f.cfg.BackoffMax
 	}
 	return f.cfg.FollowerBackoffMax
@@ -238,7 +240,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listed, f.dropped = false, f.registry.Revision()
-	f.log.Info("store dropped its history, listing anew", "news_age", f.newsAge(time.Now()), "revision", f.dropped)
+	f.log.Info("store dropped its history, listing anew", "news_age", f.newsAge(clock.Now()), "revision", f.dropped)
 }
 
 // newCall returns the call to make now. A watch beside another call must be
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -32,8 +32,8 @@
 	dir    atomic.Pointer[Directory]
 	limits atomic.Pointer[CallerLimits]
 	starts atomic.Pointer[map[string]StartTerms]
-	calls  atomic.Int64 // of the store
-	away   atomic.Int64 // awaySince in Unix milliseconds; 0 while the store answers
+	calls  atomic.Int64              // of the store
+	away   atomic.Pointer[time.Time] // awaySince; nil while the store answers
 	// currentAt is current, for those who do not take the lock; nil for none.
 	currentAt atomic.Pointer[time.Time]
 
@@ -105,11 +105,11 @@
 // AwayFor returns how long the store has not answered this node; 0 if it did
 // when it was last called.
 func (f *Follower) AwayFor(now time.Time) time.Duration {
-	ms := f.away.Load()
-	if ms == 0 {
+	since := f.away.Load()
+	if since == nil {
 		return 0
 	}
-	return now.Sub(time.UnixMilli(ms))
+	return now.Sub(*since)
 }
 
 // Calls returns the number of calls of the store so far.
@@ -138,6 +138,14 @@
 	return now.Sub(f.current).String()
 }
 
+// Resumed looks anew at what is needed, as the machine was suspended and all that is
+// known has become older.
+func (f *Follower) Resumed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announce()
+}
+
 // Age returns the time since this node last knew all that was published; 0 if it
 // never did. It never waits for the lock, as requests ask.
 func (f *Follower) Age(now time.Time) time.Duration {
--- a/internal/discovery/report.go
+++ b/internal/discovery/report.go
@@ -1,6 +1,10 @@
 package discovery
 
-import "time"
+import (
+	"time"
+
+	"github.com/walldrift/walldrift/internal/clock"
+)
 
 // slowCall is the time beyond its wait from which a call of the store is worth a
 // line: many times what a healthy store takes.
@@ -9,7 +13,7 @@
 // noteCall writes a line for a call of the store that failed or was slow, so that
 // what a lost call cost can be told from what the way to the store costs.
 func (f *Follower) noteCall(c *storeCall, err error) {
-	took := time.Since(c.began)
+	took := clock.Since(c.began)
 	if err == nil && took < c.wait+slowCall {
 		return
 	}
@@ -18,9 +22,10 @@
 
 // noteAge writes a line when the news become older than Config.ChangeBound, in
 // which a change must be in force, and when they no longer are.
-func (f *Follower) noteAge(now time.Time) {
+func (f *Follower) noteAge(time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := clock.Now()
 	stale := !f.current.IsZero() && now.Sub(f.current) > f.cfg.ChangeBound
 	if stale == f.stale {
 		return
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/table"
 )
 
@@ -63,7 +64,7 @@
 	f.before = f.document
 	f.remember(d)
 	f.hold(d)
-	f.since, f.from = time.Now(), from
+	f.since, f.from = clock.Now(), from
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
 	return true
 }
@@ -75,7 +76,7 @@
 // remember keeps the difference of a newer table for nodes that ask for it. The lock is
 // held.
 func (f *Follower) remember(next *Document) {
-	if f.document == nil || time.Since(f.asked) > askedLately {
+	if f.document == nil || clock.Since(f.asked) > askedLately {
 		f.steps.Forget()
 		return
 	}
@@ -118,7 +119,7 @@
 	}
 	f.log.Info("store reached again", "away", now.Sub(f.awaySince), "revision", u.Revision)
 	f.awaySince = time.Time{}
-	f.away.Store(0)
+	f.away.Store(nil)
 }
 
 // lost notes that no call made since a time was answered.
@@ -127,8 +128,8 @@
 	defer f.mu.Unlock()
 	if f.awaySince.IsZero() && ctx.Err() == nil {
 		f.awaySince = since
-		f.away.Store(f.awaySince.UnixMilli())
-		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(time.Now()), "revision", f.registry.Revision())
+		f.away.Store(&since)
+		f.log.Warn("store lost", "err", err, "news_age", f.newsAge(clock.Now()), "revision", f.registry.Revision())
 	}
 }
 
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/clock"
 )
 
 // NewsAfter returns what is believed here and not known to the asking node, as
 // soon as there is anything, or this node learns that there is not. After
 // Config.NewsWait it returns what there is.
 func (f *Follower) NewsAfter(ctx context.Context, ask Ask) (News, error) {
-	began := time.Now()
+	began := clock.Now()
 	timer := time.NewTimer(f.cfg.NewsWait)
 	defer timer.Stop()
 	f.mu.Lock()
@@ -34,7 +36,7 @@
 			return News{}, err
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	n, err := f.news(now, ask)
 	n.Held = now.Sub(began)
 	return n, err
--- a/internal/discovery/working.go
+++ b/internal/discovery/working.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/clock"
 )
 
 // pausesKey marks the function of a context that pauses work.
@@ -23,10 +25,10 @@
 	if !ok {
 		return func() {}
 	}
-	began := time.Now()
+	began := clock.Now()
 	return func() {
-		sleep(pauseAfter(time.Since(began)))
-		began = time.Now()
+		sleep(pauseAfter(clock.Since(began)))
+		began = clock.Now()
 	}
 }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -150,7 +151,7 @@
 
 // Apply takes over the slots, limits and homes of the snapshot in force.
 func (b *Backend) Apply(snap *snapshot.Snapshot) {
-	now := time.Now()
+	now := clock.Now()
 	slots := b.cfg.Slots
 	if u := snap.Upstream(b.cfg.Name); u != nil && u.Concurrency > 0 {
 		slots = u.Concurrency
@@ -245,13 +246,13 @@
 		return b.refuse(req, env, refusedBy(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter}))
 	}
 	b.inflight.Add(1)
-	call := &backendCall{b: b, env: env, req: req, start: time.Now(), remote: remote}
+	call := &backendCall{b: b, env: env, req: req, start: clock.Now(), remote: remote}
 	resp, problem := call.run()
 	if problem != nil {
 		b.inflight.Add(-1)
 		resp = b.refuse(req, env, problem)
 	}
-	resp.Header.Set(headerHeld, strconv.FormatInt(time.Since(call.start).Microseconds(), 10))
+	resp.Header.Set(headerHeld, strconv.FormatInt(clock.Since(call.start).Microseconds(), 10))
 	return resp
 }
 
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -28,7 +29,7 @@
 }
 
 func (c *backendCall) run() (*http.Response, *Problem) {
-	ctx, cancel := context.WithDeadline(c.req.Context(), c.start.Add(c.env.Timeout))
+	ctx, cancel := clock.WithDeadline(c.req.Context(), c.start.Add(c.env.Timeout))
 	resp, problem := c.admitted(ctx, cancel)
 	if problem != nil {
 		cancel()
@@ -75,7 +76,7 @@
 		return problem
 	}
 	b.mu.Lock()
-	reason, after := b.limits.Start(time.Now())
+	reason, after := b.limits.Start(clock.Now())
 	b.mu.Unlock()
 	if reason != admission.ReasonNone {
 		return refusedBy(admission.Verdict{Reason: reason, RetryAfter: max(after, defaultRetryAfter/10)})
@@ -96,12 +97,12 @@
 		ticket.Latest = latest(c.start, c.received).Add(patience)
 	}
 	v := b.gate.Enter(ctx, ticket)
-	b.metrics.queued(c.env.Kind, time.Since(c.start))
+	b.metrics.queued(c.env.Kind, clock.Since(c.start))
 	if !v.Started {
 		b.limitDone()
 		return refusedBy(v)
 	}
-	c.started = time.Now()
+	c.started = clock.Now()
 	// The process may have been paused between the grant and now, and the sender may
 	// have gone meanwhile.
 	if !c.started.Before(c.start.Add(c.env.Timeout)) || http1.CallerLeft(ctx) {
@@ -149,7 +150,7 @@
 	if whole {
 		c.b.cfg.Quarantine.Answered(c.env.Fingerprint, c.env.Service)
 	}
-	held := time.Since(c.started)
+	held := clock.Since(c.started)
 	c.b.mu.Lock()
 	c.b.limits.Done()
 	if whole {
--- a/internal/proxy/choice.go
+++ b/internal/proxy/choice.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -19,7 +20,7 @@
 func (f *Frontend) pick(req routing.Request) (routing.Candidate, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.router.Pick(time.Now(), f.rnd, req, f.members)
+	return f.router.Pick(clock.Now(), f.rnd, req, f.members)
 }
 
 // share returns the service of a request: the route's, or one of its shares
@@ -53,25 +54,25 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.router.Candidates(time.Now(), routing.Request{Service: snap.Service(service)}, f.members), true
+	return f.router.Candidates(clock.Now(), routing.Request{Service: snap.Service(service)}, f.members), true
 }
 
 func (f *Frontend) began(in membership.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Start(time.Now(), in)
+	f.router.Start(clock.Now(), in)
 }
 
 func (f *Frontend) heard(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Heard(time.Now(), name)
+	f.router.Heard(clock.Now(), name)
 }
 
 func (f *Frontend) ended(name string, o routing.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.End(time.Now(), f.rnd, name, o)
+	f.router.End(clock.Now(), f.rnd, name, o)
 }
 
 // budget returns the retry budget of a service. The lock is held.
@@ -114,7 +115,7 @@
 func (f *Frontend) refused(route string, id overload.Identity, first, expiry time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.returns.Refused(time.Now(), route, id, first, expiry)
+	f.returns.Refused(clock.Now(), route, id, first, expiry)
 }
 
 func (f *Frontend) again(service string, t retry.Try) retry.Reason {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -8,11 +8,11 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -25,7 +25,7 @@
 	if c.keyed {
 		// A repeat of the key wants the answer even if this caller goes away.
 		var stop context.CancelFunc
-		ctx, stop = context.WithDeadline(context.WithoutCancel(ctx), c.start.Add(c.env.Timeout))
+		ctx, stop = clock.WithDeadline(context.WithoutCancel(ctx), c.start.Add(c.env.Timeout))
 		outer := cancel
 		cancel = func() { stop(); outer() }
 	}
@@ -38,7 +38,7 @@
 			c.b.cfg.Reached(true)
 		},
 	}))
-	c.sent = time.Now()
+	c.sent = clock.Now()
 	c.b.falls.sent(c)
 	resp, err := c.b.transport(c.env, out.Method).RoundTrip(out)
 	if err != nil {
@@ -133,7 +133,7 @@
 
 // ended is called once when the answer's body ends.
 func (c *backendCall) ended(resp *http.Response, body *endingBody, whole bool, cancel context.CancelFunc) {
-	if !whole && c.req.Context().Err() == nil && time.Now().Before(c.start.Add(c.env.Timeout)) {
+	if !whole && c.req.Context().Err() == nil && clock.Now().Before(c.start.Add(c.env.Timeout)) {
 		c.b.falls.lostConnection(c)
 	}
 	c.leave(whole)
@@ -178,7 +178,7 @@
 	}
 	stripOwn(out.Header)
 	stripHop(out.Header)
-	left := time.Until(c.start.Add(c.env.Timeout)).Milliseconds()
+	left := clock.Until(c.start.Add(c.env.Timeout)).Milliseconds()
 	d := c.b.cfg.Dialect
 	out.Header.Set(d.Deadline, strconv.FormatInt(max(left, 1), 10))
 	if d.ExpectedInstance != "" {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -55,7 +56,7 @@
 
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
 	var err error
-	_ = http.NewResponseController(w).SetReadDeadline(x.deadline)
+	_ = http.NewResponseController(w).SetReadDeadline(clock.Steady(x.deadline))
 	x.body, err = newRequestBody(x.req, x.f.bufferLimit(), x.f.cfg.BodyLimit())
 	if err != nil {
 		x.finish(w, x.f.answer(bodyProblem(err), x.req))
@@ -173,9 +174,9 @@
 // be met and no upstream has seen the request, otherwise until the deadline.
 func (x *exchange) remaining(class retry.Class) time.Duration {
 	if x.arrived == 0 && class.NotRun() && !x.aim.IsZero() && !x.env.late() {
-		return time.Until(x.aim)
+		return clock.Until(x.aim)
 	}
-	return time.Until(x.deadline)
+	return clock.Until(x.deadline)
 }
 
 // asksForSlot reports whether the request first asks for a slot at once. Where the
@@ -237,9 +238,9 @@
 	sent, err := copyResponse(w, resp)
 	if err != nil {
 		outcome = outcomeNames[len(outcomeNames)-1]
-		x.noteCut(time.Now(), sent, err)
+		x.noteCut(clock.Now(), sent, err)
 	}
-	took := time.Since(x.start)
+	took := clock.Since(x.start)
 	if outcome == outcomeNames[0] {
 		x.f.noteTime(x.route.Kind, took)
 	}
--- a/internal/proxy/fall.go
+++ b/internal/proxy/fall.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
@@ -87,7 +88,7 @@
 	defer f.mu.Unlock()
 	f.noteBack(c)
 	f.fall.Upstream = c.env.Target
-	f.lost = append(f.lost, lostRequest{c.env.Fingerprint, time.Now()})
+	f.lost = append(f.lost, lostRequest{c.env.Fingerprint, clock.Now()})
 	if f.looking || f.refuses == nil {
 		return
 	}
@@ -113,7 +114,7 @@
 // fell notes that the upstream has ended, by whatever showed it. That explains the
 // connections lost a short while ago and those that will be.
 func (f *fallWatch) fell() {
-	fall, ok := f.takeFall(time.Now())
+	fall, ok := f.takeFall(clock.Now())
 	if ok && f.tell != nil {
 		f.tell(fall)
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -164,7 +165,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
+	start := clock.Now()
 	snap := f.holder.Current()
 	if reason := f.unready(snap); reason != "" {
 		f.fail(w, r, start, notRun(http.StatusServiceUnavailable, retry.Refused, reason, defaultRetryAfter))
@@ -230,7 +231,7 @@
 }
 
 func (f *Frontend) fail(w http.ResponseWriter, r *http.Request, start time.Time, p *Problem) {
-	f.metrics.finished(unroutedKind, "", string(p.Outcome), time.Since(start), 0)
+	f.metrics.finished(unroutedKind, "", string(p.Outcome), clock.Since(start), 0)
 	_, _ = copyResponse(w, f.answer(p, r))
 }
 
--- a/internal/proxy/keys.go
+++ b/internal/proxy/keys.go
@@ -5,8 +5,8 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/ledger"
 )
 
@@ -19,7 +19,7 @@
 	if snap == nil || snap.Service(c.env.Service) == nil || ledger.Home(snap.Service(c.env.Service), c.key) != b.cfg.Name {
 		return nil, keyProblem(ledger.Moved)
 	}
-	now := time.Now()
+	now := clock.Now()
 	b.mu.Lock()
 	v := b.ledger.Begin(now, c.key, fingerprint(c.req), snap.ID)
 	var ask []string
@@ -78,12 +78,12 @@
 	}
 	c.b.mu.Lock()
 	defer c.b.mu.Unlock()
-	c.b.ledger.Finish(time.Now(), c.key, o, a)
+	c.b.ledger.Finish(clock.Now(), c.key, o, a)
 }
 
 // Claim answers another home of a key.
 func (b *Backend) Claim(k ledger.Key, f ledger.Fence) ledger.Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ledger.Claim(time.Now(), k, f)
+	return b.ledger.Claim(clock.Now(), k, f)
 }
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
@@ -81,7 +82,7 @@
 // untilEnd returns a context of the request that also ends with EndRuns, but while an
 // answer comes, and with EndAll.
 func (x *exchange) untilEnd(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := clock.WithDeadline(ctx, x.deadline)
 	stopRun := context.AfterFunc(x.f.endingRuns, func() {
 		if !x.answering.Load() {
 			cancel()
@@ -136,7 +137,7 @@
 	}
 	wait := c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight).Wait + c.b.sendWait(c.env.Kind)
 	usual := wait + c.b.runTime(c.env.Kind, overload.SafeRun)
-	if !time.Now().Add(usual).After(*end) {
+	if !clock.Now().Add(usual).After(*end) {
 		return nil
 	}
 	return refusedBy(admission.Verdict{Reason: admission.ReasonDraining, RetryAfter: defaultRetryAfter})
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -5,9 +5,9 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/retry"
 )
 
@@ -36,15 +36,15 @@
 	if !c.b.receiver.enter(ctx, patience) {
 		return refusedBy(c.b.gate.Refusal(admission.ReasonBusy))
 	}
-	began := time.Now()
+	began := clock.Now()
 	body := make([]byte, c.req.ContentLength)
 	_, err := io.ReadFull(c.req.Body, body)
-	c.b.receiver.leave(time.Since(began))
+	c.b.receiver.leave(clock.Since(began))
 	if err != nil {
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonBodyCut, defaultRetryAfter)
 	}
 	c.req.Body = io.NopCloser(bytes.NewReader(body))
-	c.received = time.Now()
+	c.received = clock.Now()
 	return nil
 }
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/version"
@@ -63,7 +64,7 @@
 	x.trail = append(x.trail, TryRecord{
 		Upstream: upstream,
 		At:       sent.Sub(x.start),
-		Took:     time.Since(sent),
+		Took:     clock.Since(sent),
 		Class:    class,
 		Status:   resp.StatusCode,
 		Reason:   resp.Header.Get(HeaderReason),
@@ -76,7 +77,7 @@
 	if x.f.cfg.Record == nil {
 		return
 	}
-	took := time.Since(x.start)
+	took := clock.Since(x.start)
 	slow := x.route.Objective > 0 && took > time.Duration(slowShare*float64(x.route.Objective))
 	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && x.tries <= 1 && !slow && !x.leaving.notable() {
 		return
@@ -95,7 +96,7 @@
 		Deadline: x.deadline.Sub(x.start),
 		Age:      x.start.Sub(x.first),
 		Late:     x.env.late(),
-		NewsAge:  x.f.cfg.NewsAge(time.Now()),
+		NewsAge:  x.f.cfg.NewsAge(clock.Now()),
 		Cut:      x.cut,
 		Tries:    x.trail,
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
@@ -59,12 +60,12 @@
 }
 
 func (s *sentBody) enter() {
-	left := time.Until(s.c.start.Add(s.c.env.Timeout))
+	left := clock.Until(s.c.start.Add(s.c.env.Timeout))
 	if !s.c.b.sender.enter(s.c.req.Context(), left) {
 		s.failed = context.DeadlineExceeded
 		return
 	}
-	s.began = time.Now()
+	s.began = clock.Now()
 }
 
 // Close gives the place back.
@@ -73,7 +74,7 @@
 		s.ended = true
 		s.c.b.kept.Add(-s.length)
 		if !s.began.IsZero() {
-			s.c.b.sender.leave(time.Since(s.began))
+			s.c.b.sender.leave(clock.Since(s.began))
 		}
 	}
 	return s.ReadCloser.Close()
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -19,7 +20,7 @@
 	x.tried = append(x.tried, target.Name)
 	x.f.began(target)
 	x.begins(false)
-	sent := time.Now()
+	sent := clock.Now()
 	resp, class := x.tryAt(ctx, target, sent)
 	x.noteTry(target.Name, sent, class, resp)
 	return resp, class
@@ -33,7 +34,7 @@
 		return x.f.answer(problem, x.req), problem.class
 	}
 	class := classOf(resp.Header)
-	way := readWay(resp.Header, time.Since(sent))
+	way := readWay(resp.Header, clock.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
 		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
@@ -48,7 +49,7 @@
 		problem := unknownOutcome(http.StatusBadGateway, reasonLost)
 		return x.f.answer(problem, x.req), problem.class
 	}
-	latency := time.Since(sent)
+	latency := clock.Since(sent)
 	x.f.heard(target.Name)
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
@@ -128,7 +129,7 @@
 func (x *exchange) request(ctx context.Context, target membership.Instance, admitted chan struct{}) *http.Request {
 	env := x.env
 	env.Target = target.Name
-	env.Timeout = time.Until(x.deadline)
+	env.Timeout = clock.Until(x.deadline)
 	env.Await = x.body.streams()
 	env.Empty = x.body.length == 0
 	env.NoWait = x.noWait
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/distribution"
 	"github.com/walldrift/walldrift/internal/membership"
@@ -39,7 +40,7 @@
 	mux.HandleFunc(admin.PathHealth, func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc(admin.PathReady, s.getReady)
 	mux.Handle(admin.PathMetrics, s.metrics.Handler())
-	mux.HandleFunc(admin.PathSelf, func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.status(time.Now())) })
+	mux.HandleFunc(admin.PathSelf, func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.status(clock.Now())) })
 	mux.HandleFunc(admin.PathFleet, func(w http.ResponseWriter, r *http.Request) { s.writeJSON(w, s.survey(r.Context())) })
 	mux.HandleFunc(admin.PathTable, s.getTable)
 	mux.HandleFunc(admin.PathExplain+"{service}", s.getExplain)
@@ -132,7 +133,7 @@
 
 // tellStatus answers another sidecar's survey.
 func (s *Sidecar) tellStatus(w http.ResponseWriter) {
-	raw, err := cbor.Marshal(s.status(time.Now()))
+	raw, err := cbor.Marshal(s.status(clock.Now()))
 	if err != nil {
 		s.log.Error("status not told", "err", err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
@@ -112,7 +113,7 @@
 		Senders:      senders,
 		AnswerLimit:  answerLimit,
 		AnswerTotal:  int64(s.cfg.MemoryLimit) << 20 / bufferShare,
-	}, s.holder, nil, requests, time.Now())
+	}, s.holder, nil, requests, clock.Now())
 
 	s.guard = newColdGuard(s)
 
@@ -129,7 +130,7 @@
 		},
 		Routing:        choice,
 		Retry:          policy,
-		Seed:           uint64(time.Now().UnixNano()),
+		Seed:           uint64(clock.Now().UnixNano()),
 		MaxInFlight:    s.cfg.MaxInFlight,
 		Dialect:        s.platform.Dialect,
 		BufferLimit:    int64(s.cfg.BufferLimit),
--- a/internal/sidecar/cold_guard.go
+++ b/internal/sidecar/cold_guard.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/proxy"
@@ -50,7 +51,7 @@
 		backend:  s.backend,
 		service:  func() string { return *s.service.Load() },
 		log:      s.log,
-		began:    time.Now(),
+		began:    clock.Now(),
 	}
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	return g
@@ -83,7 +84,7 @@
 		return
 	}
 	g.backend.SetCold(g.cold.until)
-	g.log.Info("own upstream cold", "cause", string(cause), "left", time.Until(g.cold.until))
+	g.log.Info("own upstream cold", "cause", string(cause), "left", clock.Until(g.cold.until))
 	if cause != coldPublished {
 		go g.askUntilTold()
 	}
@@ -102,7 +103,7 @@
 		return
 	}
 	if g.lost.Load() && g.lost.Swap(false) {
-		now := time.Now()
+		now := clock.Now()
 		g.begin(coldReturned, now, now.Add(terms.Cold))
 	}
 	if g.unasked.Add(1) >= int64(terms.Rate) {
@@ -162,7 +163,7 @@
 
 // ask asks the own upstream once, and takes over what it says.
 func (g *coldGuard) ask() error {
-	asked := time.Now()
+	asked := clock.Now()
 	left, err := g.fetch()
 	if err == nil {
 		g.told(asked, left)
@@ -173,7 +174,7 @@
 func (g *coldGuard) told(asked time.Time, left time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	before := now.Before(g.cold.until)
 	g.cold.told(asked, now, left)
 	g.backend.SetCold(g.cold.until)
--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -4,18 +4,19 @@
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/proxy"
 )
 
 // drain ends the work of this node without leaving a request unanswered.
 func (s *Sidecar) drain() {
-	l := newLeave(time.Now(), s.cfg.DrainAnnounce, s.cfg.DrainTimeout)
+	l := newLeave(clock.Now(), s.cfg.DrainAnnounce, s.cfg.DrainTimeout)
 	s.leaving.Store(true)
 	s.frontend.SetLeaving(proxy.Leave{Began: l.began, Announced: l.told(), End: l.end()})
 	s.backend.SetEnd(l.end())
 	s.log.Info("leaving", "timeout", s.cfg.DrainTimeout)
 	for l.at != ended {
-		if l.next(time.Now(), s.progress()) {
+		if l.next(clock.Now(), s.progress()) {
 			s.enter(l.at)
 			continue
 		}
--- a/internal/sidecar/ends.go
+++ b/internal/sidecar/ends.go
@@ -6,6 +6,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
 )
 
@@ -63,7 +64,7 @@
 	if !ok {
 		return
 	}
-	state := e.state(end.At)
+	state := e.state(clock.Now())
 	e.log.Info("connection ended under a request",
 		"side", e.side,
 		"cause", string(end.Cause),
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/proxy"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
@@ -56,7 +57,7 @@
 // fell takes over a fall of the own upstream.
 func (h *heldRequests) fell(f proxy.Fall) {
 	h.mu.Lock()
-	h.book.Fell(time.Now(), f.ID, h.others.service(), f.Requests)
+	h.book.Fell(clock.Now(), f.ID, h.others.service(), f.Requests)
 	h.mu.Unlock()
 	ask(h.urgent)
 }
@@ -65,13 +66,13 @@
 func (h *heldRequests) Check(r quarantine.Fingerprint, service string) quarantine.Verdict {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.book.Check(time.Now(), r, service)
+	return h.book.Check(clock.Now(), r, service)
 }
 
 // Start is described at proxy.Quarantine.
 func (h *heldRequests) Start(r quarantine.Fingerprint, service string) quarantine.Verdict {
 	h.mu.Lock()
-	v := h.book.Start(time.Now(), r, service)
+	v := h.book.Start(clock.Now(), r, service)
 	h.mu.Unlock()
 	if v.Trial {
 		ask(h.urgent)
@@ -83,7 +84,7 @@
 // Answered is described at proxy.Quarantine.
 func (h *heldRequests) Answered(r quarantine.Fingerprint, service string) {
 	h.mu.Lock()
-	cleared := h.book.Answered(time.Now(), r, service)
+	cleared := h.book.Answered(clock.Now(), r, service)
 	h.mu.Unlock()
 	if cleared {
 		ask(h.soon)
@@ -93,7 +94,7 @@
 // Refused is described at proxy.Quarantine.
 func (h *heldRequests) Refused(r quarantine.Fingerprint, service string, about quarantine.About) {
 	h.refused.Inc(1)
-	now := time.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	v := h.book.Check(now, r, service)
 	first := h.book.Refused(now, r, service, about)
@@ -121,7 +122,7 @@
 // release lets a request through again, here and soon at all other sidecars.
 func (h *heldRequests) release(r quarantine.Fingerprint) bool {
 	h.mu.Lock()
-	held := h.book.Release(time.Now(), r)
+	held := h.book.Release(clock.Now(), r)
 	h.mu.Unlock()
 	if held {
 		ask(h.urgent)
--- a/internal/sidecar/held_peers.go
+++ b/internal/sidecar/held_peers.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
@@ -155,7 +156,7 @@
 // reader to reader and take up to 1.3 s, in which such a request ends a whole service.
 func (h *heldRequests) tell(ctx context.Context) {
 	h.mu.Lock()
-	m := heldMessage{Records: h.book.Changes(time.Now())}
+	m := heldMessage{Records: h.book.Changes(clock.Now())}
 	h.mu.Unlock()
 	if len(m.Records) == 0 {
 		return
@@ -222,7 +223,7 @@
 	if err != nil || reply.Digest == own {
 		return err == nil
 	}
-	now := time.Now()
+	now := clock.Now()
 	h.mu.Lock()
 	h.book.Merge(now, reply.Records)
 	m := heldMessage{}
@@ -244,7 +245,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	raw, err := cbor.Marshal(h.take(time.Now(), m))
+	raw, err := cbor.Marshal(h.take(clock.Now(), m))
 	if err != nil {
 		h.log.Error("held requests not told", "err", err)
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/periodic"
@@ -170,6 +171,7 @@
 	}
 	group.Go(func() { s.follower.Run(run) })
 	group.Go(func() { s.held.run(run) })
+	group.Go(func() { clock.Watch(run, s.resumed) })
 	group.Go(func() { periodic.Run(run, sweepInterval, s.sweep) })
 	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
 	var err error
@@ -189,12 +191,20 @@
 	return errors.CombineErrors(err, s.metrics.Close())
 }
 
-func (s *Sidecar) sweep(now time.Time) {
-	s.hop.Sweep(now)
-	s.news.Sweep(now)
-	s.upstream.Sweep(now)
+// resumed takes over that the machine was suspended: all that is known is older by that.
+func (s *Sidecar) resumed(away time.Duration) {
+	s.metrics.Scope.Counter("suspensions").Inc(1)
+	s.log.Warn("machine was suspended", "for", away)
+	s.follower.Resumed()
+}
+
+// sweep forgets what is too old. Idle connections go by the steady time that it is given.
+func (s *Sidecar) sweep(steady time.Time) {
+	s.hop.Sweep(steady)
+	s.news.Sweep(steady)
+	s.upstream.Sweep(steady)
 	s.frontend.Prune()
-	s.held.sweep(now)
+	s.held.sweep(clock.Now())
 	s.gauges()
 }
 
@@ -216,11 +226,11 @@
 	m.Gauge("requests_in_flight").Update(float64(s.frontend.InFlight()))
 	m.Gauge("caller_connections").Update(float64(s.servers.callers.Conns()))
 	m.Gauge("table_edition").Update(float64(s.holder.ID().Edition))
-	follow := s.follower.Status(time.Now())
+	follow := s.follower.Status(clock.Now())
 	m.Gauge("store_reader").Update(boolGauge(follow.Reader))
 	m.Gauge("evacuated_data_centres").Update(float64(len(follow.Evacuated)))
 	m.Gauge("store_calls").Update(float64(s.follower.Calls()))
 	m.Gauge("news_age_seconds").Update(follow.Age.Seconds())
-	m.Gauge("store_away_seconds").Update(s.follower.AwayFor(time.Now()).Seconds())
+	m.Gauge("store_away_seconds").Update(s.follower.AwayFor(clock.Now()).Seconds())
 	m.Gauge("upstream_connections_made").Update(float64(s.upstream.Dialed()))
 }
