Requests that are answered all the time are not held back when upstreams fall under them

Callers of a request that many send saw it refused for 5 s after two upstreams had fallen at once: it is running at each of them at any time, so it fell twice, and no answer came between that could clear it. Found by a test of falls that have no request as their cause.

Change: an answer also clears falls that come within a second after it; a node that hears of a fall and has answered the request a moment ago says so. One that runs well and then ends upstreams is noticed a second later.

Ruled out: more falls before a request is held back (each costs an upstream, and such a request is part of the next one too).

With it tests of what else holds: refused at once and truly, known after a rolling restart, compared where a message was lost, seen and released by operators; the last look before the upstream.

Operators: walldrift quarantine [--release FINGERPRINT], a column in status, lines under explain.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 			tableCommand(out),
 			statusCommand(out),
 			explainCommand(out),
+			quarantineCommand(out),
 			logsCommand(out),
 			demoCommand(out),
 			keysCommand(out),
--- /dev/null
+++ b/internal/cli/quarantine.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/walldrift/walldrift/internal/admin"
+)
+
+func quarantineCommand(out IO) *ff.Command {
+	fs := ff.NewFlagSet("quarantine")
+	question := newAdminQuestion(fs)
+	release := fs.StringLong("release", "", "fingerprint of a request to let through again, everywhere")
+	return &ff.Command{
+		Name:      "quarantine",
+		Usage:     "walldrift quarantine [--node ip:port] [--json] [--release FINGERPRINT]",
+		ShortHelp: "show the requests that are held back since upstreams ended under them, or release one",
+		Flags:     fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			if *release != "" {
+				_, err := askAdmin(ctx, http.MethodPost, *question.addr, admin.PathRelease+*release)
+				return err
+			}
+			return question.ask(ctx, out, admin.PathQuarantine, printQuarantine)
+		},
+	}
+}
+
+func printQuarantine(w io.Writer, raw []byte) error {
+	rows, err := readQuarantine(raw)
+	if err != nil {
+		return err
+	}
+	writeQuarantine(w, rows)
+	return nil
+}
+
+func readQuarantine(raw []byte) (rows []admin.HeldRequest, err error) {
+	return rows, errors.Wrap(json.Unmarshal(raw, &rows), "quarantine")
+}
+
+func writeQuarantine(w io.Writer, rows []admin.HeldRequest) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "HELD BACK\tSERVICE\tUPSTREAMS ENDED\tFOR\tTRIED AGAIN IN\tREFUSED HERE\tCUSTOMER\tREQUEST")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\n", r.Fingerprint, r.Service, r.Falls,
+			time.Duration(r.SinceMs)*time.Millisecond, time.Duration(r.TriedMs)*time.Millisecond, r.Refused, dash(r.Tenant), dash(describe(r)))
+	}
+	_ = tw.Flush()
+}
+
+// describe names a request; empty where no attempt of it came to the node asked.
+func describe(r admin.HeldRequest) string {
+	if r.Method == "" {
+		return ""
+	}
+	return r.Method + " " + r.Host + r.Target
+}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -17,6 +18,9 @@
 	"github.com/walldrift/walldrift/internal/distribution"
 )
 
+// errNoPage marks an answer that there is no such page, or nothing of that name.
+var errNoPage = errors.New("no such page")
+
 // adminTimeout bounds a question to a node's admin address.
 const adminTimeout = 6 * time.Second
 
@@ -35,7 +39,7 @@
 
 // ask prints the answer at a path, as it is or by printAs.
 func (q adminQuestion) ask(ctx context.Context, out IO, path string, printAs func(io.Writer, []byte) error) error {
-	raw, err := askAdmin(ctx, *q.addr, path)
+	raw, err := askAdmin(ctx, http.MethodGet, *q.addr, path)
 	if err != nil {
 		return err
 	}
@@ -74,6 +78,7 @@
 	Links      int                            `json:"links"`
 	Upstream   string                         `json:"upstream"`
 	Evacuated  []distribution.EvacuatedCentre `json:"evacuated"`
+	HeldBack   int                            `json:"held_back"`
 }
 
 // unknownAge is the least source age that stands for "never".
@@ -85,14 +90,14 @@
 		return errors.Wrap(err, "status")
 	}
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tWHY\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED\tUPSTREAM GETS NO WORK\tEVACUATED")
+	_, _ = fmt.Fprintln(tw, "NODE\tDC\tVERSION\tHELD FOR\tWHY\tREADER\tLINKS\tPLATFORM ANSWERED\tWAITS FOR\tREFUSED\tUPSTREAM GETS NO WORK\tEVACUATED\tREQUESTS HELD BACK")
 	for _, r := range rows {
 		age := "never"
 		if r.SourceAge < unknownAge {
 			age = (time.Duration(r.SourceAge) * time.Millisecond).String() + " ago"
 		}
-		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\t%s\t%s\n", r.Name, r.DataCentre, r.Table,
-			time.Duration(r.HeldMs)*time.Millisecond, why(r), r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused), dash(r.Upstream), dash(evacuated(r.Evacuated)))
+		_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\t%s\t%s\t%d\n", r.Name, r.DataCentre, r.Table,
+			time.Duration(r.HeldMs)*time.Millisecond, why(r), r.Reader, r.Links, age, dash(r.Waiting), dash(r.Refused), dash(r.Upstream), dash(evacuated(r.Evacuated)), r.HeldBack)
 	}
 	return tw.Flush()
 }
@@ -138,11 +143,34 @@
 			if len(args) != 1 {
 				return usagef("explain needs one SERVICE")
 			}
-			return question.ask(ctx, out, admin.PathExplain+args[0], printExplanation)
+			if err := question.ask(ctx, out, admin.PathExplain+args[0], printExplanation); err != nil || *question.asJSON {
+				return err
+			}
+			return question.explainHeld(ctx, out, args[0])
 		},
 	}
 }
 
+// explainHeld adds the requests to a service that are held back, if there are any.
+func (q adminQuestion) explainHeld(ctx context.Context, out IO, service string) error {
+	raw, err := askAdmin(ctx, http.MethodGet, *q.addr, admin.PathQuarantine)
+	if errors.Is(err, errNoPage) {
+		return nil // a node of another kind holds none back
+	}
+	if err != nil {
+		return err
+	}
+	rows, err := readQuarantine(raw)
+	if err != nil {
+		return err
+	}
+	rows = slices.DeleteFunc(rows, func(r admin.HeldRequest) bool { return r.Service != service })
+	if len(rows) > 0 {
+		writeQuarantine(out.Out, rows)
+	}
+	return nil
+}
+
 func printExplanation(w io.Writer, raw []byte) error {
 	var rows []admin.Explanation
 	if err := json.Unmarshal(raw, &rows); err != nil {
@@ -156,11 +184,11 @@
 	return tw.Flush()
 }
 
-// askAdmin gets one page of a node's admin address.
-func askAdmin(ctx context.Context, addr, path string) ([]byte, error) {
+// askAdmin makes one request to a node's admin address.
+func askAdmin(ctx context.Context, method, addr, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
 	if err != nil {
 		return nil, usagef("--node %q: %v", addr, err)
 	}
@@ -174,7 +202,11 @@
 		return nil, errors.Wrapf(err, "node %s", addr)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("node %s answers %s: %s", addr, resp.Status, raw)
+		err := errors.Newf("node %s answers %s: %s", addr, resp.Status, raw)
+		if resp.StatusCode == http.StatusNotFound {
+			err = errors.Mark(err, errNoPage)
+		}
+		return nil, err
 	}
 	return raw, nil
 }
--- a/internal/distribution/message.go
+++ b/internal/distribution/message.go
@@ -115,6 +115,9 @@
 	// Evacuated are the data centres whose upstreams get nothing, as far as the node
 	// knows.
 	Evacuated []EvacuatedCentre `cbor:"14,keyasint,omitempty" json:"evacuated,omitempty"`
+	// HeldBack counts the requests that the node holds back since upstreams ended under
+	// them.
+	HeldBack int `cbor:"15,keyasint,omitempty" json:"held_back,omitempty"`
 }
 
 // EvacuatedCentre is a data centre whose upstreams get nothing.
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -19,6 +19,12 @@
 	// innocent request that comes again is free soon, and the cause ends three more
 	// upstreams at most.
 	Trials []time.Duration
+	// AnsweredFor is how long an answer also clears falls that come after it. A request
+	// that many callers send is running at every upstream at any time, and was answered a
+	// moment ago: without it such a one was held back when two upstreams fell at once.
+	// Longer clears those that come more seldom; one that ran well and now ends upstreams
+	// is noticed so much later. Default 1 s.
+	AnsweredFor time.Duration
 	// Memory is how long a request is remembered after its last attempt. Longer
 	// recognises one that comes seldom. Default 1 h.
 	Memory time.Duration
@@ -38,6 +44,7 @@
 	return Config{
 		HoldAfter:     2,
 		Trials:        []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
+		AnsweredFor:   time.Second,
 		Memory:        time.Hour,
 		ClearedMemory: time.Minute,
 		MaxRecords:    2048,
@@ -61,6 +68,18 @@
 	count   int
 	changed map[key]struct{} // to be told to other nodes
 	swept   time.Time
+	// answers are the last ones, each at a place given by its request.
+	answers [answersKept]answer
+}
+
+// answersKept is the number of answers that are remembered: those of a second at some
+// thousand a second. One takes the place of another.
+const answersKept = 4096
+
+// answer is an answer of an upstream.
+type answer struct {
+	key
+	at time.Time
 }
 
 // key names a record.
@@ -91,6 +110,9 @@
 	return &Book{cfg: cfg, records: make(map[Fingerprint]map[string]*record), changed: make(map[key]struct{})}
 }
 
+// Changed reports whether there is anything to tell other nodes.
+func (b *Book) Changed() bool { return len(b.changed) > 0 }
+
 // Empty reports whether nothing is remembered.
 func (b *Book) Empty() bool { return b.count == 0 }
 
@@ -101,15 +123,28 @@
 		if r == 0 {
 			continue
 		}
-		rec := b.record(now, key{r, service})
+		k := key{r, service}
+		rec := b.record(now, k)
 		if rec.add(id) {
 			rec.last = latest(rec.last, now)
-			b.changed[key{r, service}] = struct{}{}
+			b.changed[k] = struct{}{}
+			b.clearIfAnswered(now, k)
 		}
 	}
 	b.makeRoom(now)
 }
 
+// clearIfAnswered clears a request of a fall that has just been heard of, if an upstream
+// has answered it a moment ago.
+func (b *Book) clearIfAnswered(now time.Time, k key) {
+	a := b.answers[k.place()]
+	if a.key == k && now.Sub(a.at) < b.cfg.AnsweredFor {
+		b.release(now, k)
+	}
+}
+
+func (k key) place() uint64 { return mix(uint64(k.request)) % answersKept }
+
 // add adds a fall that is not known yet. Of too many the least IDs are kept, so that all
 // nodes keep the same.
 func (r *record) add(id uint64) bool {
@@ -140,6 +175,8 @@
 // Answered notes that an upstream of a service has answered a request, and so lives. It
 // reports whether that clears it of anything.
 func (b *Book) Answered(now time.Time, r Fingerprint, service string) bool {
+	k := key{r, service}
+	b.answers[k.place()] = answer{k, now}
 	services, ok := b.records[r]
 	if !ok {
 		return false
@@ -148,7 +185,7 @@
 		rec.seen = now
 		return false
 	}
-	b.release(now, key{r, service})
+	b.release(now, k)
 	return true
 }
 
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -70,6 +70,24 @@
 	assert.Equal(t, b.Check(later, innocent, shop).Falls, 0, "a fall that is told again was cleared")
 }
 
+// A request that many send was answered a moment ago wherever upstreams fall under it.
+func TestAnswerClearsFallsThatFollow(t *testing.T) {
+	here, there := NewBook(DefaultConfig()), NewBook(DefaultConfig())
+	here.Answered(start, innocent, shop)
+	soon := start.Add(300 * time.Millisecond)
+	for id := range uint64(3) {
+		there.Fell(soon, id, shop, []Fingerprint{culprit, innocent})
+	}
+	here.Merge(soon, there.Changes(soon))
+	assert.Assert(t, !here.Check(soon, innocent, shop).Held)
+	assert.Assert(t, here.Check(soon, culprit, shop).Held)
+	there.Merge(soon, here.Changes(soon))
+	assert.Equal(t, there.Check(soon, innocent, shop).Falls, 0)
+	later := start.Add(2 * time.Second)
+	here.Fell(later, 9, shop, []Fingerprint{innocent})
+	assert.Equal(t, here.Check(later, innocent, shop).Falls, 1, "an answer of two seconds ago clears nothing")
+}
+
 // Where a route moves to another service, or gives a part to a later release, falls
 // count until the request is answered there; an answer elsewhere clears nothing here.
 func TestFallsOfAnotherService(t *testing.T) {
@@ -122,6 +140,13 @@
 	machineRequests = 4
 )
 
+// machineConfig has answers clear what is known when they come, and no more.
+func machineConfig() Config {
+	cfg := DefaultConfig()
+	cfg.AnsweredFor = 0
+	return cfg
+}
+
 func drawRequest(t *rapid.T) Fingerprint {
 	return Fingerprint(rapid.IntRange(1, machineRequests).Draw(t, "request"))
 }
@@ -165,7 +190,7 @@
 
 // restart makes a book forget all, as its process ends.
 func (m *fleetOfBooks) restart(t *rapid.T) {
-	m.books[rapid.IntRange(1, machineBooks-1).Draw(t, "book")] = NewBook(DefaultConfig())
+	m.books[rapid.IntRange(1, machineBooks-1).Draw(t, "book")] = NewBook(machineConfig())
 }
 
 // against counts what speaks against a request if all is known.
@@ -197,7 +222,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &fleetOfBooks{now: start, at: make(map[Fingerprint]map[uint64]bool), cleared: make(map[Fingerprint]map[uint64]bool)}
 		for range machineBooks {
-			m.books = append(m.books, NewBook(DefaultConfig()))
+			m.books = append(m.books, NewBook(machineConfig()))
 		}
 		for r := Fingerprint(1); r <= machineRequests; r++ {
 			m.at[r], m.cleared[r] = make(map[uint64]bool), make(map[uint64]bool)
--- a/internal/quarantine/merge.go
+++ b/internal/quarantine/merge.go
@@ -92,10 +92,16 @@
 
 func (b *Book) mergeOne(now time.Time, t Record) bool {
 	seen := now.Add(-time.Duration(t.SeenMs) * time.Millisecond)
-	rec := b.record(seen, key{t.Request, t.Service})
+	k := key{t.Request, t.Service}
+	rec := b.record(seen, k)
 	changed := rec.clear(t.Cleared...)
+	fell := false
 	for _, id := range t.Falls {
-		changed = rec.add(id) || changed
+		fell = rec.add(id) || fell
+	}
+	if fell {
+		changed = true
+		b.clearIfAnswered(now, k)
 	}
 	if t.Good && !rec.good {
 		rec.good, changed = true, true
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -19,6 +19,7 @@
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/distribution"
 	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/table"
 )
 
@@ -43,6 +44,10 @@
 	mux.HandleFunc(admin.PathSelf, func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.status(clock.Now())) })
 	mux.HandleFunc(admin.PathFleet, func(w http.ResponseWriter, r *http.Request) { s.writeJSON(w, s.survey(r.Context())) })
 	mux.HandleFunc(admin.PathTable, s.getTable)
+	mux.HandleFunc("GET "+admin.PathQuarantine, func(w http.ResponseWriter, _ *http.Request) {
+		s.writeJSON(w, admin.Quarantined(s.held.list(clock.Now())))
+	})
+	mux.HandleFunc("POST "+admin.PathRelease+"{fingerprint}", s.release)
 	mux.HandleFunc(admin.PathExplain+"{service}", s.getExplain)
 	mux.HandleFunc(admin.PathProfile+"profile", pprof.Profile)
 	mux.HandleFunc(admin.PathProfile, pprof.Index)
@@ -92,6 +97,18 @@
 	s.writeJSON(w, admin.Explain(all))
 }
 
+// release lets a request through again that is held back.
+func (s *Sidecar) release(w http.ResponseWriter, r *http.Request) {
+	f, err := quarantine.ParseFingerprint(r.PathValue("fingerprint"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.held.release(r.Context(), f) {
+		http.Error(w, "no such request is held back", http.StatusNotFound)
+	}
+}
+
 // status tells operators which version this sidecar holds, and why.
 func (s *Sidecar) status(now time.Time) distribution.NodeStatus {
 	f := s.follower.Status(now)
@@ -106,6 +123,7 @@
 		Links:      len(f.Sources),
 		Refused:    unusable(f.Unusable),
 		Upstream:   s.backend.HeldBack(),
+		HeldBack:   len(s.held.list(now)),
 	}
 	for _, e := range f.Evacuated {
 		st.Evacuated = append(st.Evacuated, distribution.EvacuatedCentre{DataCentre: e.DataCentre, Since: uint64(now.Sub(e.Heard).Milliseconds())})
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -177,6 +177,7 @@
 	store     *memoryStore
 	sidecars  []*Sidecar
 	upstreams []*upstream
+	settings  []*settings.Sidecar
 	stops     []context.CancelFunc
 	done      []chan error
 }
@@ -238,15 +239,32 @@
 		"[upstream]\naddress=%s\n[store]\naddress=127.0.0.1:1\n[shutdown]\nannounce=1ms\ntimeout=3s\n", i, ip, ip, peers, ip, ip, f.upstreams[i].addr)
 	cfg, err := settings.ParseSidecar("test.ini", []byte(ini))
 	assert.NilError(f.t, err)
+	s, stop, done := f.run(cfg)
+	f.settings = append(f.settings, cfg)
+	f.sidecars = append(f.sidecars, s)
+	f.stops = append(f.stops, stop)
+	f.done = append(f.done, done)
+}
+
+// run starts a sidecar.
+func (f *fleet) run(cfg *settings.Sidecar) (*Sidecar, context.CancelFunc, chan error) {
 	p := Platform{Dialect: testDialect, ReadyPath: "/ready", Source: func(string) discovery.Source { return f.store }}
 	s, err := New(cfg, p, log.New(io.Discard))
 	assert.NilError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	f.sidecars = append(f.sidecars, s)
-	f.stops = append(f.stops, stop)
-	f.done = append(f.done, done)
+	return s, stop, done
+}
+
+// restart lets a sidecar leave and starts it again at its addresses.
+func (f *fleet) restart(i int) {
+	f.stops[i]()
+	assert.NilError(f.t, <-f.done[i])
+	f.sidecars[i], f.stops[i], f.done[i] = f.run(f.settings[i])
+	for !f.sidecars[i].Ready() {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func (f *fleet) awaitReady() {
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,14 +121,16 @@
 	)
 }
 
-// release lets a request through again, here and soon at all other sidecars.
-func (h *heldRequests) release(r quarantine.Fingerprint) bool {
+// release lets a request through again, here and at all other sidecars.
+func (h *heldRequests) release(ctx context.Context, r quarantine.Fingerprint) bool {
 	h.mu.Lock()
 	held := h.book.Release(clock.Now(), r)
+	m := heldMessage{Records: h.book.Changes(clock.Now())}
 	h.mu.Unlock()
 	if held {
-		ask(h.urgent)
 		h.log.Warn("request released", "fingerprint", r.String())
+		siblings, rest := h.others.siblings()
+		h.tellAll(ctx, slices.Concat(siblings, rest), m)
 	}
 	return held
 }
--- a/internal/sidecar/held_peers.go
+++ b/internal/sidecar/held_peers.go
@@ -162,7 +162,13 @@
 		return
 	}
 	siblings, _ := h.others.siblings()
-	h.toAll(siblings, func(to netip.AddrPort) { _, _ = h.others.send(ctx, to, m) }) // a comparison makes up for one that is lost
+	h.tellAll(ctx, siblings, m)
+}
+
+// tellAll sends a message to several sidecars. A comparison makes up for one that is
+// lost.
+func (h *heldRequests) tellAll(ctx context.Context, to []netip.AddrPort, m heldMessage) {
+	h.toAll(to, func(one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
 }
 
 // toAll does something with several sidecars at once.
@@ -225,7 +231,7 @@
 	}
 	now := clock.Now()
 	h.mu.Lock()
-	h.book.Merge(now, reply.Records)
+	h.merge(now, reply.Records)
 	m := heldMessage{}
 	if h.book.Digest() != reply.Digest {
 		m.Records = h.book.Records(now)
@@ -237,6 +243,15 @@
 	return false
 }
 
+// merge takes over records of another sidecar. What this one can clear is told soon. The
+// lock is held.
+func (h *heldRequests) merge(now time.Time, told []quarantine.Record) {
+	h.book.Merge(now, told)
+	if h.book.Changed() {
+		ask(h.soon)
+	}
+}
+
 // answer serves the messages of other sidecars.
 func (h *heldRequests) answer(w http.ResponseWriter, r *http.Request) {
 	m, err := readHeld(r.Body)
@@ -258,7 +273,7 @@
 func (h *heldRequests) take(now time.Time, m heldMessage) (reply heldMessage) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.book.Merge(now, m.Records)
+	h.merge(now, m.Records)
 	if !m.Compare {
 		return reply
 	}
--- /dev/null
+++ b/internal/sidecar/held_test.go
@@ -0,0 +1,133 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admin"
+	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/proxy"
+)
+
+// awaitHeld waits until all sidecars hold back a number of requests.
+func (f *fleet) awaitHeld(n int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		held := true
+		for _, s := range f.sidecars {
+			held = held && len(s.held.list(clock.Now())) == n
+		}
+		if held {
+			return
+		}
+		assert.Assert(f.t, time.Now().Before(end), "not all sidecars hold back %d requests", n)
+	}
+}
+
+// learnDeadly sends a deadly request until all sidecars hold it back.
+func (f *fleet) learnDeadly(path string) *crashes {
+	c := f.crashing(50 * time.Millisecond)
+	f.repeat("GET", path, "", 50*time.Millisecond, time.Second)
+	f.awaitHeld(1)
+	return c
+}
+
+// What is held back is refused at once, by a status that promises that it has not run,
+// with the time until it is tried again. An attempt that has run is not reported so.
+func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	c := f.learnDeadly("/read" + deadlyPath)
+	before, _ := c.seen()
+	for i := range f.sidecars {
+		status, header, _ := f.send(f.request(i, "GET", "/read"+deadlyPath, ""))
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, header.Get(proxy.HeaderOutcome), string(proxy.OutcomeNotRun))
+		assert.Equal(t, header.Get(proxy.HeaderReason), "quarantined")
+		after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 1 && after < 60, "told to come back after %v s", after)
+	}
+	now, _ := c.seen()
+	assert.Equal(t, len(now), len(before))
+}
+
+// Processes that start know nothing, and no two of them are there at once that have not
+// asked: what one knew outlives its end, and that of all of them one after the other.
+func TestHeldRequestsOutliveARollingRestart(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	c := f.learnDeadly("/read" + deadlyPath)
+	before, _ := c.seen()
+	for i := range f.sidecars {
+		f.restart(i)
+		f.awaitHeld(1)
+	}
+	f.repeat("GET", "/read"+deadlyPath, "", 20*time.Millisecond, 200*time.Millisecond)
+	now, _ := c.seen()
+	assert.Equal(t, len(now), len(before))
+}
+
+// A sidecar to which a fall was not told hears of it by comparison.
+func TestHeldRequestsAreCompared(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	f.learnDeadly("/read" + deadlyPath)
+	s := f.sidecars[0]
+	s.held.mu.Lock()
+	s.held.book = newHeldRequests(s).book
+	s.held.mu.Unlock()
+	f.awaitHeld(1)
+}
+
+// Upstreams fall by themselves, two at once, under requests that run well elsewhere all
+// the time: these are served by the others, and clear themselves by that.
+func TestRequestsThatFallWithTheirUpstreamsAreServed(t *testing.T) {
+	f := startFleet(t, 5, 0)
+	c := f.crashing(100 * time.Millisecond)
+	var group sync.WaitGroup
+	group.Go(func() { f.repeat("GET", "/read/popular", "", 3*time.Millisecond, 2500*time.Millisecond) })
+	for range 4 {
+		time.Sleep(300 * time.Millisecond)
+		c.crash(f.upstreams[0])
+		c.crash(f.upstreams[1])
+	}
+	time.Sleep(300 * time.Millisecond)
+	answered, others := f.repeat("GET", "/read/popular", "", 5*time.Millisecond, 300*time.Millisecond)
+	group.Wait()
+	assert.Equal(t, others, 0, "%d answered", answered)
+	f.awaitHeld(0)
+}
+
+// Operators see what is held back, and let it through when its cause is mended.
+func TestOperatorsReleaseAHeldRequest(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	f.learnDeadly("/read" + deadlyPath)
+	f.send(f.request(1, "GET", "/read"+deadlyPath, ""))
+	var rows []admin.HeldRequest
+	assert.NilError(t, json.Unmarshal(f.get(1, admin.PathQuarantine), &rows))
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Target, "/read"+deadlyPath)
+	assert.Equal(t, rows[0].Service, "shop")
+	assert.Assert(t, rows[0].Falls >= 2 && rows[0].Refused >= 1, "%+v", rows[0])
+	var nodes []struct {
+		HeldBack int `json:"held_back"`
+	}
+	assert.NilError(t, json.Unmarshal(f.get(0, admin.PathFleet), &nodes))
+	for _, n := range nodes {
+		assert.Equal(t, n.HeldBack, 1)
+	}
+	f.misbehave(func(_ *upstream, w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("mended")) })
+	listeners := f.sidecars[2].servers.listeners
+	resp, err := http.Post("http://"+listeners[len(listeners)-1].Addr().String()+admin.PathRelease+rows[0].Fingerprint, "", nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	for i := range f.sidecars {
+		status, _, body := f.send(f.request(i, "GET", "/read"+deadlyPath, ""))
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+}
