A fall is noticed by a node that stood still meanwhile

Callers would have met it as more falls: a node that is frozen or suspended while its upstream ends and comes back finds broken connections and an upstream that takes new ones, and took that for lost answers.

Test: no fall seen -> one, with the request that met it; connections that broke earlier are no part of it.

--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -31,6 +31,11 @@
 	b.runs, b.sizes = overload.NewRunTimes(), overload.NewSizes()
 }
 
+// Replaced notes that another process is published at the upstream's address. One that
+// lost connections a short while ago has ended, though it is too late to see it: this
+// process stood still meanwhile.
+func (b *Backend) Replaced() { b.falls.fell() }
+
 // withLife ends a call with the life of the upstream to which it is sent, until
 // release is called.
 func (b *Backend) withLife(cancel context.CancelFunc) (release func() bool) {
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/overload"
+	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
 // silentOnce never answers its first request, as a process does that died behind a
@@ -84,3 +85,37 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(raw), "ok")
 }
+
+// A node that stood still while its upstream fell and came back finds connections broken
+// and the upstream there. That another process is published tells of the fall.
+func TestReplacedUpstreamHasFallen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var falls []Fall
+		b := receivingBackend(brokenConnections{})
+		b.falls = newFallWatch(func() bool { return false }, func(f Fall) { falls = append(falls, f) })
+		send := func(r quarantine.Fingerprint) {
+			_, header := handOver(t.Context(), b, nil, 0, Envelope{Target: "i-1", Fingerprint: r})
+			assert.Equal(t, header.Get(HeaderReason), reasonLost)
+		}
+		send(7)
+		time.Sleep(lostMemory / 2)
+		assert.Equal(t, len(falls), 0, "an answer that is lost is no fall")
+		b.Replaced()
+		b.Replaced()
+		assert.Equal(t, len(falls), 1)
+		assert.Equal(t, falls[0].Upstream, "i-1")
+		assert.DeepEqual(t, falls[0].Requests, []quarantine.Fingerprint{7})
+		send(8)
+		time.Sleep(2 * lostMemory)
+		b.Replaced()
+		assert.Equal(t, len(falls), 1, "a connection that broke long before is no part of it")
+	})
+}
+
+// brokenConnections loses the connection of each request.
+type brokenConnections struct{}
+
+func (brokenConnections) RoundTrip(r *http.Request) (*http.Response, error) {
+	httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+	return nil, io.ErrUnexpectedEOF
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -126,6 +126,9 @@
 func (s *Sidecar) followLife(own discovery.Known) {
 	before := s.own
 	s.own = own
+	if before.ID != "" && own.ID != before.ID {
+		s.backend.Replaced()
+	}
 	if own.ID != before.ID || before.Born == 0 || own.Born <= before.Born {
 		return
 	}
