--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -31,7 +31,7 @@
 	// ClearedMemory is how long a request is remembered of which nothing is held against
 	// it any more, so that other nodes hear of that. Default 1 min.
 	ClearedMemory time.Duration
-	// MaxRecords bounds the requests remembered, some 300 bytes each; those that are
+	// MaxRecords bounds the requests remembered, some 700 bytes each; those that are
 	// not held back and were not seen for longest are forgotten first. Default 2,048:
 	// the requests of some fifty falls.
 	MaxRecords int
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -25,6 +25,7 @@
 		{"answered", func(t *Try) { t.Class = Answered }, ReasonDone},
 		{"ambiguous", func(t *Try) { t.Class = Ambiguous }, ReasonMayRun},
 		{"ambiguous but idempotent", func(t *Try) { t.Class = Ambiguous; t.Idempotent = true }, Go},
+		{"refused everywhere", func(t *Try) { t.Everywhere = true }, ReasonEverywhere},
 		{"tries used", func(t *Try) { t.Number = 2 }, ReasonTries},
 		{"no time", func(t *Try) { t.Remaining = time.Millisecond }, ReasonTime},
 		{"body gone", func(t *Try) { t.Replayable = false }, ReasonBody},
--- a/internal/sidecar/held_test.go
+++ b/internal/sidecar/held_test.go
@@ -1,18 +1,22 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/proxy"
+	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
 // awaitHeld waits until all sidecars hold back a number of requests.
@@ -72,6 +76,48 @@
 	assert.Equal(t, len(now), len(before))
 }
 
+// toldOnly passes on what is told, and loses comparisons.
+type toldOnly struct{ http.RoundTripper }
+
+func (o toldOnly) RoundTrip(r *http.Request) (*http.Response, error) {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	m, err := readHeld(bytes.NewReader(raw))
+	if err != nil || m.Compare {
+		return nil, errors.New("lost")
+	}
+	r.Body = io.NopCloser(bytes.NewReader(raw))
+	return o.RoundTripper.RoundTrip(r)
+}
+
+// A fall is told to the nodes beside the other upstreams at once: comparisons, one a
+// second, come after a whole service has fallen.
+func TestFallIsToldWithoutAQuestion(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	first := f.sidecars[0]
+	teller := newHeldRequests(first)
+	teller.others.client = toldOnly{first.hop}
+	go teller.run(t.Context())
+	for id := range uint64(2) {
+		teller.fell(proxy.Fall{ID: id, Requests: []quarantine.Fingerprint{7}})
+	}
+	f.sidecars = f.sidecars[1:]
+	f.awaitHeld(1)
+	f.sidecars = append([]*Sidecar{first}, f.sidecars...)
+}
+
+// A sidecar that starts knows what the others do as soon as it has asked them once.
+func TestStartedSidecarAsksOthers(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	f.learnDeadly("/read" + deadlyPath)
+	s := f.sidecars[0]
+	started := newHeldRequests(s)
+	started.learn(t.Context())
+	assert.Equal(t, len(started.list(clock.Now())), 1)
+}
+
 // A sidecar to which a fall was not told hears of it by comparison.
 func TestHeldRequestsAreCompared(t *testing.T) {
 	f := startFleet(t, 4, 0)
