A question for news is not written to where it is answered

Found by the race detector in TestOneFailureKeepsChangesWithinTheBound: the answering node appended the asking one's link to the list of the question, which has room behind it and, where nodes share a process as in the tests, is the asking node's own. Between processes the list is decoded anew, so nobody saw it there.

--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/walldrift/walldrift/internal/clock"
@@ -16,7 +17,7 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.hearLinks(append(ask.Links, ask.Link)...)
+	f.hearLinks(slices.Concat(ask.Links, []NodeLink{ask.Link})...)
 	if ask.OnlyLinks {
 		return News{Age: unknownAge, Links: f.links.told, LinksHash: f.links.hash}, nil
 	}
