Lost answers that no fall explains are forgotten

By reading the diff: a request whose connection broke was remembered until the next fall, for ever where the upstream lives (lost answers, nodes that do not look for falls). Now for two seconds, 256 of them at most.

Test: after 2,560 lost answers at most 257 are remembered, and one after four seconds.

--- a/internal/proxy/fall.go
+++ b/internal/proxy/fall.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 const (
 	// lostMemory is how long after a broken connection a refused one explains it.
 	lostMemory = 2 * time.Second
+	// maxLost bounds the requests that one fall explains: several times the slots of an
+	// upstream.
+	maxLost = 256
 	// secondLook is the wait before an upstream that accepts a connection is looked at
 	// again: a process that ends may close its listener after its connections.
 	secondLook = 20 * time.Millisecond
@@ -88,7 +92,8 @@
 	defer f.mu.Unlock()
 	f.noteBack(c)
 	f.fall.Upstream = c.env.Target
-	f.lost = append(f.lost, lostRequest{c.env.Fingerprint, clock.Now()})
+	now := clock.Now()
+	f.lost = append(f.recent(now), lostRequest{c.env.Fingerprint, now})
 	if f.looking || f.refuses == nil {
 		return
 	}
@@ -120,18 +125,24 @@
 	}
 }
 
+// recent returns the requests that lost their connection a short while ago, the last
+// ones if they are many. The lock is held.
+func (f *fallWatch) recent(now time.Time) []lostRequest {
+	lost := slices.DeleteFunc(f.lost, func(l lostRequest) bool { return now.Sub(l.at) >= lostMemory })
+	return lost[max(len(lost)-maxLost, 0):]
+}
+
 func (f *fallWatch) takeFall(now time.Time) (Fall, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var requests []quarantine.Fingerprint
-	for _, l := range f.lost {
-		if now.Sub(l.at) < lostMemory {
-			requests = append(requests, l.fingerprint)
-		}
-	}
-	if len(requests) == 0 {
+	lost := f.recent(now)
+	if len(lost) == 0 {
 		return Fall{}, false
 	}
+	var requests []quarantine.Fingerprint
+	for _, l := range lost {
+		requests = append(requests, l.fingerprint)
+	}
 	for c := range f.running {
 		requests = append(requests, c.env.Fingerprint)
 	}
--- a/internal/proxy/fall_test.go
+++ b/internal/proxy/fall_test.go
@@ -89,3 +89,18 @@
 		assert.Equal(t, len(w.falls), 0)
 	})
 }
+
+// An upstream that loses answers all day, and lives, takes bounded memory.
+func TestLostAnswersAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWatched()
+		for range 10 * maxLost {
+			w.lose(w.pass(1))
+		}
+		assert.Assert(t, len(w.lost) <= maxLost+1)
+		time.Sleep(2 * lostMemory)
+		w.lose(w.pass(1))
+		assert.Equal(t, len(w.lost), 1)
+		time.Sleep(2 * secondLook) // until the last look has ended
+	})
+}
