The book of falls in files of one job each

config, record, memory, operators and the book's decisions; what sidecars tell each other apart from how they find each other. Text unchanged but for one name that was shadowed.

--- /dev/null
+++ b/internal/quarantine/memory.go
@@ -0,0 +1,89 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// record returns the record of a request at a service, new if there is none.
+func (b *Book) record(now time.Time, k key) *record {
+	services, ok := b.records[k.request]
+	if !ok {
+		services = make(map[string]*record)
+		b.records[k.request] = services
+	}
+	rec, ok := services[k.service]
+	if !ok {
+		rec = &record{}
+		services[k.service] = rec
+		b.count++
+	}
+	rec.seen = latest(rec.seen, now)
+	return rec
+}
+
+func (b *Book) forget(k key) {
+	delete(b.records[k.request], k.service)
+	if len(b.records[k.request]) == 0 {
+		delete(b.records, k.request)
+	}
+	delete(b.changed, k)
+	b.count--
+}
+
+// sweepEvery is the time between two removals of what is too old.
+const sweepEvery = time.Second
+
+// Sweep forgets what was not seen for long. Call it now and then.
+func (b *Book) Sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepEvery {
+		return
+	}
+	b.swept = now
+	for r, services := range b.records {
+		for service, rec := range services {
+			if now.Sub(rec.seen) > b.memoryOf(rec) {
+				b.forget(key{r, service})
+			}
+		}
+	}
+}
+
+func (b *Book) memoryOf(rec *record) time.Duration {
+	if len(rec.falls) == 0 {
+		return b.cfg.ClearedMemory
+	}
+	return b.cfg.Memory
+}
+
+// makeRoom forgets what speaks least against a request, until the rest fits.
+func (b *Book) makeRoom(now time.Time) {
+	if b.count <= b.cfg.MaxRecords {
+		return
+	}
+	b.swept = time.Time{}
+	b.Sweep(now)
+	type aged struct {
+		key
+		falls int
+		seen  time.Time
+	}
+	var all []aged
+	for r, services := range b.records {
+		for service, rec := range services {
+			all = append(all, aged{key{r, service}, len(rec.falls), rec.seen})
+		}
+	}
+	slices.SortFunc(all, func(x, y aged) int {
+		if x.falls != y.falls {
+			return x.falls - y.falls
+		}
+		if c := x.seen.Compare(y.seen); c != 0 {
+			return c
+		}
+		return compareKeys(x.key, y.key)
+	})
+	for _, a := range all[:max(b.count-b.cfg.MaxRecords, 0)] {
+		b.forget(a.key)
+	}
+}
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -48,8 +48,8 @@
 	}
 }
 
-// ask wakes who waits at a channel of capacity 1.
-func ask(c chan struct{}) {
+// wake wakes who waits at a channel of capacity 1.
+func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
 	default:
@@ -61,7 +61,7 @@
 	h.mu.Lock()
 	h.book.Fell(clock.Now(), f.ID, h.others.service(), f.Requests)
 	h.mu.Unlock()
-	ask(h.urgent)
+	wake(h.urgent)
 }
 
 // Check is described at proxy.Quarantine.
@@ -77,7 +77,7 @@
 	v := h.book.Start(clock.Now(), r, service)
 	h.mu.Unlock()
 	if v.Trial {
-		ask(h.urgent)
+		wake(h.urgent)
 		h.log.Warn("request tried again", "fingerprint", r.String(), "service", service, "falls", v.Falls)
 	}
 	return v
@@ -89,7 +89,7 @@
 	cleared := h.book.Answered(clock.Now(), r, service)
 	h.mu.Unlock()
 	if cleared {
-		ask(h.soon)
+		wake(h.soon)
 	}
 }
 
--- /dev/null
+++ b/internal/sidecar/held_share.go
@@ -0,0 +1,184 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/quarantine"
+)
+
+// run tells other sidecars what changes, and compares with one now and then, until ctx
+// ends.
+func (h *heldRequests) run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { h.learn(ctx) })
+	pause := compareEvery
+	compare := time.NewTimer(pause)
+	defer compare.Stop()
+	var cleared <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.urgent:
+			pause = compareEvery
+			group.Go(func() { h.tell(ctx) })
+		case <-h.soon:
+			if cleared == nil {
+				cleared = time.After(clearedPause)
+			}
+		case <-cleared:
+			cleared, pause = nil, compareEvery
+			group.Go(func() { h.tell(ctx) })
+		case <-compare.C:
+			if h.compareWithOne(ctx) {
+				pause = min(2*pause, compareMost)
+			} else {
+				pause = compareEvery
+			}
+			compare.Reset(pause)
+		}
+	}
+}
+
+// tell sends what has changed to the sidecars beside the other upstreams of the service,
+// which would run such a request next. Others hear of it by comparison. News go on from
+// reader to reader and take up to 1.3 s, in which such a request ends a whole service.
+func (h *heldRequests) tell(ctx context.Context) {
+	h.mu.Lock()
+	m := heldMessage{Records: h.book.Changes(clock.Now())}
+	h.mu.Unlock()
+	if len(m.Records) == 0 {
+		return
+	}
+	siblings, _ := h.others.siblings()
+	h.tellAll(ctx, siblings, m)
+}
+
+// tellAll sends a message to several sidecars. A comparison makes up for one that is
+// lost.
+func (h *heldRequests) tellAll(ctx context.Context, to []netip.AddrPort, m heldMessage) {
+	h.toAll(to, func(one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
+}
+
+// toAll does something with several sidecars at once.
+func (h *heldRequests) toAll(to []netip.AddrPort, do func(netip.AddrPort)) {
+	var group sync.WaitGroup
+	places := make(chan struct{}, heldWidth)
+	for _, addr := range to {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			do(addr)
+		})
+	}
+	group.Wait()
+}
+
+// learn asks a few others what they remember, as soon as it knows any: a process that
+// starts knows nothing, and there is no other place where it could be kept.
+func (h *heldRequests) learn(ctx context.Context) {
+	for range int(startWait / startPoll) {
+		siblings, rest := h.others.siblings()
+		if len(siblings)+len(rest) > 0 {
+			ask := slices.Concat(siblings[:min(len(siblings), startSiblings)], rest[:min(len(rest), 1)])
+			h.toAll(ask, func(to netip.AddrPort) { _ = h.compare(ctx, to) })
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(startPoll):
+		}
+	}
+}
+
+// compareWithOne compares with one other sidecar, if anything is remembered, and reports
+// whether both remembered the same.
+func (h *heldRequests) compareWithOne(ctx context.Context) bool {
+	h.mu.Lock()
+	empty := h.book.Empty()
+	h.mu.Unlock()
+	siblings, rest := h.others.siblings()
+	if len(siblings) == 0 || len(rest) > 0 && rand.IntN(2) == 0 {
+		siblings = rest
+	}
+	if empty || len(siblings) == 0 {
+		return true
+	}
+	return h.compare(ctx, siblings[0])
+}
+
+// compare makes this sidecar and another one remember the same. It reports whether they
+// did before.
+func (h *heldRequests) compare(ctx context.Context, with netip.AddrPort) bool {
+	h.mu.Lock()
+	own := h.book.Digest()
+	h.mu.Unlock()
+	reply, err := h.others.send(ctx, with, heldMessage{Compare: true, Digest: own})
+	if err != nil || reply.Digest == own {
+		return err == nil
+	}
+	now := clock.Now()
+	h.mu.Lock()
+	h.merge(now, reply.Records)
+	m := heldMessage{}
+	if h.book.Digest() != reply.Digest {
+		m.Records = h.book.Records(now)
+	}
+	h.mu.Unlock()
+	if len(m.Records) > 0 {
+		_, _ = h.others.send(ctx, with, m) // the next comparison makes up for it
+	}
+	return false
+}
+
+// merge takes over records of another sidecar. What this one can clear is told soon. The
+// lock is held.
+func (h *heldRequests) merge(now time.Time, told []quarantine.Record) {
+	h.book.Merge(now, told)
+	if h.book.Changed() {
+		wake(h.soon)
+	}
+}
+
+// answer serves the messages of other sidecars.
+func (h *heldRequests) answer(w http.ResponseWriter, r *http.Request) {
+	m, err := readHeld(r.Body)
+	if err != nil {
+		h.log.Warn("message about held requests not read", "err", err)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	raw, err := cbor.Marshal(h.take(clock.Now(), m))
+	if err != nil {
+		h.log.Error("held requests not told", "err", err)
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // a sidecar that has left compares again
+}
+
+// take takes over a message and returns the answer.
+func (h *heldRequests) take(now time.Time, m heldMessage) (reply heldMessage) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.merge(now, m.Records)
+	if !m.Compare {
+		return reply
+	}
+	reply.Digest = h.book.Digest()
+	if reply.Digest != m.Digest {
+		reply.Records = h.book.Records(now)
+	}
+	return reply
+}
