Settings that change between being read and being watched are taken over

Operators saw, or would have seen: a sidecar goes on with the settings that it read at its start when the file changes a moment later, until the next change or signal.

Cause: the state of the file to compare with was taken when the watch began, in a goroutine of its own, so a change before that was taken for what had been read. It is taken before the file is read now. That is how TestSettingsAreReloaded hung once for 590 s beside busy processes: its stack waited for the first reload, with the watch in its loop.

Test: a file that changes before it is watched: never read again (timed out after 20 s) -> read.

--- a/internal/cli/sidecar.go
+++ b/internal/cli/sidecar.go
@@ -42,6 +42,7 @@
 			load := func() (*settings.Sidecar, error) {
 				return settings.LoadSidecar(*file, settings.SidecarEnvironment(), overrides)
 			}
+			seen := sidecar.SeenNow(*file)
 			cfg, err := load()
 			if err != nil {
 				return err
@@ -56,7 +57,7 @@
 			if err != nil {
 				return err
 			}
-			go s.WatchSettings(ctx, *file, load)
+			go s.WatchSettings(ctx, seen, load)
 			return s.Run(ctx)
 		},
 	}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -16,16 +16,25 @@
 // without a signal.
 const reloadInterval = time.Second
 
+// SettingsFile is a settings file as it was at a time.
+type SettingsFile struct {
+	path string
+	seen stamp
+}
+
+// SeenNow returns a file as it is now. Call it before the file is read: a change that
+// comes after, and before the file is watched, is then not taken for what was read.
+func SeenNow(path string) *SettingsFile { return &SettingsFile{path: path, seen: fileState(path)} }
+
 // WatchSettings takes over changed settings until ctx ends: at once on SIGHUP,
 // otherwise when the file's time or size differs. load reads the file; its
 // errors are logged, and the settings in force stay.
-func (s *Sidecar) WatchSettings(ctx context.Context, file string, load func() (*settings.Sidecar, error)) {
+func (s *Sidecar) WatchSettings(ctx context.Context, file *SettingsFile, load func() (*settings.Sidecar, error)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
-	seen := fileState(file)
 	for {
 		select {
 		case <-ctx.Done():
@@ -33,11 +42,11 @@
 		case <-hup:
 			s.log.Info("reload asked for by signal")
 		case <-tick.C:
-			now := fileState(file)
-			if now == seen {
+			now := fileState(file.path)
+			if now == file.seen {
 				continue
 			}
-			seen = now
+			file.seen = now
 		}
 		next, err := load()
 		if err != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -83,13 +83,14 @@
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	go func() { s.WatchSettings(ctx, file, load); close(done) }()
+	seen := SeenNow(file)
+	go func() { s.WatchSettings(ctx, seen, load); close(done) }()
 	caller := func() string {
 		_, h, _ := f.send(f.request(0, "GET", "/read/x", ""))
 		return h.Get("Seen-Caller")
 	}
 	assert.Equal(t, caller(), "shop")
-	assert.NilError(t, os.WriteFile(file, []byte("22"), 0o600))
+	replace(t, file, "22")
 	assert.Equal(t, <-loaded, "second")
 	for range 2 {
 		assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
@@ -99,3 +100,25 @@
 	<-done
 	assert.Equal(t, caller(), "third")
 }
+
+// replace writes a file anew in one step.
+func replace(t *testing.T, file, text string) {
+	assert.NilError(t, os.WriteFile(file+".new", []byte(text), 0o600))
+	assert.NilError(t, os.Rename(file+".new", file))
+}
+
+// A sidecar went on with the settings that it had read when the file changed before it
+// began to watch it: it took the changed file for the one that it had read, until the next
+// signal. A test that changes a file beside busy processes waited for that for 590 s.
+func TestSettingsThatChangeBeforeTheyAreWatched(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	s := f.sidecars[0]
+	file := filepath.Join(t.TempDir(), "s.ini")
+	assert.NilError(t, os.WriteFile(file, []byte("1"), 0o600))
+	seen := SeenNow(file)
+	replace(t, file, "22")
+	loaded := make(chan struct{}, 8)
+	load := func() (*settings.Sidecar, error) { loaded <- struct{}{}; return s.cfg, nil }
+	go s.WatchSettings(t.Context(), seen, load)
+	<-loaded
+}
