A comparison with a silent sidecar holds up no word of a fall

Callers would have met it as more upstreams that end: one loop told falls and waited for the answer of a comparison, up to a second where the other sidecar is silent; a service of six falls in half of that. And the pause between comparisons, up to 16 s in quiet times, was to be a second after a fall but went on until its timer had fired.

Cause: waiting for another sidecar stood in the loop that may wait for none. Two loops now; what is told makes the other one compare after a second. Nothing is looked up for a comparison where nothing is remembered.

Test: a comparison that is never answered: the next fall not told within 20 s -> told.

--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -22,8 +22,9 @@
 	lines   *lineBudget
 	refused tally.Counter
 	others  *heldPeers
-	// urgent and soon ask for the changes to be told to other sidecars.
-	urgent, soon chan struct{}
+	// urgent and soon ask for the changes to be told to other sidecars; told says that
+	// they are.
+	urgent, soon, told chan struct{}
 
 	mu   sync.Mutex // guards what follows
 	book *quarantine.Book
@@ -44,6 +45,7 @@
 		},
 		urgent: make(chan struct{}, 1),
 		soon:   make(chan struct{}, 1),
+		told:   make(chan struct{}, 1),
 		book:   quarantine.NewBook(cfg),
 	}
 }
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -19,34 +19,57 @@
 // ends.
 func (h *heldRequests) run(ctx context.Context) {
 	var group sync.WaitGroup
-	defer group.Wait()
 	group.Go(func() { h.learn(ctx) })
-	pause := compareEvery
-	compare := time.NewTimer(pause)
-	defer compare.Stop()
+	group.Go(func() { h.tellChanges(ctx) })
+	group.Go(func() { h.compareNowAndThen(ctx) })
+	group.Wait()
+}
+
+// tellChanges tells what changes until ctx ends. It waits for no other sidecar.
+func (h *heldRequests) tellChanges(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
 	var cleared <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.urgent:
-			pause = compareEvery
-			group.Go(func() { h.tell(ctx) })
 		case <-h.soon:
 			if cleared == nil {
 				cleared = time.After(clearedPause)
 			}
+			continue
+		case <-h.urgent:
 		case <-cleared:
-			cleared, pause = nil, compareEvery
-			group.Go(func() { h.tell(ctx) })
-		case <-compare.C:
-			if h.compareWithOne(ctx) {
-				pause = min(2*pause, compareMost)
-			} else {
+			cleared = nil
+		}
+		wake(h.told)
+		group.Go(func() { h.tell(ctx) })
+	}
+}
+
+// compareNowAndThen compares with another sidecar until ctx ends: soon after something was
+// told, and less often as long as both remember the same.
+func (h *heldRequests) compareNowAndThen(ctx context.Context) {
+	pause := compareEvery
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.told:
+			if pause == compareEvery {
+				continue
+			}
+			pause = compareEvery
+		case <-timer.C:
+			pause = min(2*pause, compareMost)
+			if !h.compareWithOne(ctx) {
 				pause = compareEvery
 			}
-			compare.Reset(pause)
 		}
+		timer.Reset(pause)
 	}
 }
 
@@ -108,14 +131,14 @@
 	h.mu.Lock()
 	empty := h.book.Empty()
 	h.mu.Unlock()
+	if empty {
+		return true
+	}
 	siblings, rest := h.others.siblings()
 	if len(siblings) == 0 || len(rest) > 0 && rand.IntN(2) == 0 {
 		siblings = rest
 	}
-	if empty || len(siblings) == 0 {
-		return true
-	}
-	return h.compare(ctx, siblings[0])
+	return len(siblings) == 0 || h.compare(ctx, siblings[0])
 }
 
 // compare makes this sidecar and another one remember the same. It reports whether they
--- a/internal/sidecar/held_test.go
+++ b/internal/sidecar/held_test.go
@@ -108,6 +108,41 @@
 	f.sidecars = append([]*Sidecar{first}, f.sidecars...)
 }
 
+// silentToComparisons passes on what is told, and answers no comparison until the test ends.
+type silentToComparisons struct {
+	toldOnly
+	asked chan struct{} // one for each comparison
+	end   <-chan struct{}
+}
+
+func (s silentToComparisons) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := s.toldOnly.RoundTrip(r)
+	if err != nil {
+		s.asked <- struct{}{}
+		<-s.end
+	}
+	return resp, err
+}
+
+// A comparison with a sidecar that is silent lasts up to a second, in which a fall that is
+// not told lets a whole service fall.
+func TestFallIsToldDuringAComparison(t *testing.T) {
+	f := startFleet(t, 4, 0)
+	first := f.sidecars[0]
+	teller := newHeldRequests(first)
+	asked := make(chan struct{}, 8)
+	teller.others.client = silentToComparisons{toldOnly{first.hop}, asked, t.Context().Done()}
+	go teller.run(t.Context())
+	teller.fell(proxy.Fall{ID: 1, Requests: []quarantine.Fingerprint{7}})
+	for range len(f.sidecars) { // one at the start with each of the others, then one more
+		<-asked
+	}
+	teller.fell(proxy.Fall{ID: 2, Requests: []quarantine.Fingerprint{7}})
+	f.sidecars = f.sidecars[1:]
+	f.awaitHeld(1)
+	f.sidecars = append([]*Sidecar{first}, f.sidecars...)
+}
+
 // A sidecar that starts knows what the others do as soon as it has asked them once.
 func TestStartedSidecarAsksOthers(t *testing.T) {
 	f := startFleet(t, 4, 0)
