Several sidecars are asked at once in one place

The survey for operators and what is told of falls each had a group and a channel of places of their own, with the same width. Ruled out: keeping the survey's, which starts a goroutine for each member and then lets them wait.

--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -8,7 +8,6 @@
 	"net/http/pprof"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,14 +25,9 @@
 // headerStatus marks a request between sidecars as one for the status.
 const headerStatus = "Walldrift-Status"
 
-// Bounds of a survey of the fleet.
-const (
-	// surveyTimeout is how long a sidecar may take to tell its status: some
-	// hundred times what it needs.
-	surveyTimeout = time.Second
-	// surveyWidth is the number of sidecars asked at once.
-	surveyWidth = 32
-)
+// surveyTimeout is how long a sidecar may take to tell its status: some hundred times
+// what it needs.
+const surveyTimeout = time.Second
 
 // adminHandler serves operators on the metrics address.
 func (s *Sidecar) adminHandler() http.Handler {
@@ -164,16 +158,7 @@
 func (s *Sidecar) survey(ctx context.Context) []distribution.NodeStatus {
 	members := s.follower.Members()
 	out := make([]distribution.NodeStatus, len(members))
-	var group sync.WaitGroup
-	places := make(chan struct{}, surveyWidth)
-	for i, m := range members {
-		group.Go(func() {
-			places <- struct{}{}
-			defer func() { <-places }()
-			out[i] = s.askStatus(ctx, m)
-		})
-	}
-	group.Wait()
+	askAll(members, func(i int, m membership.Member) { out[i] = s.askStatus(ctx, m) })
 	slices.SortFunc(out, func(a, b distribution.NodeStatus) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
--- a/internal/sidecar/held_peers.go
+++ b/internal/sidecar/held_peers.go
@@ -36,8 +36,6 @@
 	startWait = 10 * time.Second
 	// heldTimeout bounds a message and its answer.
 	heldTimeout = time.Second
-	// heldWidth is the number of sidecars told at once.
-	heldWidth = 32
 	// maxHeldMessage bounds an encoded message: all records of a full book.
 	maxHeldMessage = 1 << 20
 )
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -90,21 +90,7 @@
 // tellAll sends a message to several sidecars. A comparison makes up for one that is
 // lost.
 func (h *heldRequests) tellAll(ctx context.Context, to []netip.AddrPort, m heldMessage) {
-	h.toAll(to, func(one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
-}
-
-// toAll does something with several sidecars at once.
-func (h *heldRequests) toAll(to []netip.AddrPort, do func(netip.AddrPort)) {
-	var group sync.WaitGroup
-	places := make(chan struct{}, heldWidth)
-	for _, addr := range to {
-		places <- struct{}{}
-		group.Go(func() {
-			defer func() { <-places }()
-			do(addr)
-		})
-	}
-	group.Wait()
+	askAll(to, func(_ int, one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
 }
 
 // learn asks a few others what they remember, as soon as it knows any: a process that
@@ -114,7 +100,7 @@
 		siblings, rest := h.others.siblings()
 		if len(siblings)+len(rest) > 0 {
 			ask := slices.Concat(siblings[:min(len(siblings), startSiblings)], rest[:min(len(rest), 1)])
-			h.toAll(ask, func(to netip.AddrPort) { _ = h.compare(ctx, to) })
+			askAll(ask, func(_ int, to netip.AddrPort) { _ = h.compare(ctx, to) })
 			return
 		}
 		select {
