Questions between nodes go one way

News, what is told of falls, and the status for operators each built a request, marked it, sent it, looked at the status, read and decoded the answer, and encoded their own, with three sets of errors. One package does that now (internal/peerhttp); what was decoded without a bound, a status, has one. The codec's two wrappers in discovery are gone, with one copy of each difference of tables.

The header of what is told of falls is Walldrift-Quarantine: the proxy has another constant headerHeld, for how long an answer was held. A status is asked by POST as the others are; nodes look at the header alone, so builds before answer it.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/snapshot"
 )
@@ -201,7 +201,7 @@
 	if err != nil {
 		return News{}, err
 	}
-	raw, err := encode("news", news)
+	raw, err := cbor.Marshal(news)
 	if err != nil {
 		return News{}, err
 	}
@@ -210,7 +210,7 @@
 	to.mu.Unlock()
 	wait(ctx, way)
 	var out News
-	return out, decode("news", bytes.NewReader(raw), &out)
+	return out, cbor.Unmarshal(raw, &out)
 }
 
 // testFleet is some nodes in data centres of one region.
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	kflate "github.com/klauspost/compress/flate"
 
 	"github.com/walldrift/walldrift/internal/table"
@@ -84,20 +83,6 @@
 // and some thousand upstreams.
 const maxNews = table.MaxBytes + 1<<20
 
-// encode and decode wrap the codec's errors with what they concern.
-func encode(what string, v any) ([]byte, error) {
-	raw, err := cbor.Marshal(v)
-	return raw, errors.Wrap(err, what)
-}
-
-func decode(what string, r io.Reader, into any) error {
-	raw, err := io.ReadAll(io.LimitReader(r, maxNews))
-	if err != nil {
-		return errors.Wrap(err, what)
-	}
-	return errors.Wrap(cbor.Unmarshal(raw, into), what)
-}
-
 // deflate compresses a table. The stateless coder keeps no memory between
 // tables, which come seldom.
 func deflate(raw []byte) ([]byte, error) {
--- a/internal/discovery/patch.go
+++ b/internal/discovery/patch.go
@@ -1,9 +1,8 @@
 package discovery
 
 import (
-	"bytes"
-
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/table"
 	"github.com/walldrift/walldrift/internal/version"
@@ -45,9 +44,9 @@
 	if !ok {
 		return nil, nil
 	}
-	raw, err := encode("difference of tables", splices)
+	raw, err := cbor.Marshal(splices)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "difference of tables")
 	}
 	if raw, err = deflate(raw); err != nil {
 		return nil, err
@@ -69,8 +68,8 @@
 		return nil, err
 	}
 	var splices []table.Splice
-	if err := decode("difference of tables", bytes.NewReader(raw), &splices); err != nil {
-		return nil, err
+	if err := cbor.Unmarshal(raw, &splices); err != nil {
+		return nil, errors.Wrap(err, "difference of tables")
 	}
 	next, err := table.Apply(base.Raw, splices)
 	if err != nil {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -1,12 +1,13 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/walldrift/walldrift/internal/peerhttp"
 )
 
 // Peers asks other nodes for their news.
@@ -25,32 +26,16 @@
 
 // Ask is described at Peers.
 func (p PeerClient) Ask(ctx context.Context, node netip.AddrPort, ask Ask) (News, error) {
-	raw, err := encode("ask for news", ask)
-	if err != nil {
-		return News{}, err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.String()+"/", bytes.NewReader(raw))
-	if err != nil {
-		return News{}, errors.Wrap(err, "ask for news")
-	}
-	req.Header.Set(HeaderNews, "1")
-	resp, err := p.Transport.RoundTrip(req)
-	if err != nil {
-		return News{}, errors.Wrapf(err, "news of %s", node)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return News{}, errors.Newf("news of %s: %s", node, resp.Status)
-	}
 	var n News
-	return n, decode("news", resp.Body, &n)
+	err := peerhttp.Ask(ctx, p.Transport, node, HeaderNews, ask, &n, maxNews)
+	return n, errors.Wrapf(err, "news of %s", node)
 }
 
 // NewsHandler serves the news of a follower to other nodes.
 func NewsHandler(f *Follower) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var ask Ask
-		if err := decode("ask for news", r.Body, &ask); err != nil {
+		if err := peerhttp.Read(r.Body, &ask, maxNews); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -59,11 +44,8 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		raw, err := encode("news", n)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
+		if err := peerhttp.Answer(w, n); err != nil {
+			f.log.Error("news not told", "err", err)
 		}
-		_, _ = w.Write(raw) // a reader that has left asks again
 	})
 }
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/discovery"
 	"github.com/walldrift/walldrift/internal/distribution"
 	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/peerhttp"
 	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/table"
 )
@@ -29,6 +29,9 @@
 // what it needs.
 const surveyTimeout = time.Second
 
+// maxStatus bounds an encoded status: some hundred times the usual one.
+const maxStatus = 64 << 10
+
 // adminHandler serves operators on the metrics address.
 func (s *Sidecar) adminHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -145,13 +148,9 @@
 
 // tellStatus answers another sidecar's survey.
 func (s *Sidecar) tellStatus(w http.ResponseWriter) {
-	raw, err := cbor.Marshal(s.status(clock.Now()))
-	if err != nil {
+	if err := peerhttp.Answer(w, s.status(clock.Now())); err != nil {
 		s.log.Error("status not told", "err", err)
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
 	}
-	_, _ = w.Write(raw) // the survey says that there was no answer
 }
 
 // survey asks every sidecar that is known for its status.
@@ -175,15 +174,6 @@
 func (s *Sidecar) fetchStatus(ctx context.Context, m membership.Member) (st distribution.NodeStatus, err error) {
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Peer.String()+"/", nil)
-	if err != nil {
-		return st, errors.Wrap(err, "ask for status")
-	}
-	req.Header.Set(headerStatus, "1")
-	resp, err := s.hop.RoundTrip(req)
-	if err != nil {
-		return st, errors.Wrap(err, "no answer")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return st, errors.Wrap(cbor.NewDecoder(resp.Body).Decode(&st), "status")
+	err = peerhttp.Ask(ctx, s.hop, m.Peer, headerStatus, nil, &st, maxStatus)
+	return st, errors.Wrap(err, "no answer")
 }
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -162,7 +162,7 @@
 		switch {
 		case r.Header.Get(discovery.HeaderNews) != "":
 			news.ServeHTTP(w, r)
-		case r.Header.Get(headerHeld) != "":
+		case r.Header.Get(headerQuarantine) != "":
 			held.ServeHTTP(w, r)
 		case r.Header.Get(headerStatus) != "":
 			s.tellStatus(w)
--- a/internal/sidecar/held_peers.go
+++ b/internal/sidecar/held_peers.go
@@ -1,23 +1,22 @@
 package sidecar
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/peerhttp"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
-// headerHeld marks a request between sidecars as one about requests that end upstreams.
-const headerHeld = "Walldrift-Held"
+// headerQuarantine marks a request between sidecars as one about requests that end
+// upstreams.
+const headerQuarantine = "Walldrift-Quarantine"
 
 const (
 	// clearedPause gathers requests that are cleared one after the other into one
@@ -83,30 +82,6 @@
 func (p *heldPeers) send(ctx context.Context, to netip.AddrPort, m heldMessage) (reply heldMessage, err error) {
 	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
 	defer cancel()
-	raw, err := cbor.Marshal(m)
-	if err != nil {
-		return reply, errors.Wrap(err, "held requests")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/", bytes.NewReader(raw))
-	if err != nil {
-		return reply, errors.Wrap(err, "held requests")
-	}
-	req.Header.Set(headerHeld, "1")
-	resp, err := p.client.RoundTrip(req)
-	if err != nil {
-		return reply, errors.Wrapf(err, "held requests to %s", to)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return reply, errors.Newf("held requests to %s: %s", to, resp.Status)
-	}
-	return readHeld(resp.Body)
-}
-
-func readHeld(r io.Reader) (m heldMessage, err error) {
-	raw, err := io.ReadAll(io.LimitReader(r, maxHeldMessage))
-	if err != nil {
-		return m, errors.Wrap(err, "held requests")
-	}
-	return m, errors.Wrap(cbor.Unmarshal(raw, &m), "held requests")
+	err = peerhttp.Ask(ctx, p.client, to, headerQuarantine, m, &reply, maxHeldMessage)
+	return reply, errors.Wrapf(err, "held requests to %s", to)
 }
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -9,9 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/peerhttp"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
 
@@ -162,19 +161,15 @@
 
 // answer serves the messages of other sidecars.
 func (h *heldRequests) answer(w http.ResponseWriter, r *http.Request) {
-	m, err := readHeld(r.Body)
-	if err != nil {
+	var m heldMessage
+	if err := peerhttp.Read(r.Body, &m, maxHeldMessage); err != nil {
 		h.log.Warn("message about held requests not read", "err", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	raw, err := cbor.Marshal(h.take(clock.Now(), m))
-	if err != nil {
+	if err := peerhttp.Answer(w, h.take(clock.Now(), m)); err != nil {
 		h.log.Error("held requests not told", "err", err)
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
 	}
-	_, _ = w.Write(raw) // a sidecar that has left compares again
 }
 
 // take takes over a message and returns the answer.
--- a/internal/sidecar/held_test.go
+++ b/internal/sidecar/held_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/peerhttp"
 	"github.com/walldrift/walldrift/internal/proxy"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
@@ -84,8 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	m, err := readHeld(bytes.NewReader(raw))
-	if err != nil || m.Compare {
+	var m heldMessage
+	if err := peerhttp.Read(bytes.NewReader(raw), &m, maxHeldMessage); err != nil || m.Compare {
 		return nil, errors.New("lost")
 	}
 	r.Body = io.NopCloser(bytes.NewReader(raw))
