--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -10,9 +10,7 @@
 type Book struct {
 	cfg     Config
 	records map[Fingerprint]map[string]*record // by request and service
-	count   int
-	changed map[key]struct{} // to be told to other nodes
-	swept   time.Time
+	changed map[key]struct{}                   // to be told to other nodes
 	// answers are the last ones, each at a place given by its request.
 	answers [answersKept]answer
 }
@@ -36,7 +34,7 @@
 func (b *Book) Changed() bool { return len(b.changed) > 0 }
 
 // Empty reports whether nothing is remembered.
-func (b *Book) Empty() bool { return b.count == 0 }
+func (b *Book) Empty() bool { return len(b.records) == 0 }
 
 // Fell notes a fall of an upstream of a service and the requests that it may have been
 // running. The ID tells it from other falls.
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -120,7 +120,7 @@
 	for i := range 1000 {
 		b.Fell(start.Add(time.Minute), uint64(1000+i), shop, []Fingerprint{Fingerprint(5000 + i), Fingerprint(9000 + i)})
 	}
-	assert.Equal(t, b.count, cfg.MaxRecords)
+	assert.Equal(t, b.count(), cfg.MaxRecords)
 	assert.Assert(t, b.Check(start.Add(time.Minute), culprit, shop).Held)
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/hex"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,16 +38,12 @@
 	return Fingerprint(max(sum.Sum64(), 1))
 }
 
-// fingerprintDigits is the length of a fingerprint in text.
-const fingerprintDigits = 16
-
 // String returns the fingerprint as 16 hexadecimal digits, empty for none.
 func (f Fingerprint) String() string {
 	if f == 0 {
 		return ""
 	}
-	s := strconv.FormatUint(uint64(f), 16)
-	return "0000000000000000"[:fingerprintDigits-len(s)] + s
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(f)))
 }
 
 // ParseFingerprint reads what String wrote.
--- a/internal/quarantine/memory.go
+++ b/internal/quarantine/memory.go
@@ -16,7 +16,6 @@
 	if !ok {
 		rec = &record{}
 		services[k.service] = rec
-		b.count++
 	}
 	rec.seen = latest(rec.seen, now)
 	return rec
@@ -28,29 +27,31 @@
 		delete(b.records, k.request)
 	}
 	delete(b.changed, k)
-	b.count--
 }
 
-// sweepEvery is the time between two removals of what is too old.
-const sweepEvery = time.Second
+// count returns the number of records.
+func (b *Book) count() int {
+	n := 0
+	for _, services := range b.records {
+		n += len(services)
+	}
+	return n
+}
 
 // Sweep forgets what was not seen for long. Call it now and then.
 func (b *Book) Sweep(now time.Time) {
-	if now.Sub(b.swept) < sweepEvery {
-		return
-	}
-	b.swept = now
 	for r, services := range b.records {
 		for service, rec := range services {
-			if now.Sub(rec.seen) > b.memoryOf(rec) {
+			if now.Sub(rec.seen) > b.memory(rec.falls) {
 				b.forget(key{r, service})
 			}
 		}
 	}
 }
 
-func (b *Book) memoryOf(rec *record) time.Duration {
-	if len(rec.falls) == 0 {
+// memory is how long a request with such falls is remembered.
+func (b *Book) memory(falls []uint64) time.Duration {
+	if len(falls) == 0 {
 		return b.cfg.ClearedMemory
 	}
 	return b.cfg.Memory
@@ -58,10 +59,9 @@
 
 // makeRoom forgets what speaks least against a request, until the rest fits.
 func (b *Book) makeRoom(now time.Time) {
-	if b.count <= b.cfg.MaxRecords {
+	if b.count() <= b.cfg.MaxRecords {
 		return
 	}
-	b.swept = time.Time{}
 	b.Sweep(now)
 	type aged struct {
 		key
@@ -83,7 +83,7 @@
 		}
 		return compareKeys(x.key, y.key)
 	})
-	for _, a := range all[:max(b.count-b.cfg.MaxRecords, 0)] {
+	for _, a := range all[:max(len(all)-b.cfg.MaxRecords, 0)] {
 		b.forget(a.key)
 	}
 }
--- a/internal/quarantine/merge.go
+++ b/internal/quarantine/merge.go
@@ -69,48 +69,33 @@
 	return cmp.Or(cmp.Compare(x.request, y.request), cmp.Compare(x.service, y.service))
 }
 
-// Merge takes over what another node remembers, and reports whether any of it is new.
-func (b *Book) Merge(now time.Time, told []Record) bool {
-	changed := false
+// Merge takes over what another node remembers.
+func (b *Book) Merge(now time.Time, told []Record) {
 	for _, t := range told {
-		if t.Request != 0 && t.SeenMs >= 0 && t.LastMs >= 0 && b.fresh(t) {
-			changed = b.mergeOne(now, t) || changed
+		if t.Request != 0 && t.SeenMs >= 0 && t.LastMs >= 0 && t.SeenMs < b.memory(t.Falls).Milliseconds() {
+			b.mergeOne(now, t)
 		}
 	}
 	b.makeRoom(now)
-	return changed
 }
 
-// fresh reports whether a record is not too old to be taken over.
-func (b *Book) fresh(t Record) bool {
-	memory := b.cfg.Memory
-	if len(t.Falls) == 0 {
-		memory = b.cfg.ClearedMemory
-	}
-	return t.SeenMs < memory.Milliseconds()
-}
-
-func (b *Book) mergeOne(now time.Time, t Record) bool {
+func (b *Book) mergeOne(now time.Time, t Record) {
 	seen := now.Add(-time.Duration(t.SeenMs) * time.Millisecond)
 	k := key{t.Request, t.Service}
 	rec := b.record(seen, k)
-	changed := rec.clear(t.Cleared...)
+	rec.clear(t.Cleared...)
 	fell := false
 	for _, id := range t.Falls {
 		fell = rec.add(id) || fell
 	}
 	if fell {
-		changed = true
 		b.clearIfAnswered(now, k)
 	}
-	if t.Good && !rec.good {
-		rec.good, changed = true, true
-	}
+	rec.good = rec.good || t.Good
 	if len(rec.falls) == 0 {
 		rec.since = time.Time{}
 	}
 	rec.last = latest(rec.last, now.Add(-time.Duration(t.LastMs)*time.Millisecond))
-	return changed
 }
 
 // Digest is the same for two books that remember the same falls and answers.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -50,16 +50,12 @@
 }
 
 // clear takes falls for no fault of the request.
-func (r *record) clear(ids ...uint64) bool {
-	changed := false
+func (r *record) clear(ids ...uint64) {
 	for _, id := range ids {
 		r.falls = slices.DeleteFunc(r.falls, func(fall uint64) bool { return fall == id })
-		if slices.Contains(r.cleared, id) {
-			continue
+		if !slices.Contains(r.cleared, id) {
+			r.cleared = append(r.cleared, id)
 		}
-		r.cleared = append(r.cleared, id)
-		changed = true
 	}
 	r.cleared = r.cleared[max(len(r.cleared)-maxCleared, 0):]
-	return changed
 }
