One verdict on a held request, asked once

The list for operators worked out anew whether a request is held and when it is tried again, and left out the part of the wait over which nodes are spread: it told up to half less than the Retry-After of that node and its line. It takes the same verdict now (the one change that is seen). A refusal asked for the verdict a second time for its line; it is passed on. What a caller asks for is put together in one place, for the fingerprint and for operators. Tests as before but for the form of their literals.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -118,13 +118,7 @@
 
 // fingerprint tells all attempts of the request from other requests.
 func (x *exchange) fingerprint() quarantine.Fingerprint {
-	r := quarantine.Request{
-		Method: x.req.Method,
-		Host:   x.req.Host,
-		Target: x.req.URL.RequestURI(),
-		Tenant: x.env.Tenant,
-		Body:   x.body.buffered,
-	}
+	r := quarantine.Request{About: about(x.req, x.env.Tenant), Body: x.body.buffered}
 	if x.body.streams() {
 		r.Length = x.body.length
 	}
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -15,8 +15,8 @@
 	Start(r quarantine.Fingerprint, service string) quarantine.Verdict
 	// Answered notes that an upstream of a service has answered a request.
 	Answered(r quarantine.Fingerprint, service string)
-	// Refused notes that a request was held back.
-	Refused(r quarantine.Fingerprint, service string, about quarantine.About)
+	// Refused notes that a request was held back by a verdict.
+	Refused(r quarantine.Fingerprint, service string, v quarantine.Verdict, about quarantine.About)
 }
 
 // noQuarantine holds nothing back.
@@ -25,7 +25,8 @@
 func (noQuarantine) Check(quarantine.Fingerprint, string) (v quarantine.Verdict) { return v }
 func (noQuarantine) Start(quarantine.Fingerprint, string) (v quarantine.Verdict) { return v }
 func (noQuarantine) Answered(quarantine.Fingerprint, string)                     {}
-func (noQuarantine) Refused(quarantine.Fingerprint, string, quarantine.About)    {}
+func (noQuarantine) Refused(quarantine.Fingerprint, string, quarantine.Verdict, quarantine.About) {
+}
 
 // reasonQuarantined is given to a request that is held back, since upstreams ended
 // under it.
@@ -37,13 +38,18 @@
 	if !v.Held {
 		return nil
 	}
-	q.Refused(env.Fingerprint, env.Service, quarantine.About{
+	q.Refused(env.Fingerprint, env.Service, v, about(req, env.Tenant))
+	return notRun(http.StatusServiceUnavailable, retry.Refused, reasonQuarantined, v.After)
+}
+
+// about is what a caller asks for, but for the body.
+func about(req *http.Request, tenant string) quarantine.About {
+	return quarantine.About{
 		Method: req.Method,
 		Host:   req.Host,
 		Target: req.URL.RequestURI(),
-		Tenant: env.Tenant,
-	})
-	return notRun(http.StatusServiceUnavailable, retry.Refused, reasonQuarantined, v.After)
+		Tenant: tenant,
+	}
 }
 
 // heldBack refuses a request that is known to end upstreams, before it takes the way to
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -21,7 +21,9 @@
 	return quarantine.Verdict{Held: true, After: time.Minute}
 }
 
-func (q *lateWord) Refused(quarantine.Fingerprint, string, quarantine.About) { q.refused++ }
+func (q *lateWord) Refused(quarantine.Fingerprint, string, quarantine.Verdict, quarantine.About) {
+	q.refused++
+}
 
 // A request that waits for a slot when the word of a fall comes is held back when it gets
 // one, which goes to the next.
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -20,7 +20,7 @@
 // BenchmarkRequest is what each request costs: its fingerprint, two looks and its answer.
 func BenchmarkRequest(b *testing.B) {
 	book := fullBook()
-	r := Request{Method: "GET", Host: "shop.example", Target: "/read/some/path?page=3&sort=new"}
+	r := Request{About: About{Method: "GET", Host: "shop.example", Target: "/read/some/path?page=3&sort=new"}}
 	b.ReportAllocs()
 	for b.Loop() {
 		f := r.Fingerprint()
@@ -32,7 +32,7 @@
 
 // BenchmarkFingerprintOfABody is one of 60 KB.
 func BenchmarkFingerprintOfABody(b *testing.B) {
-	r := Request{Method: "POST", Host: "shop.example", Target: "/write", Body: make([]byte, 60<<10)}
+	r := Request{About: About{Method: "POST", Host: "shop.example", Target: "/write"}, Body: make([]byte, 60<<10)}
 	b.SetBytes(int64(len(r.Body)))
 	for b.Loop() {
 		r.Fingerprint()
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -113,6 +113,17 @@
 
 // Check says whether a request may run at a service.
 func (b *Book) Check(now time.Time, r Fingerprint, service string) Verdict {
+	v := b.judge(now, r, service)
+	if v.Falls >= b.cfg.HoldAfter {
+		for _, rec := range b.records[r] {
+			rec.seen = now
+		}
+	}
+	return v
+}
+
+// judge is Check for one who does not ask for an attempt.
+func (b *Book) judge(now time.Time, r Fingerprint, service string) Verdict {
 	services, ok := b.records[r]
 	if !ok {
 		return Verdict{}
@@ -121,9 +132,6 @@
 	if falls < b.cfg.HoldAfter {
 		return Verdict{Falls: falls}
 	}
-	for _, rec := range services {
-		rec.seen = now
-	}
 	number := falls - b.cfg.HoldAfter
 	if number >= len(b.cfg.Trials) {
 		return Verdict{Held: true, After: b.cfg.Memory, Falls: falls}
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -258,15 +258,15 @@
 
 // The fingerprint tells what callers ask for, and nothing else.
 func TestFingerprints(t *testing.T) {
-	base := Request{Method: "POST", Host: "a.example", Target: "/x?y=1", Tenant: "t", Body: []byte("body")}
+	base := Request{About: About{Method: "POST", Host: "a.example", Target: "/x?y=1", Tenant: "t"}, Body: []byte("body")}
 	others := map[string]Request{
-		"method": {Method: "PUT", Host: base.Host, Target: base.Target, Tenant: base.Tenant, Body: base.Body},
-		"host":   {Method: base.Method, Host: "b.example", Target: base.Target, Tenant: base.Tenant, Body: base.Body},
-		"query":  {Method: base.Method, Host: base.Host, Target: "/x?y=2", Tenant: base.Tenant, Body: base.Body},
-		"tenant": {Method: base.Method, Host: base.Host, Target: base.Target, Tenant: "u", Body: base.Body},
-		"body":   {Method: base.Method, Host: base.Host, Target: base.Target, Tenant: base.Tenant, Body: []byte("bode")},
-		"parts":  {Method: base.Method, Host: "a.example/x", Target: "?y=1", Tenant: base.Tenant, Body: base.Body},
-		"unread": {Method: base.Method, Host: base.Host, Target: base.Target, Tenant: base.Tenant, Length: 4},
+		"method": {About: About{Method: "PUT", Host: base.Host, Target: base.Target, Tenant: base.Tenant}, Body: base.Body},
+		"host":   {About: About{Method: base.Method, Host: "b.example", Target: base.Target, Tenant: base.Tenant}, Body: base.Body},
+		"query":  {About: About{Method: base.Method, Host: base.Host, Target: "/x?y=2", Tenant: base.Tenant}, Body: base.Body},
+		"tenant": {About: About{Method: base.Method, Host: base.Host, Target: base.Target, Tenant: "u"}, Body: base.Body},
+		"body":   {About: About{Method: base.Method, Host: base.Host, Target: base.Target, Tenant: base.Tenant}, Body: []byte("bode")},
+		"parts":  {About: About{Method: base.Method, Host: "a.example/x", Target: "?y=1", Tenant: base.Tenant}, Body: base.Body},
+		"unread": {About: About{Method: base.Method, Host: base.Host, Target: base.Target, Tenant: base.Tenant}, Length: 4},
 	}
 	assert.Equal(t, base.Fingerprint(), base.Fingerprint())
 	for name, r := range others {
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -14,13 +14,18 @@
 // for a request that has none.
 type Fingerprint uint64
 
-// Request is what makes two attempts the same request.
-type Request struct {
+// About is what a caller asks for, but for the body.
+type About struct {
 	Method string
 	Host   string
 	Target string // path and query as the caller wrote them
 	Tenant string
-	Body   []byte
+}
+
+// Request is what makes two attempts the same request.
+type Request struct {
+	About
+	Body []byte
 	// Length stands for a body that is not read before the request is passed on; 0 if
 	// Body has it, negative if the length is not known.
 	Length int64
--- a/internal/quarantine/operators.go
+++ b/internal/quarantine/operators.go
@@ -11,7 +11,7 @@
 	Service string
 	Falls   int
 	Since   time.Duration // that it has been held back here
-	After   time.Duration // until it is tried again; 0 if that is due
+	After   time.Duration // until it is tried again here; 0 if that is due
 	Refused int64         // attempts, here
 	About   About
 }
@@ -21,11 +21,11 @@
 	var out []HeldRequest
 	for r, services := range b.records {
 		for service, rec := range services {
-			falls, last := weigh(services, service)
-			if falls < b.cfg.HoldAfter {
+			v := b.judge(now, r, service)
+			if !v.Held && !v.Trial {
 				continue
 			}
-			h := HeldRequest{Request: r, Service: service, Falls: falls, Refused: rec.refused, About: rec.about, After: b.untilTrial(now, falls, last)}
+			h := HeldRequest{Request: r, Service: service, Falls: v.Falls, Refused: rec.refused, About: rec.about, After: v.After}
 			if !rec.since.IsZero() {
 				h.Since = now.Sub(rec.since)
 			}
@@ -35,11 +35,3 @@
 	slices.SortFunc(out, func(a, c HeldRequest) int { return compareKeys(key{a.Request, a.Service}, key{c.Request, c.Service}) })
 	return out
 }
-
-func (b *Book) untilTrial(now time.Time, falls int, last time.Time) time.Duration {
-	number := falls - b.cfg.HoldAfter
-	if number >= len(b.cfg.Trials) {
-		return b.cfg.Memory
-	}
-	return max(last.Add(b.cfg.Trials[number]).Sub(now), 0)
-}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -32,11 +32,6 @@
 	about   About
 }
 
-// About describes a request for operators.
-type About struct {
-	Method, Host, Target, Tenant string
-}
-
 // add adds a fall that is not known yet. Of too many the least IDs are kept, so that all
 // nodes keep the same.
 func (r *record) add(id uint64) bool {
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -96,12 +96,10 @@
 }
 
 // Refused is described at proxy.Quarantine.
-func (h *heldRequests) Refused(r quarantine.Fingerprint, service string, about quarantine.About) {
+func (h *heldRequests) Refused(r quarantine.Fingerprint, service string, v quarantine.Verdict, about quarantine.About) {
 	h.refused.Inc(1)
-	now := clock.Now()
 	h.mu.Lock()
-	v := h.book.Check(now, r, service)
-	first := h.book.Refused(now, r, service, about)
+	first := h.book.Refused(clock.Now(), r, service, about)
 	h.mu.Unlock()
 	if !first {
 		return
