A release that finds nothing held back takes nothing from what is to be told

By reading: it took the changes that were to be told to others, and told them only where something was released; they waited for comparisons. One tell serves both now.

Test: a fall not yet told, and the release of another request: its change gone -> there.

--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -125,12 +125,10 @@
 func (h *heldRequests) release(ctx context.Context, r quarantine.Fingerprint) bool {
 	h.mu.Lock()
 	held := h.book.Release(clock.Now(), r)
-	m := heldMessage{Records: h.book.Changes(clock.Now())}
 	h.mu.Unlock()
 	if held {
 		h.log.Warn("request released", "fingerprint", r.String())
-		siblings, rest := h.others.siblings()
-		h.tellAll(ctx, slices.Concat(siblings, rest), m)
+		h.tell(ctx, slices.Concat(h.others.siblings()))
 	}
 	return held
 }
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -43,7 +43,7 @@
 			cleared = nil
 		}
 		wake(h.told)
-		group.Go(func() { h.tell(ctx) })
+		group.Go(func() { h.tellSiblings(ctx) })
 	}
 }
 
@@ -72,23 +72,23 @@
 	}
 }
 
-// tell sends what has changed to the sidecars beside the other upstreams of the service,
-// which would run such a request next. Others hear of it by comparison. News go on from
-// reader to reader and take up to 1.3 s, in which such a request ends a whole service.
-func (h *heldRequests) tell(ctx context.Context) {
+// tellSiblings tells the sidecars beside the other upstreams of the service, which would
+// run such a request next. Others hear of it by comparison. News go on from reader to
+// reader and take up to 1.3 s, in which such a request ends a whole service.
+func (h *heldRequests) tellSiblings(ctx context.Context) {
+	siblings, _ := h.others.siblings()
+	h.tell(ctx, siblings)
+}
+
+// tell sends what has changed to several sidecars. A comparison makes up for a message
+// that is lost.
+func (h *heldRequests) tell(ctx context.Context, to []netip.AddrPort) {
 	h.mu.Lock()
 	m := heldMessage{Records: h.book.Changes(clock.Now())}
 	h.mu.Unlock()
 	if len(m.Records) == 0 {
 		return
 	}
-	siblings, _ := h.others.siblings()
-	h.tellAll(ctx, siblings, m)
-}
-
-// tellAll sends a message to several sidecars. A comparison makes up for one that is
-// lost.
-func (h *heldRequests) tellAll(ctx context.Context, to []netip.AddrPort, m heldMessage) {
 	askAll(to, func(_ int, one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
 }
 
--- a/internal/sidecar/held_test.go
+++ b/internal/sidecar/held_test.go
@@ -109,6 +109,16 @@
 	f.sidecars = append([]*Sidecar{first}, f.sidecars...)
 }
 
+// An operator who releases a request that is not held back keeps nobody from what has
+// just changed.
+func TestReleaseOfAnotherRequestLosesNothing(t *testing.T) {
+	f := startFleet(t, 1, 0)
+	h := newHeldRequests(f.sidecars[0])
+	h.fell(proxy.Fall{ID: 1, Requests: []quarantine.Fingerprint{7}})
+	assert.Assert(t, !h.release(t.Context(), 8))
+	assert.Assert(t, h.book.Changed())
+}
+
 // silentToComparisons passes on what is told, and answers no comparison until the test ends.
 type silentToComparisons struct {
 	toldOnly
