The counter of falls counts each once

It counted each time that something was learnt of a fall: two for one where a connection broke after the first word. A fall says whether it is told for the first time, in its line too. The watch keeps the ID and the upstream that it needs of the last fall, and no more.

--- a/internal/proxy/fall.go
+++ b/internal/proxy/fall.go
@@ -14,7 +14,9 @@
 // requests.
 type Fall struct {
 	// ID is the same for what is learnt later of the same fall, and no other has it.
-	ID       uint64
+	ID uint64
+	// First says that nothing was told of this fall before.
+	First    bool
 	Upstream string
 	Requests []quarantine.Fingerprint
 }
@@ -25,12 +27,13 @@
 	refuses func() bool // whether the upstream refuses connections now
 	tell    func(Fall)
 
-	mu      sync.Mutex // guards what follows
-	running map[*backendCall]struct{}
-	lost    []lostRequest
-	looking bool
-	fall    Fall      // the last one; its ID is 0 once the upstream is known to be back
-	at      time.Time // when it was noticed
+	mu       sync.Mutex // guards what follows
+	running  map[*backendCall]struct{}
+	lost     []lostRequest
+	upstream string // whose connections broke last
+	looking  bool
+	fall     uint64    // ID of the last one; 0 once the upstream is known to be back
+	at       time.Time // when it was noticed
 }
 
 // lostRequest is a request whose connection broke.
@@ -80,8 +83,8 @@
 // noteBack ends the last fall if a request reached the upstream after it. The lock is
 // held.
 func (f *fallWatch) noteBack(c *backendCall) {
-	if c.env.Target != f.fall.Upstream || c.sent.After(f.at.Add(fallSettles)) {
-		f.fall.ID = 0
+	if c.env.Target != f.upstream || c.sent.After(f.at.Add(fallSettles)) {
+		f.fall = 0
 	}
 }
 
@@ -91,7 +94,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteBack(c)
-	f.fall.Upstream = c.env.Target
+	f.upstream = c.env.Target
 	now := clock.Now()
 	f.lost = append(f.recent(now), lostRequest{c.env.Fingerprint, now})
 	if f.looking || f.refuses == nil {
@@ -147,10 +150,9 @@
 		requests = append(requests, c.env.Fingerprint)
 	}
 	f.lost = nil
-	if f.fall.ID == 0 {
-		f.fall.ID, f.at = rand.Uint64(), now
+	first := f.fall == 0
+	if first {
+		f.fall, f.at = rand.Uint64(), now
 	}
-	fall := f.fall
-	fall.Requests = requests
-	return fall, true
+	return Fall{ID: f.fall, First: first, Upstream: f.upstream, Requests: requests}, true
 }
--- a/internal/sidecar/fall.go
+++ b/internal/sidecar/fall.go
@@ -24,11 +24,14 @@
 // fell takes over a fall of the own upstream under requests: others have to know before
 // the next of them gets one that may be the cause.
 func (s *Sidecar) fell(f proxy.Fall) {
-	s.metrics.Scope.Counter("upstream_falls").Inc(1)
+	if f.First {
+		s.metrics.Scope.Counter("upstream_falls").Inc(1)
+	}
 	s.held.fell(f)
 	load := s.backend.Load()
 	s.log.Warn("own upstream fell",
 		"upstream", f.Upstream,
+		"first", f.First,
 		"requests", len(f.Requests),
 		"fingerprints", formatFingerprints(f.Requests),
 		"slots_in_use", load.InUse,
