--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -107,7 +107,7 @@
 type Verdict struct {
 	Held  bool
 	After time.Duration // until it may be tried again, if it is held
-	Trial bool          // it may run once, to see whether the upstream bears it
+	Probe bool          // it may run once, to see whether the upstream bears it
 	Falls int
 }
 
@@ -133,15 +133,15 @@
 		return Verdict{Falls: falls}
 	}
 	number := falls - b.cfg.HoldAfter
-	if number >= len(b.cfg.Trials) {
+	if number >= len(b.cfg.Probes) {
 		return Verdict{Held: true, After: b.cfg.Memory, Falls: falls}
 	}
-	wait := b.cfg.Trials[number]
+	wait := b.cfg.Probes[number]
 	due := last.Add(wait + b.spread(r, wait))
 	if now.Before(due) {
 		return Verdict{Held: true, After: due.Sub(now), Falls: falls}
 	}
-	return Verdict{Trial: true, Falls: falls}
+	return Verdict{Probe: true, Falls: falls}
 }
 
 // weigh counts what speaks against a request at a service, and says when it last ran
@@ -159,7 +159,7 @@
 	return falls, last
 }
 
-// spreadShare is the part of the wait for a trial over which nodes are spread, so that
+// spreadShare is the part of the wait for a probe over which nodes are spread, so that
 // the first one has told the others when the next would try.
 const spreadShare = 0.5
 
@@ -169,11 +169,11 @@
 	return time.Duration(spreadShare * at * float64(wait))
 }
 
-// Start is Check for a request that is passed to an upstream now. A trial is noted, so
+// Start is Check for a request that is passed to an upstream now. A probe is noted, so
 // that no other follows before its end is known.
 func (b *Book) Start(now time.Time, r Fingerprint, service string) Verdict {
 	v := b.Check(now, r, service)
-	if v.Trial {
+	if v.Probe {
 		k := key{r, service}
 		rec := b.record(now, k)
 		rec.last = now
--- a/internal/quarantine/config.go
+++ b/internal/quarantine/config.go
@@ -9,13 +9,13 @@
 	// that were cut with the cause are tried again with it, and fall with it twice.
 	// Default 2.
 	HoldAfter int
-	// Trials are the times after the last fall or trial at which a request is let
+	// Probes are the times after the last fall or probe at which a request is let
 	// through once more, by the number of its falls from HoldAfter on. After the last
 	// one it waits until it is released or was not seen for Memory. Longer spares
 	// upstreams, shorter clears innocent requests sooner. Default 5 s, 30 s, 2 min: an
 	// innocent request that comes again is free soon, and the cause ends three more
 	// upstreams at most.
-	Trials []time.Duration
+	Probes []time.Duration
 	// AnsweredFor is how long an answer also clears falls that come after it. A request
 	// that many callers send is running at every upstream at any time, and was answered a
 	// moment ago: without it such a one was held back when two upstreams fell at once.
@@ -40,7 +40,7 @@
 func DefaultConfig() Config {
 	return Config{
 		HoldAfter:     2,
-		Trials:        []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
+		Probes:        []time.Duration{5 * time.Second, 30 * time.Second, 2 * time.Minute},
 		AnsweredFor:   time.Second,
 		Memory:        time.Hour,
 		ClearedMemory: time.Minute,
--- a/internal/quarantine/merge.go
+++ b/internal/quarantine/merge.go
@@ -18,7 +18,7 @@
 	Falls   []uint64 // at which it was running, with no answer since
 	Cleared []uint64 // that an answer has cleared
 	Good    bool     // an upstream of the service has answered it
-	// LastMs and SeenMs are the times since its last fall or trial and its last attempt,
+	// LastMs and SeenMs are the times since its last fall or probe and its last attempt,
 	// in milliseconds: clocks of nodes differ, the way is short.
 	LastMs, SeenMs int64
 }
--- a/internal/quarantine/operators.go
+++ b/internal/quarantine/operators.go
@@ -22,7 +22,7 @@
 	for r, services := range b.records {
 		for service, rec := range services {
 			v := b.judge(now, r, service)
-			if !v.Held && !v.Trial {
+			if !v.Held && !v.Probe {
 				continue
 			}
 			h := HeldRequest{Request: r, Service: service, Falls: v.Falls, Refused: rec.refused, About: rec.about, After: v.After}
--- a/internal/sidecar/held.go
+++ b/internal/sidecar/held.go
@@ -78,7 +78,7 @@
 	h.mu.Lock()
 	v := h.book.Start(clock.Now(), r, service)
 	h.mu.Unlock()
-	if v.Trial {
+	if v.Probe {
 		wake(h.urgent)
 		h.log.Warn("request tried again", "fingerprint", r.String(), "service", service, "falls", v.Falls)
 	}
