Customers are known by their keys

A route that is not public takes no request without a key that works (401 before slot and body). The key is taken off where the request came in; the name of the customer is set at the upstream, whatever was sent. A customer's priority takes the place of the route's, in a class of its own. A key of two customers works for neither; findings tell places, never keys.

--- a/internal/discovery/doc.go
+++ b/internal/discovery/doc.go
@@ -58,6 +58,8 @@
 	// Starts tells how the upstreams of a service start, by its name.
 	Starts map[string]StartTerms
 	Raw    []byte
+	// Findings are defects of the table, which is in force but for them.
+	Findings table.Findings
 }
 
 // StartTerms tell how the upstreams of a service start, and how to ask one.
--- a/internal/discovery/report.go
+++ b/internal/discovery/report.go
@@ -1,8 +1,11 @@
 package discovery
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/walldrift/walldrift/internal/clock"
 )
 
@@ -66,3 +69,12 @@
 		}
 	}
 }
+
+// reportDefects writes one line for each defect of a table that is in force. The lock is
+// held.
+func (f *Follower) reportDefects(d *Document) {
+	for i, one := range d.Findings {
+		entry := fmt.Sprintf("table %s, defect %d", d.ID, i+1)
+		f.reportFindings([]Finding{{Entry: entry, Err: errors.New(one.String())}})
+	}
+}
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -65,6 +65,7 @@
 	f.remember(d)
 	f.hold(d)
 	f.since, f.from = clock.Now(), from
+	f.reportDefects(d)
 	f.log.Info("table version taken", "version", d.ID, "routes", len(d.Table.Routes), "from", from, "news_age", f.newsAge(f.since), "revision", f.registry.Revision())
 	return true
 }
--- a/internal/proxy/aim.go
+++ b/internal/proxy/aim.go
@@ -44,7 +44,7 @@
 
 // place notes how the request stands to its objective at the chosen upstream.
 func (x *exchange) place(c routing.Candidate) {
-	x.env.KindWeight = x.route.KindWeight * overload.Weight(x.route.Priority, x.route.Objective, c.Late)
+	x.env.KindWeight = x.route.KindWeight * overload.Weight(x.priority, x.route.Objective, c.Late)
 	if !x.aim.IsZero() {
 		x.env.Aim = &Aim{Left: c.Left, Late: c.Late}
 	}
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -23,6 +23,12 @@
 	// CallerService tells an upstream the service beside whose node the request
 	// began.
 	CallerService string
+	// CustomerKey in a caller's request identifies its customer, and goes no further
+	// than the node where the request came. Empty where callers name themselves in
+	// HeaderTenant.
+	CustomerKey string
+	// Customer tells an upstream the name of the customer. Default: HeaderTenant.
+	Customer string
 	// NotExecuted in an upstream's answer says that it did not run the request.
 	NotExecuted string
 	// Load in an upstream's answer is "running,waiting,slots".
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -184,7 +184,7 @@
 	if d.ExpectedInstance != "" {
 		out.Header.Set(d.ExpectedInstance, c.env.Target)
 	}
-	setIf(out.Header, HeaderTenant, c.env.Tenant)
+	d.nameCustomer(out.Header, c.env.Tenant)
 	if c.env.Key != "" {
 		// net/http replays any request that has this header in its canonical
 		// form; HTTP header names are case-insensitive, its map is not.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/walldrift/walldrift/internal/quarantine"
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
 	"github.com/walldrift/walldrift/internal/version"
 )
 
@@ -22,6 +23,11 @@
 	f        *Frontend
 	route    *snapshot.Route
 	service  *snapshot.Service // of the route, or its share of a split
+	customer *table.Customer   // nil if the route needs none
+	// kind and priority are those of the route, or of the customer on it.
+	kind     string
+	priority int
+	counted  bool // against the limit of the customer
 	req      *http.Request
 	body     *requestBody
 	env      Envelope
@@ -55,6 +61,10 @@
 }
 
 func (x *exchange) serve(ctx context.Context, w http.ResponseWriter) {
+	if problem := x.takeQuota(ctx); problem != nil {
+		x.finish(w, x.f.answer(problem, x.req))
+		return
+	}
 	var err error
 	_ = http.NewResponseController(w).SetReadDeadline(clock.Steady(x.deadline))
 	x.body, err = newRequestBody(x.req, x.f.bufferLimit(), x.f.cfg.BodyLimit())
@@ -229,6 +239,7 @@
 	if outcome == "" {
 		outcome = outcomeNames[0]
 	}
+	x.returnQuota(outcome)
 	sent, err := copyResponse(w, resp)
 	if err != nil {
 		outcome = outcomeNames[len(outcomeNames)-1]
@@ -236,9 +247,9 @@
 	}
 	took := clock.Since(x.start)
 	if outcome == outcomeNames[0] {
-		x.f.noteTime(x.route.Kind, took)
+		x.f.noteTime(x.kind, took)
 	}
-	x.f.metrics.finished(x.route.Kind, x.env.Tenant, outcome, took, x.tries)
+	x.f.metrics.finished(x.kind, x.env.Tenant, outcome, took, x.tries)
 	x.endLeaving(outcome, resp.Header.Get(HeaderReason))
 	x.record(resp.StatusCode, outcome, resp.Header.Get(HeaderReason))
 	x.remember(resp.StatusCode)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -95,6 +95,8 @@
 	TableAge func(now time.Time) time.Duration
 	// Quarantine is as in BackendConfig.
 	Quarantine Quarantine
+	// Quota bounds the requests of customers. Default: nothing does.
+	Quota Quota
 	// BodyLimit returns the longest request body allowed, in bytes; 0 for any.
 	BodyLimit func() int64
 }
@@ -122,6 +124,9 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = noQuarantine{}
 	}
+	if cfg.Quota == nil {
+		cfg.Quota = noQuota{}
+	}
 	if cfg.BodyLimit == nil {
 		cfg.BodyLimit = func() int64 { return 0 }
 	}
@@ -183,11 +188,20 @@
 		return
 	}
 	timeout := f.cfg.Dialect.callerTimeout(r.Header, route.Timeout)
+	customer, problem := f.cfg.Dialect.customerOf(snap, route, r.Header)
+	if problem != nil {
+		f.fail(w, r, start, problem)
+		return
+	}
 	service := f.share(route)
+	kind, priority := rank(route, customer)
 	x := &exchange{
 		f:        f,
 		route:    route,
 		service:  service,
+		customer: customer,
+		kind:     kind,
+		priority: priority,
 		version:  snap.ID,
 		req:      r,
 		start:    start,
@@ -195,10 +209,10 @@
 		first:    start,
 		env: Envelope{
 			Service:    service.Name,
-			Kind:       route.Kind,
-			KindWeight: route.KindWeight * overload.Weight(route.Priority, route.Objective, false),
+			Kind:       kind,
+			KindWeight: route.KindWeight * overload.Weight(priority, route.Objective, false),
 			Idempotent: route.Idempotent,
-			Tenant:     r.Header.Get(HeaderTenant),
+			Tenant:     f.cfg.Dialect.tenant(customer, r.Header),
 			Key:        r.Header.Get(HeaderKey),
 		},
 	}
--- a/internal/proxy/leaving.go
+++ b/internal/proxy/leaving.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	l := x.f.leaving.Load()
-	return l == nil || l.takes(x.start, x.deadline, x.f.usualTime(x.route.Kind))
+	return l == nil || l.takes(x.start, x.deadline, x.f.usualTime(x.kind))
 }
 
 // usualTime is how long requests of a kind take at this node, from the first byte
--- a/internal/proxy/leaving_record.go
+++ b/internal/proxy/leaving_record.go
@@ -52,8 +52,8 @@
 		Since:    x.start.Sub(l.Began),
 		Left:     l.End.Sub(x.start),
 		Bound:    x.deadline.Sub(x.start),
-		Forecast: x.f.usualTime(x.route.Kind),
-		Samples:  x.f.samples(x.route.Kind),
+		Forecast: x.f.usualTime(x.kind),
+		Samples:  x.f.samples(x.kind),
 	}
 }
 
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -37,7 +37,9 @@
 	reasonFull        = "too-many-requests"
 	reasonLeaving     = "node-leaves" // its answer would not come before the end of this node
 	reasonNoRoute     = "no-route"
-	reasonBusy        = "all-busy" // every upstream is known to have too many waiting
+	reasonUnknownKey  = "unknown-key" // no customer holds the key of the request, or it has none
+	reasonQuota       = "quota"       // the customer is over its limit
+	reasonBusy        = "all-busy"    // every upstream is known to have too many waiting
 	reasonNoUpstream  = "no-upstream"
 	reasonBadRequest  = "bad-request"
 	reasonBodyCut     = "body-cut" // the sender broke off amid the body
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -84,7 +84,7 @@
 	}
 	x.f.cfg.Record(&Record{
 		ID:       x.req.Header.Get(x.f.cfg.Dialect.RequestID),
-		Kind:     x.route.Kind,
+		Kind:     x.kind,
 		Service:  x.service.Name,
 		Route:    x.route.Name,
 		Version:  x.version,
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -37,7 +37,7 @@
 	way := readWay(resp.Header, clock.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.route.Kind, Late: x.env.late(), Way: way})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, Denied: denied(resp.Header), Told: readLoad(resp.Header), Kind: x.kind, Late: x.env.late(), Way: way})
 		return resp, class
 	}
 	x.begins(true)
@@ -54,7 +54,7 @@
 	told := readLoad(resp.Header)
 	resp.Body = &endingBody{ReadCloser: resp.Body, want: resp.ContentLength, end: func(bool) {
 		x.f.held.Add(-kept)
-		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.route.Kind, Late: x.env.late(), Way: way})
+		x.f.ended(target.Name, routing.Outcome{Generation: target.Generation, Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Told: told, Kind: x.kind, Late: x.env.late(), Way: way})
 	}}
 	if x.req.Method == http.MethodHead {
 		resp.Body.(*endingBody).want = -1
@@ -95,7 +95,7 @@
 		Service:  x.service,
 		Pinned:   x.route.Pinned,
 		Tried:    x.tried,
-		Kind:     x.route.Kind,
+		Kind:     x.kind,
 		Aim:      x.aim,
 		Returned: x.first.Before(x.start),
 	})
@@ -146,6 +146,9 @@
 	stripHop(out.Header)
 	env.write(out.Header)
 	d := x.f.cfg.Dialect
+	if d.CustomerKey != "" {
+		out.Header.Del(d.CustomerKey)
+	}
 	if d.CallerService != "" {
 		out.Header.Set(d.CallerService, x.f.cfg.CallerService())
 	}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -166,6 +166,9 @@
 // Upstream returns the named upstream, or nil.
 func (s *Snapshot) Upstream(name string) *Upstream { return s.upstreams[name] }
 
+// Customers returns the customers of the table.
+func (s *Snapshot) Customers() *table.Customers { return s.Table.Customers }
+
 // Routes returns all routes, longest prefix first.
 func (s *Snapshot) Routes() []*Route { return s.routes }
 
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -24,6 +24,8 @@
 	Services  []Service
 	Upstreams []Upstream
 	Routes    []Route
+	// Customers are those whose requests carry keys; nil if no request needs one.
+	Customers *Customers
 }
 
 // Service is a named group of interchangeable upstreams.
@@ -80,6 +82,8 @@
 	Objective time.Duration
 	// Priority ranks kinds under overload; 0 is served first.
 	Priority int
+	// Public routes take requests without a customer's key.
+	Public bool
 	// Split shares the requests among services by weight. Empty sends all to
 	// Service, which is otherwise the first of the shares.
 	Split []Share
