Quotas over all nodes: the home of a customer lends tokens for a second

Load pattern: a customer sends several times its limit at any nodes, or all that it may at one. Each customer has one home by rendezvous; it lends batches to whoever has requests, and what is not spent in a second is lost. A deputy lends where it does not reach the home either, and a node that reaches neither spends an even part of the limit; both are told to the home with the next question. A node that stood still lends from empty buckets.

--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -96,6 +96,7 @@
 	s.news = http1.NewClient(newsClient())
 	s.follower = s.newFollower()
 	s.held = newHeldRequests(s)
+	s.quotas = newCustomerQuotas(s)
 	s.backend = proxy.NewBackend(proxy.BackendConfig{
 		Upstream:     upstreamURL(s.cfg.Upstream),
 		Slots:        s.cfg.Slots,
@@ -144,6 +145,7 @@
 		NewsAge:        s.follower.Age,
 		TableAge:       s.follower.TableAge,
 		Quarantine:     s.held,
+		Quota:          s.quotas,
 		BodyLimit:      func() int64 { return s.follower.Limits().BodyBytes },
 	}, s.holder, s.follower.Member, proxy.NewHop(s.hop, s.cfg.Upstream.Addr(), s.backend), requests, func() bool { return true })
 }
@@ -157,13 +159,15 @@
 // news and status.
 func (s *Sidecar) peerHandler() http.Handler {
 	news, requests := discovery.NewsHandler(s.follower), proxy.NewPeerHandler(s.backend)
-	held := http.HandlerFunc(s.held.answer)
+	held, quotas := http.HandlerFunc(s.held.answer), http.HandlerFunc(s.quotas.answer)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.Header.Get(discovery.HeaderNews) != "":
 			news.ServeHTTP(w, r)
 		case r.Header.Get(headerQuarantine) != "":
 			held.ServeHTTP(w, r)
+		case r.Header.Get(headerQuota) != "":
+			quotas.ServeHTTP(w, r)
 		case r.Header.Get(headerStatus) != "":
 			s.tellStatus(w)
 		default:
--- /dev/null
+++ b/internal/sidecar/quota.go
@@ -0,0 +1,328 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/peerhttp"
+	"github.com/walldrift/walldrift/internal/quota"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+// headerQuota marks a request between sidecars as a question for tokens of a customer.
+const headerQuota = "Walldrift-Quota"
+
+const (
+	// lendTimeout bounds a question for tokens: many times the way there and back, and a
+	// small part of the time that a request has.
+	lendTimeout = 100 * time.Millisecond
+	// maxLendMessage bounds an encoded question or answer.
+	maxLendMessage = 4 << 10
+	// takeTries bounds the answers for which one request waits: others may have taken what
+	// was lent.
+	takeTries = 4
+)
+
+// lendQuestion asks a home, or its deputy, for tokens of a customer.
+type lendQuestion struct {
+	Customer string        `cbor:"1,keyasint"`
+	Request  quota.Request `cbor:"2,keyasint"`
+	// Deputy asks a node that is not the home. It asks the home in turn, and lends itself
+	// if that does not answer it either.
+	Deputy bool `cbor:"3,keyasint,omitempty"`
+}
+
+// customerQuotas bounds the requests of customers, together with the other sidecars.
+type customerQuotas struct {
+	client http.RoundTripper
+	holder *snapshot.Holder
+	homes  *customerHomes
+	counts quotaCounts
+
+	mu       sync.Mutex // guards what follows
+	borrower *quota.Borrower
+	lender   *quota.Lender
+	asking   map[string]chan struct{} // closed with the answer, by customer
+	swept    time.Time
+}
+
+// standstill is the pause between two sweeps from which on others may have lent in place
+// of this node.
+const standstill = 2 * sweepInterval
+
+// quotaCounts count requests over a limit, and questions by their end.
+type quotaCounts struct{ refused, asked, unreached tally.Counter }
+
+func newCustomerQuotas(s *Sidecar) *customerQuotas {
+	scope := s.metrics.Scope
+	return &customerQuotas{
+		client: s.hop,
+		holder: s.holder,
+		homes:  newCustomerHomes(s.follower.Members, s.cfg.Upstream.Addr(), clock.Now()),
+		counts: quotaCounts{
+			refused:   scope.Counter("quota_refusals"),
+			asked:     scope.Counter("quota_questions"),
+			unreached: scope.Counter("quota_questions_unanswered"),
+		},
+		borrower: quota.NewBorrower(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		lender:   quota.NewLender(),
+		asking:   make(map[string]chan struct{}),
+	}
+}
+
+func limitOf(c *table.Customer) quota.Limit { return quota.Limit{Rate: c.Rate, Burst: c.Burst} }
+
+// Take is described at proxy.Quota.
+func (q *customerQuotas) Take(ctx context.Context, c *table.Customer) (bool, time.Duration) {
+	var after time.Duration
+	for range takeTries {
+		q.mu.Lock()
+		var v quota.Verdict
+		v, after = q.borrower.Take(clock.Now(), c.Name, limitOf(c), q.homes.count())
+		var answer chan struct{}
+		if v == quota.AllowedAsk || v == quota.MustAsk {
+			answer = q.ask(c)
+		}
+		q.mu.Unlock()
+		switch v {
+		case quota.Allowed, quota.AllowedAsk:
+			return true, 0
+		case quota.Refused:
+			q.counts.refused.Inc(1)
+			return false, after
+		}
+		select {
+		case <-answer:
+		case <-ctx.Done():
+			return false, quota.Lease
+		}
+	}
+	q.counts.refused.Inc(1)
+	return false, max(after, turnAfterTries)
+}
+
+// turnAfterTries is the advice to a request that found nothing left in several answers.
+const turnAfterTries = 50 * time.Millisecond
+
+// Return is described at proxy.Quota.
+func (q *customerQuotas) Return(c *table.Customer) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.borrower.Return(clock.Now(), c.Name)
+}
+
+// ask asks for tokens of a customer, once at a time. The channel that it returns is closed
+// with the answer. The lock is held.
+func (q *customerQuotas) ask(c *table.Customer) chan struct{} {
+	if answer, ok := q.asking[c.Name]; ok {
+		return answer
+	}
+	answer := make(chan struct{})
+	now := clock.Now()
+	r := q.borrower.Ask(now, c.Name)
+	if home := q.homes.of(now, c.Name); home.self {
+		q.borrower.Granted(now, now, c.Name, r, q.lender.Lend(now, home.since, c.Name, limitOf(c), r))
+		close(answer)
+		return answer
+	}
+	q.asking[c.Name] = answer
+	go q.borrow(c.Name, r, answer)
+	return answer
+}
+
+// borrow asks the home of a customer, and its deputy if that does not answer.
+func (q *customerQuotas) borrow(customer string, r quota.Request, answer chan struct{}) {
+	sent := clock.Now()
+	home := q.homes.of(sent, customer)
+	g, err := q.question(home.peer, lendQuestion{Customer: customer, Request: r})
+	if err != nil {
+		sent = clock.Now()
+		g, err = q.question(home.deputy, lendQuestion{Customer: customer, Request: r, Deputy: true})
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err != nil {
+		q.counts.unreached.Inc(1)
+		q.borrower.Unreached(clock.Now(), customer, r)
+	} else {
+		q.borrower.Granted(clock.Now(), sent, customer, r, g)
+	}
+	delete(q.asking, customer)
+	close(answer)
+}
+
+// errNoHome reports that no node is known that could lend.
+var errNoHome = errors.New("no home is known")
+
+// question sends a question and returns the answer.
+func (q *customerQuotas) question(to netip.AddrPort, ask lendQuestion) (g quota.Grant, err error) {
+	if !to.IsValid() {
+		return g, errNoHome
+	}
+	q.counts.asked.Inc(1)
+	ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
+	defer cancel()
+	err = peerhttp.Ask(ctx, q.client, to, headerQuota, ask, &g, maxLendMessage)
+	return g, err
+}
+
+// answer serves the questions of other sidecars.
+func (q *customerQuotas) answer(w http.ResponseWriter, r *http.Request) {
+	var ask lendQuestion
+	if err := peerhttp.Read(r.Body, &ask, maxLendMessage); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g, err := q.lend(ask)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	_ = peerhttp.Answer(w, g) // the asking node is told, and goes by its reserve
+}
+
+// errUnknownCustomer reports a customer that is not in the table in force here.
+var errUnknownCustomer = errors.New("customer is not in the table")
+
+// lend lends tokens of a customer to another sidecar.
+func (q *customerQuotas) lend(ask lendQuestion) (quota.Grant, error) {
+	limit, ok := q.limit(ask.Customer)
+	if !ok {
+		return quota.Grant{}, errUnknownCustomer
+	}
+	home := q.homes.of(clock.Now(), ask.Customer)
+	if ask.Deputy && !home.self {
+		if g, err := q.question(home.peer, lendQuestion{Customer: ask.Customer, Request: ask.Request}); err == nil {
+			return g, nil
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := clock.Now()
+	if home.self {
+		return q.lender.Lend(now, home.since, ask.Customer, limit, ask.Request), nil
+	}
+	g := q.lender.Lend(now, now, ask.Customer, limit, ask.Request)
+	g.Deputy = true
+	return g, nil
+}
+
+// limit returns the limit of a customer in the table in force.
+func (q *customerQuotas) limit(customer string) (quota.Limit, bool) {
+	snap := q.holder.Current()
+	if snap == nil {
+		return quota.Limit{}, false
+	}
+	c := snap.Customers().ByName(customer)
+	if c == nil || c.Rate <= 0 {
+		return quota.Limit{}, false
+	}
+	return limitOf(c), true
+}
+
+// interrupted notes that this process stood still.
+func (q *customerQuotas) interrupted(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lender.Interrupted(now)
+}
+
+// sweep forgets what is of no use any more. One that comes late says that the process stood
+// still.
+func (q *customerQuotas) sweep(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.swept.IsZero() && now.Sub(q.swept) > standstill {
+		q.lender.Interrupted(now)
+	}
+	q.swept = now
+	q.borrower.Sweep(now)
+	q.lender.Keep(func(customer string) bool {
+		_, ok := q.limit(customer)
+		return ok
+	})
+}
+
+// customerHomes finds the homes of customers among the nodes that are believed alive.
+type customerHomes struct {
+	members func() []membership.Member
+	self    netip.Addr
+
+	mu      sync.Mutex // guards what follows
+	peers   []string   // of all nodes alive
+	changed time.Time  // when peers changed last
+	stale   bool       // peers have to be listed anew
+	homes   map[string]customerHome
+}
+
+// customerHome is where the tokens of a customer are lent.
+type customerHome struct {
+	peer, deputy netip.AddrPort
+	self         bool      // this node is the home
+	since        time.Time // when it became that
+	listed       time.Time // customerHomes.changed when this was worked out
+}
+
+func newCustomerHomes(members func() []membership.Member, self netip.Addr, now time.Time) *customerHomes {
+	return &customerHomes{members: members, self: self, changed: now, stale: true, homes: make(map[string]customerHome)}
+}
+
+// membersChanged notes that nodes came, left or went.
+func (h *customerHomes) membersChanged() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stale = true
+}
+
+// count returns the number of nodes alive.
+func (h *customerHomes) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list(clock.Now())
+	return len(h.peers)
+}
+
+// list lists the nodes alive if they may have changed. The lock is held.
+func (h *customerHomes) list(now time.Time) {
+	if !h.stale {
+		return
+	}
+	h.stale, h.changed, h.peers = false, now, h.peers[:0]
+	for _, m := range h.members() {
+		if m.Status == membership.Alive {
+			h.peers = append(h.peers, m.Peer.String())
+		}
+	}
+}
+
+// of returns the home of a customer. A node that becomes the home of one begins with an
+// empty bucket: what the home before it lent is still spent.
+func (h *customerHomes) of(now time.Time, customer string) customerHome {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list(now)
+	known, ok := h.homes[customer]
+	if ok && known.listed.Equal(h.changed) {
+		return known
+	}
+	home, deputy := quota.Homes(customer, h.peers)
+	next := customerHome{since: known.since, listed: h.changed}
+	next.peer, _ = netip.ParseAddrPort(home)
+	next.deputy, _ = netip.ParseAddrPort(deputy)
+	next.self = next.peer.Addr() == h.self
+	if !known.self {
+		next.since = h.changed
+	}
+	h.homes[customer] = next
+	return next
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 	closed admission.Reason
 	guard  *coldGuard
 	held   *heldRequests
+	quotas *customerQuotas
 }
 
 // servers are the listening sides; metrics may be without a listener.
@@ -99,6 +100,7 @@
 
 // directoryChanged takes over what the store says of the own upstream.
 func (s *Sidecar) directoryChanged(d *discovery.Directory) {
+	s.quotas.homes.membersChanged()
 	own, ok := d.At(s.cfg.Upstream)
 	if ok && own.Slots > 0 {
 		s.backend.SetSlots(own.Slots + own.Slots/handOverShare)
@@ -199,6 +201,7 @@
 	s.metrics.Scope.Counter("suspensions").Inc(1)
 	s.log.Warn("machine was suspended", "for", away)
 	s.follower.Resumed()
+	s.quotas.interrupted(clock.Now())
 }
 
 // sweep forgets what is too old. Idle connections go by the steady time that it is given.
@@ -208,6 +211,7 @@
 	s.upstream.Sweep(steady)
 	s.frontend.Prune()
 	s.held.sweep(clock.Now())
+	s.quotas.sweep(clock.Now())
 	s.gauges()
 }
 
