walldrift quotas: customers, their limits and what came of them; homes count from the loss of a node

A home that was first looked up at a request counted itself new from then and refused a slow customer's first request (test over eight sidecars, red: 0 of 160 let through). It counts from the last loss of a node now.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,6 +75,7 @@
 			statusCommand(out),
 			explainCommand(out),
 			quarantineCommand(out),
+			quotasCommand(out),
 			logsCommand(out),
 			demoCommand(out),
 			keysCommand(out),
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -29,7 +29,19 @@
 	// reserve is spent until unreached, as the home does not answer.
 	unreached time.Time
 	reserve   bucket
-	spent     int // of the reserve, not told to the home yet
+	spent     int // beside the home, not told to it yet
+	count     Count
+}
+
+// Count is what became of requests of a customer at a node.
+type Count struct{ Taken, Refused int64 }
+
+// Count returns what became of the requests of a customer, since it was last forgotten.
+func (b *Borrower) Count(customer string) Count {
+	if a, ok := b.customers[customer]; ok {
+		return a.count
+	}
+	return Count{}
 }
 
 // demandMemory is the time after which a request counts for a third in the demand.
@@ -68,6 +80,17 @@
 func (b *Borrower) Take(now time.Time, customer string, limit Limit, nodes int) (v Verdict, after time.Duration) {
 	a := b.account(now, customer)
 	a.note(now)
+	v, after = b.verdict(now, a, limit, nodes)
+	switch v {
+	case Allowed, AllowedAsk:
+		a.count.Taken++
+	case Refused:
+		a.count.Refused++
+	}
+	return v, after
+}
+
+func (b *Borrower) verdict(now time.Time, a *account, limit Limit, nodes int) (v Verdict, after time.Duration) {
 	switch {
 	case a.lent > 0 && now.Before(a.until):
 		a.lent--
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 	for _, n := range f.nodes {
 		names = append(names, n.name)
 	}
-	h, d := Homes("customer", names)
+	h, d := Homes("customer", slices.Values(names))
 	for _, n := range f.nodes {
 		switch n.name {
 		case h:
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -9,10 +10,10 @@
 // Homes returns the home of a customer among nodes and the deputy that is asked where the
 // home is not reached, by rendezvous hashing: when a node goes or comes, only its own
 // customers move. Both are empty where there are too few nodes.
-func Homes(customer string, nodes []string) (home, deputy string) {
+func Homes(customer string, nodes iter.Seq[string]) (home, deputy string) {
 	best, second := uint64(0), uint64(0)
 	var h xxhash.Digest
-	for _, n := range nodes {
+	for n := range nodes {
 		h.Reset()
 		_, _ = h.WriteString(customer)
 		_, _ = h.Write([]byte{0})
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// Tokens returns what is left of a customer; 0 if nothing was lent of it here.
+func (l *Lender) Tokens(now time.Time, customer string) float64 {
+	b, ok := l.customers[customer]
+	if !ok {
+		return 0
+	}
+	b.refill(now, b.limit)
+	return b.tokens
+}
+
 // Keep forgets the customers that are not to be kept.
 func (l *Lender) Keep(keep func(customer string) bool) {
 	for name := range l.customers {
--- a/internal/sidecar/admin.go
+++ b/internal/sidecar/admin.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET "+admin.PathQuarantine, func(w http.ResponseWriter, _ *http.Request) {
 		s.writeJSON(w, admin.Quarantined(s.held.list(clock.Now())))
 	})
+	mux.HandleFunc(admin.PathQuotas, func(w http.ResponseWriter, _ *http.Request) { s.writeJSON(w, s.quotas.list(clock.Now())) })
 	mux.HandleFunc("POST "+admin.PathRelease+"{fingerprint}", s.release)
 	mux.HandleFunc(admin.PathExplain+"{service}", s.getExplain)
 	mux.HandleFunc(admin.PathProfile+"profile", pprof.Profile)
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/peerhttp"
@@ -130,7 +132,7 @@
 	answer := make(chan struct{})
 	now := clock.Now()
 	r := q.borrower.Ask(now, c.Name)
-	if home := q.homes.of(now, c.Name); home.self {
+	if home := q.homes.of(c.Name); home.self {
 		q.borrower.Granted(now, now, c.Name, r, q.lender.Lend(now, home.since, c.Name, limitOf(c), r))
 		close(answer)
 		return answer
@@ -143,7 +145,7 @@
 // borrow asks the home of a customer, and its deputy if that does not answer.
 func (q *customerQuotas) borrow(customer string, r quota.Request, answer chan struct{}) {
 	sent := clock.Now()
-	home := q.homes.of(sent, customer)
+	home := q.homes.of(customer)
 	g, err := q.question(home.peer, lendQuestion{Customer: customer, Request: r})
 	if err != nil {
 		sent = clock.Now()
@@ -200,7 +202,7 @@
 	if !ok {
 		return quota.Grant{}, errUnknownCustomer
 	}
-	home := q.homes.of(clock.Now(), ask.Customer)
+	home := q.homes.of(ask.Customer)
 	if ask.Deputy && !home.self {
 		if g, err := q.question(home.peer, lendQuestion{Customer: ask.Customer, Request: ask.Request}); err == nil {
 			return g, nil
@@ -230,6 +232,30 @@
 	return limitOf(c), true
 }
 
+// list returns what operators see of the customers.
+func (q *customerQuotas) list(now time.Time) []admin.CustomerQuota {
+	out := []admin.CustomerQuota{}
+	snap := q.holder.Current()
+	if snap == nil {
+		return out
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, c := range snap.Customers().All() {
+		count := q.borrower.Count(c.Name)
+		row := admin.CustomerQuota{Customer: c.Name, Keys: len(c.Keys), Rate: c.Rate, Burst: c.Burst, Taken: count.Taken, Refused: count.Refused}
+		if c.Rate > 0 {
+			home := q.homes.of(c.Name)
+			row.Home = home.peer.String()
+			if home.self {
+				row.Tokens = q.lender.Tokens(now, c.Name)
+			}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
 // interrupted notes that this process stood still.
 func (q *customerQuotas) interrupted(now time.Time) {
 	q.mu.Lock()
@@ -258,10 +284,12 @@
 	members func() []membership.Member
 	self    netip.Addr
 
-	mu      sync.Mutex // guards what follows
-	peers   []string   // of all nodes alive
-	changed time.Time  // when peers changed last
-	stale   bool       // peers have to be listed anew
+	mu      sync.Mutex      // guards what follows
+	peers   map[string]bool // of all nodes alive
+	listed  uint64          // counts the listings of peers
+	lost    time.Time       // when one was lost last; the start of this node before
+	changed time.Time       // when peers may have changed last
+	stale   bool            // they have to be listed anew
 	homes   map[string]customerHome
 }
 
@@ -270,57 +298,68 @@
 	peer, deputy netip.AddrPort
 	self         bool      // this node is the home
 	since        time.Time // when it became that
-	listed       time.Time // customerHomes.changed when this was worked out
+	listed       uint64    // customerHomes.listed when this was worked out
 }
 
 func newCustomerHomes(members func() []membership.Member, self netip.Addr, now time.Time) *customerHomes {
-	return &customerHomes{members: members, self: self, changed: now, stale: true, homes: make(map[string]customerHome)}
+	return &customerHomes{members: members, self: self, lost: now, changed: now, stale: true, homes: make(map[string]customerHome)}
 }
 
 // membersChanged notes that nodes came, left or went.
 func (h *customerHomes) membersChanged() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stale = true
+	h.stale, h.changed = true, clock.Now()
 }
 
 // count returns the number of nodes alive.
 func (h *customerHomes) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.list(clock.Now())
+	h.list()
 	return len(h.peers)
 }
 
 // list lists the nodes alive if they may have changed. The lock is held.
-func (h *customerHomes) list(now time.Time) {
+func (h *customerHomes) list() {
 	if !h.stale {
 		return
 	}
-	h.stale, h.changed, h.peers = false, now, h.peers[:0]
+	before := h.peers
+	h.stale, h.peers = false, make(map[string]bool, len(before))
+	h.listed++
 	for _, m := range h.members() {
 		if m.Status == membership.Alive {
-			h.peers = append(h.peers, m.Peer.String())
+			h.peers[m.Peer.String()] = true
+		}
+	}
+	for peer := range before {
+		if !h.peers[peer] {
+			h.lost = h.changed
 		}
 	}
 }
 
 // of returns the home of a customer. A node that becomes the home of one begins with an
-// empty bucket: what the home before it lent is still spent.
-func (h *customerHomes) of(now time.Time, customer string) customerHome {
+// empty bucket: what the home before it lent is still spent. One that did not look for the
+// home before may have become it when a node was lost last.
+func (h *customerHomes) of(customer string) customerHome {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.list(now)
+	h.list()
 	known, ok := h.homes[customer]
-	if ok && known.listed.Equal(h.changed) {
+	if ok && known.listed == h.listed {
 		return known
 	}
-	home, deputy := quota.Homes(customer, h.peers)
-	next := customerHome{since: known.since, listed: h.changed}
+	home, deputy := quota.Homes(customer, maps.Keys(h.peers))
+	next := customerHome{since: known.since, listed: h.listed}
 	next.peer, _ = netip.ParseAddrPort(home)
 	next.deputy, _ = netip.ParseAddrPort(deputy)
 	next.self = next.peer.Addr() == h.self
-	if !known.self {
+	switch {
+	case !ok:
+		next.since = h.lost
+	case !known.self:
 		next.since = h.changed
 	}
 	h.homes[customer] = next
--- /dev/null
+++ b/internal/sidecar/quota_test.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/quota"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+	"github.com/walldrift/walldrift/internal/version"
+)
+
+// lenders are sidecars that lend each other tokens, over ways that can be cut.
+type lenders struct {
+	all   map[netip.AddrPort]*customerQuotas
+	cut   sync.Map // addresses that nobody reaches
+	asked atomic.Int64
+}
+
+func (l *lenders) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.asked.Add(1)
+	to := netip.MustParseAddrPort(r.URL.Host)
+	if _, ok := l.cut.Load(to); ok {
+		return nil, io.ErrUnexpectedEOF
+	}
+	w := httptest.NewRecorder()
+	l.all[to].answer(w, r)
+	return w.Result(), nil
+}
+
+func peerAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 81)
+}
+
+func newLenders(t *testing.T, n int, customer table.Customer) *lenders {
+	t.Helper()
+	customers, findings := table.NewCustomers([]table.Customer{customer})
+	assert.Equal(t, len(findings), 0)
+	snap, err := snapshot.FromTable(&table.Table{Customers: customers}, version.ID{Edition: 1}, nil)
+	assert.NilError(t, err)
+	holder := &snapshot.Holder{}
+	holder.Advance(snap)
+	l := &lenders{all: make(map[netip.AddrPort]*customerQuotas)}
+	members := func() []membership.Member {
+		var out []membership.Member
+		for i := range n {
+			out = append(out, membership.Member{Instance: membership.Instance{Name: fmt.Sprint(i), Peer: peerAt(i)}})
+		}
+		return out
+	}
+	none := tally.NoopScope.Counter("none")
+	for i := range n {
+		l.all[peerAt(i)] = &customerQuotas{
+			client:   l,
+			holder:   holder,
+			homes:    newCustomerHomes(members, peerAt(i).Addr(), clock.Now().Add(-time.Minute)),
+			counts:   quotaCounts{none, none, none},
+			borrower: quota.NewBorrower(rand.New(rand.NewPCG(uint64(i), 1))),
+			lender:   quota.NewLender(),
+			asking:   make(map[string]chan struct{}),
+		}
+	}
+	return l
+}
+
+var hauliers = table.Customer{Name: "hauliers", Keys: []string{"k"}, Rate: 1, Burst: 40}
+
+// take sends so many requests at once to each of the sidecars and returns how many were let
+// through.
+func (l *lenders) take(each int) int64 {
+	var let atomic.Int64
+	var group sync.WaitGroup
+	for _, q := range l.all {
+		for range each {
+			group.Go(func() {
+				if ok, _ := q.Take(context.Background(), &hauliers); ok {
+					let.Add(1)
+				}
+			})
+		}
+	}
+	group.Wait()
+	return let.Load()
+}
+
+// Requests that come at all sidecars at once get what the customer may send, and no more.
+func TestSidecarsShareALimit(t *testing.T) {
+	l := newLenders(t, 8, hauliers)
+	let := l.take(20)
+	assert.Assert(t, let >= 30 && let <= 42, "%d of 160 were let through", let)
+}
+
+// A single sidecar gets all that the customer may send.
+func TestOneSidecarGetsTheWholeLimit(t *testing.T) {
+	l := newLenders(t, 8, hauliers)
+	let := 0
+	for range 30 {
+		if ok, _ := l.all[peerAt(3)].Take(context.Background(), &hauliers); ok {
+			let++
+		}
+	}
+	assert.Equal(t, let, 30)
+	assert.Assert(t, l.asked.Load() <= 30)
+}
+
+// Where the home is silent its deputy lends, from a bucket that begins empty; where that is
+// silent too, each sidecar has an even part.
+func TestSilentHomeAndDeputy(t *testing.T) {
+	l := newLenders(t, 8, table.Customer{Name: "hauliers", Rate: 1, Burst: 40})
+	home := l.all[peerAt(0)].homes.of("hauliers")
+	l.cut.Store(home.peer, true)
+	asker := l.all[peerAt(0)]
+	for i := range 8 { // one that is neither
+		if p := peerAt(i); p != home.peer && p != home.deputy {
+			asker = l.all[p]
+		}
+	}
+	ok, after := asker.Take(context.Background(), &hauliers)
+	assert.Assert(t, !ok && after > 0 && after <= quota.Lease, "%v", after)
+
+	l.cut.Store(home.deputy, true)
+	other := l.all[peerAt(0)]
+	for i := range 8 {
+		if p := peerAt(i); p != home.peer && p != home.deputy && l.all[p] != asker {
+			other = l.all[p]
+		}
+	}
+	let := 0
+	for range 20 {
+		if ok, _ := other.Take(context.Background(), &hauliers); ok {
+			let++
+		}
+	}
+	assert.Assert(t, let == 5 || let == 6, "%d let through, an eighth of the burst is 5", let)
+}
+
+// Operators see limits and counts, and no key.
+func TestQuotasAreListed(t *testing.T) {
+	l := newLenders(t, 3, hauliers)
+	q := l.all[peerAt(1)]
+	_, _ = q.Take(context.Background(), &hauliers)
+	rows := q.list(clock.Now())
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Customer, "hauliers")
+	assert.Equal(t, rows[0].Keys, 1)
+	assert.Equal(t, rows[0].Taken, int64(1))
+	assert.Assert(t, rows[0].Home != "")
+}
