A fall is passed on among many siblings

Cause (by reading): the sidecar beside an upstream that fell told each sidecar of its service by itself, 12 where that was designed, 547 at 985 nodes: as many messages at once, over new connections, from 0.16 of a core. Change: above 32 siblings they are parted into groups of the root of their number; one of each passes the message on. Where it does not answer, the teller sends to its group. Comparisons make up for the rest, as before. Falls and clearings of many upstreams at once still add up to a message for each pair of sidecars: next limit.

--- a/internal/sidecar/held_peers.go
+++ b/internal/sidecar/held_peers.go
@@ -46,6 +46,8 @@
 	// sender remembers.
 	Compare bool   `cbor:"2,keyasint,omitempty"`
 	Digest  uint64 `cbor:"3,keyasint,omitempty"`
+	// Pass are sidecars to which the receiver passes the records on.
+	Pass []netip.AddrPort `cbor:"4,keyasint,omitempty"`
 }
 
 // heldPeers finds the other sidecars and sends them messages.
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -89,7 +89,39 @@
 	if len(m.Records) == 0 {
 		return
 	}
-	askAll(to, func(_ int, one netip.AddrPort) { _, _ = h.others.send(ctx, one, m) })
+	askAll(relays(to), func(_ int, group []netip.AddrPort) { h.relay(ctx, group, m.Records) })
+}
+
+// directly is the number of sidecars up to which a message goes to each of them.
+const directly = 32
+
+// relays parts sidecars into groups of which one passes a message on to the others: of many,
+// as many groups as each has members, so that no sidecar sends more than twice the root of
+// their number. An upstream of a service of hundreds that fell had its sidecar send to all,
+// one second of its part of a core.
+func relays(to []netip.AddrPort) [][]netip.AddrPort {
+	size := 1
+	if len(to) > directly {
+		for size*size < len(to) {
+			size++
+		}
+	}
+	return slices.Collect(slices.Chunk(to, size))
+}
+
+// relay sends records to a group: to one that passes them on or, where that does not
+// answer, to each of the others.
+func (h *heldRequests) relay(ctx context.Context, group []netip.AddrPort, records []quarantine.Record) {
+	_, err := h.others.send(ctx, group[0], heldMessage{Records: records, Pass: group[1:]})
+	if err == nil {
+		return // a comparison makes up for what the relay does not pass on
+	}
+	h.pass(ctx, group[1:], records)
+}
+
+// pass sends records to several sidecars, which pass them no further.
+func (h *heldRequests) pass(ctx context.Context, to []netip.AddrPort, records []quarantine.Record) {
+	askAll(to, func(_ int, one netip.AddrPort) { _, _ = h.others.send(ctx, one, heldMessage{Records: records}) })
 }
 
 // learn asks a few others what they remember, as soon as it knows any: a process that
@@ -167,6 +199,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if len(m.Pass) > 0 {
+		go h.pass(context.WithoutCancel(r.Context()), m.Pass, m.Records)
+	}
 	if err := peerhttp.Answer(w, h.take(clock.Now(), m)); err != nil {
 		h.log.Error("held requests not told", "err", err)
 	}
