Whether all upstreams are compared goes by how often a node meets them

Cause: the whole fleet's smallest service has 97 upstreams and each node some 0.4 requests a second to it, so its busiest kept 12.2 times the mean where only services above 128 were drawn from: old news, not the number, is what gathers requests. Change: a node compares all up to 128 upstreams only while it chooses a twentieth of them within the life of a told load; below 13 always. The test of garbage meets all upstreams before it counts: the first choice no longer meets them all, and what is kept about one that is met first is no garbage.

--- a/internal/routing/pick_test.go
+++ b/internal/routing/pick_test.go
@@ -65,6 +65,8 @@
 	cfg := DefaultConfig()
 	cfg.ByTime = true
 	b := newBedWith(cfg, 108)
-	b.pick()
+	for range 100 { // all upstreams are met for the first time
+		b.pick()
+	}
 	assert.Equal(t, testing.AllocsPerRun(100, func() { b.pick() }), 0.0)
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -19,11 +19,12 @@
 	// scratch holds the candidates of one choice after the other, so that a choice
 	// among 108 upstreams leaves no garbage in place of 65 KB (BenchmarkPick).
 	scratch []Candidate
+	choices map[string]*choices // by service
 }
 
 // NewRouter returns a router of the instance self without evidence.
 func NewRouter(cfg Config, self membership.Instance) *Router {
-	return &Router{cfg: cfg, self: self, evidence: make(map[string]*evidence)}
+	return &Router{cfg: cfg, self: self, evidence: make(map[string]*evidence), choices: make(map[string]*choices)}
 }
 
 // Candidates returns every upstream of the service with the reason it is left
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -8,9 +9,12 @@
 )
 
 const (
-	// compareAll is the number of upstreams up to which a choice compares all: a node meets
-	// most of them within seconds, and its news of them are fresh.
+	// compareAll is the number of upstreams up to which a choice may compare all: looking
+	// at each takes a few hundred nanoseconds.
 	compareAll = 128
+	// freshShare is the part of the upstreams that a node has to choose within the life of
+	// a told load for all to be compared. With fewer, what it knows of nearly all is old.
+	freshShare = 0.05
 	// compared is the number of usable upstreams that a choice compares among more. With
 	// old news, all nodes that compare all choose the few that once were the quickest; an
 	// upstream that looks best to everybody gets this many times the mean at the most.
@@ -27,7 +31,8 @@
 // meet each upstream once in minutes. What they know of its load is old, so that they would
 // gather at the same ones, and looking at all took 0.3 ms at 500.
 func (r *Router) consider(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members) []Candidate {
-	if !r.cfg.ByTime || len(req.Service.Upstreams) <= compareAll || req.Pinned != "" {
+	often := r.often(now, req.Service.Name)
+	if !r.cfg.ByTime || req.Pinned != "" || r.knowsMost(len(req.Service.Upstreams), often) {
 		return r.appendCandidates(out, now, req, members)
 	}
 	out = r.drawCandidates(out, now, rnd, req, members, req.Service.In(r.self.DataCentre), compared*drawsEach)
@@ -40,6 +45,41 @@
 	return out
 }
 
+// knowsMost reports whether all of so many upstreams are compared by a node that chooses
+// among them so often.
+func (r *Router) knowsMost(upstreams int, perSecond float64) bool {
+	switch {
+	case upstreams <= compared*drawsEach:
+		return true
+	case upstreams > compareAll:
+		return false
+	}
+	return perSecond*r.cfg.ToldLifetime.Seconds() >= freshShare*float64(upstreams)
+}
+
+// choices is how often a node chooses among the upstreams of a service.
+type choices struct {
+	perSecond float64 // smoothed
+	at        time.Time
+}
+
+// choiceMemory is the time after which a choice counts for a third in their rate: some
+// requests of a node that sends one a second.
+const choiceMemory = 5 * time.Second
+
+// often counts a choice among the upstreams of a service, and returns how many a second
+// there are.
+func (r *Router) often(now time.Time, service string) float64 {
+	c, ok := r.choices[service]
+	if !ok {
+		c = &choices{at: now}
+		r.choices[service] = c
+	}
+	fade := math.Exp(-max(now.Sub(c.at).Seconds(), 0) / choiceMemory.Seconds())
+	c.perSecond, c.at = c.perSecond*fade+1/choiceMemory.Seconds(), now
+	return c.perSecond
+}
+
 // drawCandidates appends upstreams drawn at random until enough of them may be used. Soft
 // exclusions are given up among those drawn.
 func (r *Router) drawCandidates(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members, from []*snapshot.Upstream, draws int) []Candidate {
