A new source of news tells what came since the revision that the asking node knows

Cause: a cursor is of one run of one node, so each start and each change of a reader had whole listings sent, 118 KB to each follower of each of its two sources at 985 upstreams: bytes in the square of the fleet. Change: a question tells the store's revision up to which all is known for certain, and a source that remembers the ends since then tells what came after it. A node that starts asks its second source a little later, when it knows what the first told. A stale listing is no such revision. On the way, a fault older than this change: an upstream that ended came back by news of a node that lags, where its end was forgotten or an older version had lapsed. What is published before a revision up to which all is known, and is not known, has ended; a version from before an end has ended with it. Tests: the new source's news, a stale listing, the oracle with questions by revision.

--- a/internal/discovery/ends.go
+++ b/internal/discovery/ends.go
@@ -127,6 +127,7 @@
 	for id, t := range r.gone {
 		if now.Sub(t.at) > tombstoneLife && (t.unusable == "" || len(r.gone) > maxUnusable) {
 			r.forgotten = max(r.forgotten, t.sequence)
+			r.remembered = max(r.remembered, t.revision)
 			delete(r.gone, id)
 		}
 	}
--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -61,18 +61,18 @@
 	for centre, e := range r.evacuations {
 		if e.Over && now.Sub(e.heard) > tombstoneLife {
 			r.forgotten = max(r.forgotten, e.sequence)
+			r.remembered = max(r.remembered, e.Revision)
 			r.evacuationChanges++
 			delete(r.evacuations, centre)
 		}
 	}
 }
 
-// evacuationsSince returns the orders and ends after a sequence; with whole all that
-// are known.
-func (r *Registry) evacuationsSince(sequence uint64, whole bool) []Evacuation {
+// evacuationsIn returns the orders and ends that are told to one who is behind.
+func (r *Registry) evacuationsIn(b behind) []Evacuation {
 	var out []Evacuation
 	for _, e := range r.evacuations {
-		if whole || e.sequence > sequence {
+		if b.lacks(e.sequence, e.Revision) {
 			out = append(out, e.Evacuation)
 		}
 	}
--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -32,6 +32,10 @@
 		}
 		if source.Peer != link.source.Peer {
 			link = peerLink{source: source}
+			if slot > 0 && !f.sure() {
+				// The first source tells all; this one then tells what came after it.
+				wait(ctx, f.cfg.TableGrace)
+			}
 		}
 		asked := clock.Now()
 		announced, err := f.askOnce(ctx, slot, &link)
@@ -48,6 +52,13 @@
 	}
 }
 
+// sure reports whether this node knows all that the store held at some time.
+func (f *Follower) sure() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.SureRevision() > 0
+}
+
 // sourceAt returns the node that a slot follows now; none for a reader that
 // hears the store in time. A node that has to list all anew goes on by news: a
 // listing took 23 s behind a full link, in which it heard of nothing.
@@ -68,7 +79,7 @@
 	defer cancel()
 	sent := clock.Now()
 	ask := Ask{After: link.cursor, Table: f.holds(), WantTable: slot == 0 || link.wantTable, Age: f.knownAge(sent), Patches: !link.wantWhole}
-	f.tellLinks(&ask, link)
+	f.tellKnown(&ask, link)
 	n, err := f.peers.Ask(call, link.source.Peer, ask)
 	if err != nil {
 		return version.ID{}, err
@@ -143,10 +154,11 @@
 	return nil
 }
 
-// tellLinks adds to a question what this node knows of links.
-func (f *Follower) tellLinks(ask *Ask, link *peerLink) {
+// tellKnown adds to a question what this node knows of the store and of links.
+func (f *Follower) tellKnown(ask *Ask, link *peerLink) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	ask.Revision = f.registry.SureRevision()
 	ask.Link, ask.LinksHash = f.ownLink(), f.links.hash
 	if ask.LinksHash != link.linksHash {
 		ask.Links = f.links.told
--- a/internal/discovery/merge.go
+++ b/internal/discovery/merge.go
@@ -1,6 +1,9 @@
 package discovery
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // What a registry tells other nodes, and what it takes over from them.
 
@@ -15,11 +18,12 @@
 // outage too: a reader that alone was cut off made all who followed it believe in
 // upstreams for 2.2 s more.
 func (r *Registry) Merge(now time.Time, u Update, whole, complete bool) bool {
-	before := r.revision
+	before, sure := r.revision, r.sure
 	changed := false
 	if !r.Outage(now) {
 		u.Upstreams, changed = r.hearLapsed(now, u)
 	}
+	u.Upstreams = r.notEnded(u.Upstreams)
 	changed = r.take(now, u) || changed
 	changed = r.takeEvacuations(now, u.Evacuations) || changed
 	if whole && u.Orders {
@@ -36,11 +40,22 @@
 		}
 	}
 	if !complete {
-		r.revision = before
+		r.revision, r.sure = before, sure
+	} else if whole {
+		r.sure = true
 	}
 	return changed
 }
 
+// notEnded returns the upstreams but for those that have ended by what is known here: they
+// were published when all was known, and are not known, though their end may be forgotten.
+func (r *Registry) notEnded(told []Upstream) []Upstream {
+	return slices.DeleteFunc(slices.Clone(told), func(up Upstream) bool {
+		_, known := r.known[up.ID]
+		return !known && up.Revision <= r.SureRevision()
+	})
+}
+
 // hearLapsed takes those that vanished elsewhere for ended. It returns the others,
 // and whether anything changed.
 func (r *Registry) hearLapsed(now time.Time, u Update) (published []Upstream, changed bool) {
@@ -98,13 +113,46 @@
 	return changed
 }
 
+// behind is what one knows to whom changes are told: all up to a sequence of this registry,
+// or all that the store held at a revision. The zero value knows nothing.
+type behind struct {
+	sequence uint64
+	revision uint64 // counts where sequence is 0
+}
+
+// lacks reports whether a change of a sequence, made by an entry or an end of a revision, is
+// not known.
+func (b behind) lacks(sequence, revision uint64) bool {
+	if b.sequence > 0 {
+		return sequence > b.sequence
+	}
+	return revision > b.revision
+}
+
 // Since returns what has changed after a sequence. With whole it returns all
 // that is believed, since the sequence is 0 or the changes are not remembered.
 func (r *Registry) Since(now time.Time, sequence uint64) (u Update, whole bool) {
+	return r.changesFor(now, behind{sequence: sequence})
+}
+
+// SinceRevision is Since for one who knows all that the store held at a revision, from
+// whomever.
+func (r *Registry) SinceRevision(now time.Time, revision uint64) (u Update, whole bool) {
+	return r.changesFor(now, behind{revision: revision})
+}
+
+func (r *Registry) changesFor(now time.Time, b behind) (u Update, whole bool) {
 	u.Revision = r.revision
-	whole = sequence == 0 || sequence < r.forgotten
+	if b.sequence > 0 {
+		whole = b.sequence < r.forgotten
+	} else {
+		whole = b.revision == 0 || b.revision < r.remembered
+	}
+	if whole {
+		b = behind{}
+	}
 	for _, e := range r.known {
-		if !whole && e.sequence <= sequence {
+		if !whole && !b.lacks(e.sequence, max(e.Revision, e.lapsed)) {
 			continue
 		}
 		if e.unconfirmed() {
@@ -118,10 +166,10 @@
 		u.Upstreams = append(u.Upstreams, up)
 	}
 	for id, t := range r.gone {
-		if whole || t.sequence > sequence {
+		if whole || b.lacks(t.sequence, t.revision) {
 			u.Removed = append(u.Removed, Removal{ID: id, Revision: t.revision, Unusable: t.unusable})
 		}
 	}
-	u.Evacuations, u.Orders = r.evacuationsSince(sequence, whole), true
+	u.Evacuations, u.Orders = r.evacuationsIn(b), true
 	return u, whole
 }
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -37,6 +37,9 @@
 	Links     []NodeLink `cbor:"8,keyasint,omitempty"`
 	// OnlyLinks asks for nothing else, at once.
 	OnlyLinks bool `cbor:"9,keyasint,omitempty"`
+	// Revision is that of the store up to which the asking node knows all, whoever told it:
+	// one that asks for the first time is told what came after it.
+	Revision uint64 `cbor:"10,keyasint,omitempty"`
 	// Age is how old what the asking node knows was when it asked.
 	Age time.Duration `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -189,6 +189,9 @@
 		}
 		merge := func(i int) {
 			u, whole := sources[i].Since(now, cursors[i])
+			if cursors[i] == 0 {
+				u, whole = sources[i].SinceRevision(now, merged.Revision())
+			}
 			cursors[i] = sources[i].Sequence()
 			merged.Merge(now, u, whole, true)
 		}
@@ -270,3 +273,45 @@
 	assert.Assert(t, follower.Expire(at))
 	assert.DeepEqual(t, ids(follower), []string{"b"})
 }
+
+// A node that follows another source than before is told what came since the revision that
+// it knows, not all that is believed: with 985 nodes a changed reader had each of those
+// who follow it sent 118 KB. One that does not remember the ends since then tells all.
+func TestANewSourceTellsWhatCameSince(t *testing.T) {
+	source, asking := NewRegistry(), NewRegistry()
+	var all []Upstream
+	for i := range 500 {
+		all = append(all, up(fmt.Sprintf("u%03d", i), uint64(i+1)))
+	}
+	listing := listed(500, all...)
+	source.Replace(start, listing)
+	asking.Replace(start, listing)
+	source.Apply(start, Update{Revision: 502, Upstreams: []Upstream{up("new", 501)}, Removed: []Removal{{ID: "u007", Revision: 502}}})
+	u, whole := source.SinceRevision(start, asking.SureRevision())
+	assert.Assert(t, !whole)
+	assert.Equal(t, len(u.Upstreams), 1)
+	assert.Equal(t, len(u.Removed), 1)
+	asking.Merge(start, u, whole, true)
+	asking.Confirm(start)
+	assert.DeepEqual(t, ids(asking), ids(source))
+
+	_, whole = source.SinceRevision(start, 499)
+	assert.Assert(t, whole, "ends before its first listing are not known to it")
+	source.Expire(start.Add(tombstoneLife + time.Second))
+	_, whole = source.SinceRevision(start, 501)
+	assert.Assert(t, whole, "an end since then is forgotten")
+}
+
+// A listing by stale reads may lack what one of its pages was too old for, so it is no
+// ground for taking what others tell for ended, nor for being told only what came after.
+func TestStaleListingIsNotSure(t *testing.T) {
+	source, asking := NewRegistry(), NewRegistry()
+	source.Replace(start, listed(9, up("a", 3), up("b", 8)))
+	asking.ReplaceByGlance(start, listed(9, up("a", 3)))
+	assert.Equal(t, asking.SureRevision(), uint64(0))
+	u, whole := source.SinceRevision(start, asking.SureRevision())
+	assert.Assert(t, whole)
+	asking.Merge(start, u, whole, true)
+	assert.DeepEqual(t, ids(asking), []string{"a", "b"})
+	assert.Equal(t, asking.SureRevision(), uint64(9))
+}
--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -27,6 +27,11 @@
 	sequence uint64 // counts the changes of belief
 	// forgotten is the sequence of the newest tombstone that was forgotten.
 	forgotten uint64
+	// sure says that all up to revision is known: not after a listing by reads that may be
+	// stale, of which one page may be older than another.
+	sure bool
+	// remembered is the store's revision after which the ends of all are remembered.
+	remembered uint64
 }
 
 type entry struct {
@@ -49,7 +54,8 @@
 	case e.Born != 0 && up.Born > e.Born:
 		return true
 	case up.Revision != e.Revision:
-		return up.Revision > e.Revision
+		// A version from before the end has ended with it.
+		return up.Revision > max(e.Revision, e.lapsed)
 	case e.lapsed == 0:
 		return up.Lapsed > 0
 	}
@@ -106,9 +112,25 @@
 		changed = r.vanish(now, Removal{ID: id, Revision: u.Revision}) || changed
 	}
 	r.keepUnusable(u)
+	r.sure = true
 	return changed
 }
 
+// ReplaceByGlance is Replace for a listing that may be stale.
+func (r *Registry) ReplaceByGlance(now time.Time, u Update) bool {
+	changed := r.Replace(now, u)
+	r.sure = false
+	return changed
+}
+
+// SureRevision is Revision if all up to it is known for certain; 0 otherwise.
+func (r *Registry) SureRevision() uint64 {
+	if !r.sure {
+		return 0
+	}
+	return r.revision
+}
+
 // Apply takes over changes of the store and reports whether anything changed.
 func (r *Registry) Apply(now time.Time, u Update) bool {
 	r.Reached(now)
@@ -143,6 +165,9 @@
 }
 
 func (r *Registry) take(now time.Time, u Update) bool {
+	if r.revision == 0 { // ends before the first that is known were never heard of
+		r.remembered, r.sure = max(r.remembered, u.Revision), true
+	}
 	changed := false
 	for _, up := range u.Upstreams {
 		old, ok := r.known[up.ID]
--- a/internal/discovery/take_store.go
+++ b/internal/discovery/take_store.go
@@ -24,9 +24,11 @@
 	changed := false
 	switch a.call.kind {
 	case callList:
-		changed = f.registry.Replace(now, u)
 		f.listed = true
-		if a.call.glance {
+		if !a.call.glance {
+			changed = f.registry.Replace(now, u)
+		} else {
+			changed = f.registry.ReplaceByGlance(now, u)
 			f.glanced, f.firstNews = true, now.Add(firstNewsWait)
 		}
 	case callWatch:
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -63,11 +63,7 @@
 
 // news builds the news for a question. The lock is held.
 func (f *Follower) news(now time.Time, ask Ask) (News, error) {
-	after := ask.After.Sequence
-	if ask.After.Epoch != f.epoch {
-		after = 0
-	}
-	u, whole := f.registry.Since(now, after)
+	u, whole := f.changesSince(now, ask)
 	n := News{
 		Cursor:    Cursor{Epoch: f.epoch, Sequence: f.registry.Sequence()},
 		Revision:  u.Revision,
@@ -110,3 +106,13 @@
 	n.Document = f.deflated
 	return n, nil
 }
+
+// changesSince returns what the asking node lacks: by its cursor or, where that is of
+// another node or run, by the revision that it knows. Told all in its place, 985 nodes that
+// start or change their sources were sent 118 KB each. The lock is held.
+func (f *Follower) changesSince(now time.Time, ask Ask) (u Update, whole bool) {
+	if ask.After.Epoch == f.epoch && ask.After.Sequence > 0 {
+		return f.registry.Since(now, ask.After.Sequence)
+	}
+	return f.registry.SinceRevision(now, ask.Revision)
+}
