--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/routing"
 	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
 )
 
 // Dispatcher finds the way to the node beside an upstream.
@@ -187,12 +188,26 @@
 		f.fail(w, r, start, notRun(http.StatusNotFound, retry.Refused, reasonNoRoute, 0))
 		return
 	}
-	timeout := f.cfg.Dialect.callerTimeout(r.Header, route.Timeout)
 	customer, problem := f.cfg.Dialect.customerOf(snap, route, r.Header)
 	if problem != nil {
+		f.metrics.refused(problem.Reason)
 		f.fail(w, r, start, problem)
 		return
 	}
+	x := f.newExchange(r, start, snap, route, customer)
+	x.recognise()
+	x.noteLeaving()
+	if !x.taken() {
+		x.finish(w, f.answer(notRun(http.StatusServiceUnavailable, retry.Refused, reasonLeaving, defaultRetryAfter), r))
+		return
+	}
+	ctx, cancel := x.untilEnd(r.Context())
+	defer cancel()
+	x.serve(ctx, w)
+}
+
+// newExchange returns the exchange of a request on a route, whose customer is known.
+func (f *Frontend) newExchange(r *http.Request, start time.Time, snap *snapshot.Snapshot, route *snapshot.Route, customer *table.Customer) *exchange {
 	service := f.share(snap, route)
 	kind, priority := rank(route, customer)
 	x := &exchange{
@@ -205,7 +220,7 @@
 		version:  snap.ID,
 		req:      r,
 		start:    start,
-		deadline: start.Add(timeout),
+		deadline: start.Add(f.cfg.Dialect.callerTimeout(r.Header, route.Timeout)),
 		first:    start,
 		env: Envelope{
 			Service:    service.Name,
@@ -219,15 +234,7 @@
 	if f.cfg.IgnoreKeys {
 		x.env.Key = ""
 	}
-	x.recognise()
-	x.noteLeaving()
-	if !x.taken() {
-		x.finish(w, f.answer(notRun(http.StatusServiceUnavailable, retry.Refused, reasonLeaving, defaultRetryAfter), r))
-		return
-	}
-	ctx, cancel := x.untilEnd(r.Context())
-	defer cancel()
-	x.serve(ctx, w)
+	return x
 }
 
 // InFlight returns the callers' requests in progress.
