--- a/internal/discovery/follow_store.go
+++ b/internal/discovery/follow_store.go
@@ -210,8 +210,7 @@
 // node. It looks at the store now and then until it has. The lock is held.
 //
 // The load pattern: where all nodes start before the first upstream is published, each takes
-// itself for a reader, and watches cost as much as the fleet is large: 2,950 calls at 985
-// nodes, nine tenths of all on a quiet day.
+// itself for a reader, and the calls of the store grow with the fleet.
 func (f *Follower) alone() bool { return f.peers != nil && f.glanced && f.registry.Sequence() == 0 }
 
 // firstNewsWait is how long a node that has just started serves by what it saw at a
--- a/internal/discovery/tell.go
+++ b/internal/discovery/tell.go
@@ -108,8 +108,8 @@
 }
 
 // changesSince returns what the asking node lacks: by its cursor or, where that is of
-// another node or run, by the revision that it knows. Told all in its place, 985 nodes that
-// start or change their sources were sent 118 KB each. The lock is held.
+// another node or run, by the revision that it knows: many nodes start or change their
+// sources together, and all that is believed grows with the fleet. The lock is held.
 func (f *Follower) changesSince(now time.Time, ask Ask) (u Update, whole bool) {
 	if ask.After.Epoch == f.epoch && ask.After.Sequence > 0 {
 		return f.registry.Since(now, ask.After.Sequence)
--- a/internal/discovery/views.go
+++ b/internal/discovery/views.go
@@ -206,7 +206,7 @@
 }
 
 // singleLines is the number of upstreams up to which each that changes has a line. A wave
-// has one for all: each line takes 10 us of a core, at every node.
+// has one for all, as each node writes them.
 const singleLines = 8
 
 // logChanges writes lines for upstreams that are believed otherwise than before, with the
--- a/internal/membership/readers.go
+++ b/internal/membership/readers.go
@@ -37,9 +37,7 @@
 
 // before is the order in which nodes are chosen as readers: by the rate of their links, the
 // greatest first, and those alike by their rendezvous score. A reader reads each version of
-// the table whole and tells it to many: on links of 7 Mbit/s, with one of 140 beside 15 of
-// them, a storm of tables left 0.5 to 0.6 of the requests in time where it filled those of
-// readers.
+// the table whole and tells it to many, which fills a narrow link.
 func (n rosterNode) before(o rosterNode) int {
 	return cmp.Or(cmp.Compare(o.link, n.link), cmp.Compare(o.score, n.score), cmp.Compare(n.name, o.name))
 }
@@ -122,9 +120,7 @@
 }
 
 // storeReaders is the number of nodes that read the platform for all others: any
-// two of them may be lost at once and nobody else has to call it. With one or more
-// in each of five data centres 26 nodes made 728 and 706 calls on two loaded days, so
-// 456 and 445, starts by a glance included (paired plays).
+// two of them may be lost at once and nobody else has to call it.
 const storeReaders = 3
 
 // StoreReaders returns the nodes that read the platform: of the first reader of
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -74,8 +74,8 @@
 const turnTime = 100 * time.Millisecond
 
 // turn is when a node that gets nothing may ask again. Nodes that all have too much of a
-// customer would ask each time that a token may have come, 80 of them 4,000 times a second;
-// the more often they ask for each token, the longer they wait.
+// customer would each ask as soon as a token may have come; the more questions there are for
+// each token, the longer they wait.
 func (l *loans) turn() time.Duration {
 	return time.Duration(min(l.asks/l.limit.Rate*turnTime.Seconds(), Lease.Seconds()) * float64(time.Second))
 }
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -29,7 +29,7 @@
 //
 // The load pattern: many nodes, each with a few requests a second to a service of hundreds,
 // meet each upstream once in minutes. What they know of its load is old, so that they would
-// gather at the same ones, and looking at all took 0.3 ms at 500.
+// gather at the same ones, and looking at all takes longer than the rest of the way.
 func (r *Router) consider(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members) []Candidate {
 	often := r.often(now, req.Service.Name)
 	if !r.cfg.ByTime || req.Pinned != "" || r.knowsMost(len(req.Service.Upstreams), often) {
--- a/internal/sidecar/held_share.go
+++ b/internal/sidecar/held_share.go
@@ -96,9 +96,8 @@
 const directly = 32
 
 // relays parts sidecars into groups of which one passes a message on to the others: of many,
-// as many groups as each has members, so that no sidecar sends more than twice the root of
-// their number. An upstream of a service of hundreds that fell had its sidecar send to all,
-// one second of its part of a core.
+// as many groups as each has members, so that no sidecar sends more than the root of their
+// number: the one beside an upstream that fell has a small part of a core.
 func relays(to []netip.AddrPort) [][]netip.AddrPort {
 	size := 1
 	if len(to) > directly {
