--- a/internal/discovery/news_test.go
+++ b/internal/discovery/news_test.go
@@ -315,3 +315,19 @@
 	assert.DeepEqual(t, ids(asking), []string{"a", "b"})
 	assert.Equal(t, asking.SureRevision(), uint64(9))
 }
+
+// A node that knows all up to a revision and does not know an upstream published before it
+// has not heard of its end, or has forgotten it: news of a node that lags bring it back no
+// more. Nor does an older version undo the end of one.
+func TestWhatHasEndedIsNotBroughtBackByOldNews(t *testing.T) {
+	r := NewRegistry()
+	r.Replace(start, listed(9, up("a", 3)))
+	r.Merge(start, Update{Revision: 7, Upstreams: []Upstream{up("a", 3), up("b", 6)}}, true, true)
+	assert.DeepEqual(t, ids(r), []string{"a"})
+	r.Merge(start, Update{Revision: 12, Removed: []Removal{{ID: "a", Revision: 12}}}, false, true)
+	r.Merge(start, Update{Revision: 11, Upstreams: []Upstream{up("a", 11)}}, false, true)
+	assert.Assert(t, r.Confirm(start))
+	assert.DeepEqual(t, ids(r), []string(nil))
+	r.Merge(start, Update{Revision: 13, Upstreams: []Upstream{up("b", 13)}}, false, true)
+	assert.DeepEqual(t, ids(r), []string{"b"})
+}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -284,3 +284,21 @@
 	v, _ = b.Take(epoch.Add(Lease), "c", limit, 10)
 	assert.Equal(t, v, MustAsk)
 }
+
+// While a home stood still its deputy lent in its place, so it goes on from empty buckets,
+// and keeps what it owes.
+func TestHomeThatStoodStillLendsFromEmptyBuckets(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 30}
+	l := NewLender()
+	g := l.Lend(epoch.Add(10*time.Second), epoch, "c", limit, Request{Want: 1})
+	assert.Equal(t, g.Tokens, 1)
+	woken := epoch.Add(20 * time.Second)
+	l.Interrupted(woken)
+	g = l.Lend(woken, epoch, "c", limit, Request{Want: 10})
+	assert.Equal(t, g.Tokens, 0)
+	assert.Assert(t, g.After > 0)
+	g = l.Lend(woken.Add(time.Second), epoch, "c", limit, Request{Want: 10, Spent: 12})
+	assert.Equal(t, g.Tokens, 0)
+	l.Interrupted(woken.Add(time.Second))
+	assert.Assert(t, l.Tokens(woken.Add(time.Second), "c") < 0)
+}
