--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -190,6 +190,21 @@
 	assert.Assert(t, waited < sent/5, "%d questions for %d requests waited for the home", waited, sent)
 }
 
+// A deputy that first asks a home without power is waited for, and not taken for silent.
+func TestDeputyIsWaitedForWhileItAsksTheHome(t *testing.T) {
+	l := newLenders(t, 8, hauliers)
+	home := l.all[peerAt(0)].homes.of("hauliers")
+	l.cut.Store(home.peer, hangs)
+	for at, q := range l.all {
+		if at != home.peer && at != home.deputy {
+			_, _ = q.Take(context.Background(), &hauliers)
+			assert.Assert(t, q.isSilent(home.peer))
+			assert.Assert(t, !q.isSilent(home.deputy))
+			return
+		}
+	}
+}
+
 // Operators see limits and counts, and no key.
 func TestQuotasAreListed(t *testing.T) {
 	l := newLenders(t, 3, hauliers)
