--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -46,6 +46,9 @@
 	}
 	w := httptest.NewRecorder()
 	l.all[to].answer(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err // the asking node has given up
+	}
 	return w.Result(), nil
 }
 
