--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -109,7 +109,7 @@
 		QueueLimit:          queuedPerSlot * s.cfg.Slots,
 		Ledger:              ledger.DefaultConfig(),
 		Dialect:             s.platform.Dialect,
-		Transport:           s.upstream,
+		Transport:           newHeaderLogger(s.upstream, s.log),
 		OnConnect:           func(ok bool) { s.guard.onConnect(ok) },
 		RefusesConnections:  func() bool { return connectionRefused(s.cfg.Upstream.String()) },
 		OnCrash:             s.upstreamCrashed,
