--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -132,6 +133,8 @@
 	mu     sync.Mutex
 	ran    map[string]int
 	handle http.HandlerFunc // replaces the default response if it is set
+	// advertised has the headers by which the upstream tells its state in each response.
+	advertised http.Header
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -151,6 +154,7 @@
 	u.mu.Lock()
 	u.ran[id]++
 	handle := u.handle
+	maps.Copy(w.Header(), u.advertised)
 	u.mu.Unlock()
 	w.Header().Set(testDialect.RequestID, id)
 	w.Header().Set(testDialect.Signature, own)
