Upstreams get no more than the limit that they advertise

Callers saw nothing; upstreams in need saw 4 to 11 times what they had said they take, from nodes that had forwarded it, until they failed.

Cause: no part read that an upstream's response says anything about it but its load. The header went through both nodes to the caller. (The record: arrivals do not change when a limit is first named, so it was not counted wrongly.)

Change: the gate beside the upstream keeps the limit exactly. One limiter for cold and advertised limits (sliding windows over the latest starts); a tracker that takes the strictest of the responses that are not certainly outdated; the senders' hint for a new process; in routing the reported wait with a backoff for each node, so that surplus requests go elsewhere or are refused at once.

Why it works: every try passes that gate, also calls and retries of the upstream's own machine.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -15,9 +15,10 @@
 	queue   *Queue
 	waiters map[*Ticket]chan Verdict
 	closed  Reason // why all requests are refused; ReasonNone while the gate is open
-	// coldTimer starts the requests that wait only for the rate limit of a cold upstream;
-	// nil if none do.
-	coldTimer *time.Timer
+	// limitTimer starts the requests that wait only for the limit of the upstream, at
+	// limitTimerAt; nil if none do.
+	limitTimer   *time.Timer
+	limitTimerAt time.Time
 }
 
 // NewGate returns a gate with an empty queue.
@@ -45,7 +46,7 @@
 	ch := make(chan Verdict, 1)
 	g.waiters[t] = ch
 	latest := g.queue.LatestStart(t)
-	g.armColdTimer()
+	g.armLimitTimer()
 	g.mu.Unlock()
 	return g.wait(ctx, t, ch, latest)
 }
@@ -103,19 +104,23 @@
 	for _, t := range late {
 		g.resolve(t, g.queue.Refusal(clock.Now(), ReasonTooLate))
 	}
-	g.armColdTimer()
+	g.armLimitTimer()
 }
 
-// armColdTimer schedules the start of requests that wait only for the rate limit of a
-// cold upstream. The lock must be held.
-func (g *Gate) armColdTimer() {
+// armLimitTimer schedules the start of requests that wait only for the limit of the
+// upstream. The lock must be held.
+func (g *Gate) armLimitTimer() {
 	now := clock.Now()
-	at, waits := g.queue.ColdLimitOpensAt(now)
-	if !waits || g.coldTimer != nil {
+	at, waits := g.queue.LimitOpensAt(now)
+	if !waits || g.limitTimer != nil && !at.Before(g.limitTimerAt) {
 		return
 	}
-	g.coldTimer = time.AfterFunc(max(at.Sub(now), 0), func() {
-		g.update(func(*Queue) { g.coldTimer = nil })
+	if g.limitTimer != nil {
+		g.limitTimer.Stop() // a new limit opens earlier
+	}
+	g.limitTimerAt = at
+	g.limitTimer = time.AfterFunc(max(at.Sub(now), 0), func() {
+		g.update(func(*Queue) { g.limitTimer = nil })
 	})
 }
 
@@ -137,6 +142,26 @@
 // SetCold sets the time until which the upstream is cold.
 func (g *Gate) SetCold(until time.Time) { g.update(func(q *Queue) { q.SetCold(until) }) }
 
+// SetAdvertised sets the limit that the upstream advertises, and refuses the waiting
+// requests that can no longer start in time.
+func (g *Gate) SetAdvertised(a AdvertisedLimit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := clock.Now()
+	for _, t := range g.queue.SetAdvertised(now, a) {
+		g.resolve(t, g.queue.Refusal(now, ReasonAdvertised))
+	}
+	g.resolveAll(g.queue.Fill(now))
+}
+
+// RecordStart counts a request that the upstream gets without a slot, such as a probe,
+// against the limits.
+func (g *Gate) RecordStart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.RecordStart(clock.Now())
+}
+
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(n int) { g.update(func(q *Queue) { q.SetSlots(n) }) }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -27,6 +27,7 @@
 	ReasonDraining    Reason = "draining"     // the instance is leaving
 	ReasonEvacuated   Reason = "evacuated"    // the data centre is evacuated
 	ReasonCold        Reason = "cold"         // the cold upstream has got the requests that its rate allows
+	ReasonAdvertised  Reason = "advertised"   // the upstream has got the requests that its advertised limit allows
 	ReasonLink        Reason = "link-full"    // the response would wait too long for the link
 	ReasonCancelled   Reason = "cancelled"    // the caller gave up while the request waited
 	ReasonWrongTarget Reason = "wrong-target" // the node isn't beside the requested upstream
@@ -57,6 +58,9 @@
 	// QueueLimit is the number of requests that may wait. A higher limit absorbs bursts,
 	// a lower one keeps waits short. Default: Slots.
 	QueueLimit int
+	// StartedAt is when this process started. An earlier process may have started
+	// requests just before that. Default zero: there was none.
+	StartedAt time.Time
 }
 
 // Verdict is the result for an offered request.
@@ -93,32 +97,65 @@
 	pass          float64      // pass of the kind that was served last
 	serviceTimeAt time.Time    // last update of serviceTime
 	serviceTime   float64      // smoothed, in seconds; 0 before the first sample
-	coldLimit     coldRateLimit
+	limit         startLimit
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(cfg Config) *Queue { return &Queue{cfg: cfg} }
+func NewQueue(cfg Config) *Queue { return &Queue{cfg: cfg, limit: startLimit{since: cfg.StartedAt}} }
 
 // SetSlots changes the number of slots. Requests in progress continue.
 func (q *Queue) SetSlots(n int) { q.cfg.Slots = n }
 
 // SetColdRate limits the requests started in any second while the upstream is cold; 0
 // means no limit.
-func (q *Queue) SetColdRate(perSecond float64) { q.coldLimit.setRate(perSecond) }
+func (q *Queue) SetColdRate(perSecond float64) { q.limit.setColdRate(perSecond) }
 
 // SetCold sets the time until which the upstream is cold.
-func (q *Queue) SetCold(until time.Time) { q.coldLimit.coldUntil = until }
+func (q *Queue) SetCold(until time.Time) { q.limit.coldUntil = until }
 
 // Cold returns how long the upstream stays cold; 0 if it is warm or has no cold rate.
-func (q *Queue) Cold(now time.Time) time.Duration { return q.coldLimit.remaining(now) }
+func (q *Queue) Cold(now time.Time) time.Duration { return q.limit.coldRemaining(now) }
 
-// ColdLimitOpensAt returns when Fill may start a request that waits only for the rate
-// limit of a cold upstream. It returns false if no request waits or no slot is free.
-func (q *Queue) ColdLimitOpensAt(now time.Time) (time.Time, bool) {
+// SetAdvertised sets the limit that the upstream advertises. It returns the waiting
+// requests that can no longer start in time; the caller must refuse them.
+func (q *Queue) SetAdvertised(now time.Time, a AdvertisedLimit) (late []*Ticket) {
+	q.limit.setAdvertised(a)
+	return q.removeHopeless(now)
+}
+
+// RecordStart counts a request that the upstream gets without a slot, such as a probe,
+// against the limits.
+func (q *Queue) RecordStart(now time.Time) { q.limit.recordStart(now) }
+
+// removeHopeless removes the waiting requests that the limits do not let start in time
+// even if no other tenant's request is started before them.
+func (q *Queue) removeHopeless(now time.Time) (late []*Ticket) {
+	for _, k := range q.kinds {
+		for _, tn := range k.tenants {
+			position := 1
+			for _, t := range tn.tickets {
+				latest := q.LatestStart(t)
+				if !latest.IsZero() && now.Add(q.limit.wait(now, position)).After(latest) {
+					late = append(late, t)
+					continue
+				}
+				position++
+			}
+		}
+	}
+	for _, t := range late {
+		q.Remove(t)
+	}
+	return late
+}
+
+// LimitOpensAt returns when Fill may start a request that waits only for the limit of the
+// upstream. It returns false if no request waits or no slot is free.
+func (q *Queue) LimitOpensAt(now time.Time) (time.Time, bool) {
 	if q.waiting == 0 || q.inUse >= q.cfg.Slots {
 		return time.Time{}, false
 	}
-	return now.Add(q.coldLimit.wait(now, 1)), true
+	return now.Add(q.limit.wait(now, 1)), true
 }
 
 // Load is the state of a queue, as reported to callers.
@@ -140,7 +177,7 @@
 // room; the caller must refuse that one.
 func (q *Queue) Offer(now time.Time, t *Ticket) (v Verdict, displaced *Ticket) {
 	t.arrived = now
-	if q.inUse < q.cfg.Slots && q.waiting == 0 && q.coldLimit.allows(now) {
+	if q.inUse < q.cfg.Slots && q.waiting == 0 && q.limit.allows(now) {
 		q.start(now)
 		return Verdict{Started: true}, nil
 	}
@@ -164,15 +201,15 @@
 // start occupies a slot.
 func (q *Queue) start(now time.Time) {
 	q.inUse++
-	q.coldLimit.recordStart(now)
+	q.limit.recordStart(now)
 }
 
 // lateReason returns the reason for refusing a request that would start too late.
 func (q *Queue) lateReason(now time.Time) Reason {
-	if q.coldLimit.allows(now) {
-		return ReasonTooLate
+	if reason := q.limit.reason(now); reason != ReasonNone {
+		return reason
 	}
-	return ReasonCold
+	return ReasonTooLate
 }
 
 // Release frees the slot of a request that held it for the given time. It returns the
@@ -186,7 +223,7 @@
 // Fill starts waiting requests while slots are free. It returns the requests to start and
 // those to refuse as too late.
 func (q *Queue) Fill(now time.Time) (start, late []*Ticket) {
-	for q.inUse < q.cfg.Slots && q.waiting > 0 && q.coldLimit.allows(now) {
+	for q.inUse < q.cfg.Slots && q.waiting > 0 && q.limit.allows(now) {
 		t := q.popNext()
 		if q.expired(now, t) {
 			late = append(late, t)
@@ -232,7 +269,7 @@
 // slot.
 func (q *Queue) Wait(now time.Time, kind string, weight float64) time.Duration {
 	if q.inUse < q.cfg.Slots && q.waiting == 0 {
-		return q.coldLimit.wait(now, 1)
+		return q.limit.wait(now, 1)
 	}
 	return q.waitBehind(now, q.countAhead(&Ticket{Kind: kind, Weight: weight}))
 }
@@ -250,12 +287,25 @@
 		return maxRetryAfter
 	}
 	seconds := float64(n) * q.serviceTime / float64(q.cfg.Slots)
-	return max(time.Duration(seconds*float64(time.Second)), q.coldLimit.wait(now, n))
+	return max(time.Duration(seconds*float64(time.Second)), q.limit.wait(now, n))
 }
 
+// limitTimerSlack is how much later than allowed a request may start that waits for a
+// limit: a timer wakes it. Without it a request whose turn came within its last millisecond
+// waited in vain, while other upstreams had room.
+const limitTimerSlack = 10 * time.Millisecond
+
 func (q *Queue) tooLate(now time.Time, t *Ticket) bool {
 	latest := q.LatestStart(t)
-	return !latest.IsZero() && now.Add(q.waitBehind(now, q.countAhead(t))).After(latest)
+	if latest.IsZero() {
+		return false
+	}
+	ahead := q.countAhead(t)
+	wait := q.waitBehind(now, ahead)
+	if q.limit.wait(now, ahead) > 0 {
+		wait += limitTimerSlack
+	}
+	return now.Add(wait).After(latest)
 }
 
 // expired reports whether a request is past its latest start.
--- a/internal/admission/cold_rate_limit_test.go
+++ b/internal/admission/start_limit_test.go
@@ -9,6 +9,10 @@
 	"pgregory.net/rapid"
 )
 
+// coldWindow is the window in which at most one second's worth of requests is started at a
+// cold upstream.
+const coldWindow = 1050 * time.Millisecond
+
 // startsInWindow returns the number of starts within the window that ends with the last
 // one.
 func startsInWindow(starts []time.Time) int {
@@ -73,7 +77,7 @@
 				fill()
 			},
 			"reopens": func(*rapid.T) {
-				at, waits := q.ColdLimitOpensAt(now)
+				at, waits := q.LimitOpensAt(now)
 				if !waits {
 					return
 				}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -36,6 +36,9 @@
 	// OnConnect is called with each request to the upstream; ok says whether a
 	// connection could be made. Default nil: not called.
 	OnConnect func(ok bool)
+	// OnLimit is called with each change of the limit that the upstream advertises.
+	// Default nil: not called.
+	OnLimit func(admission.AdvertisedLimit)
 	// RefusesConnections probes whether the upstream refuses connections, as it does
 	// once its process has ended. It is called when the connection of a request breaks.
 	// Default nil: the upstream is not probed then.
@@ -90,6 +93,7 @@
 	runTimes      *overload.RunTimes
 	responseSizes *overload.ResponseSizes
 	limits        *admission.Limits
+	advertised    admission.LimitTracker
 	ledger        *ledger.Ledger
 	ownerHistory  *ledger.OwnerHistory
 }
@@ -123,7 +127,7 @@
 	b := &Backend{
 		cfg:           cfg,
 		holder:        holder,
-		gate:          admission.NewGate(admission.Config{Slots: cfg.Slots, QueueLimit: cfg.QueueLimit}),
+		gate:          admission.NewGate(admission.Config{Slots: cfg.Slots, QueueLimit: cfg.QueueLimit, StartedAt: now}),
 		pooled:        pooled,
 		unpooled:      unpooled,
 		metrics:       m,
@@ -139,6 +143,9 @@
 	if cfg.OnConnect == nil {
 		b.cfg.OnConnect = func(bool) {}
 	}
+	if cfg.OnLimit == nil {
+		b.cfg.OnLimit = func(admission.AdvertisedLimit) {}
+	}
 	if cfg.Quarantine == nil {
 		b.cfg.Quarantine = noQuarantine{}
 	}
@@ -209,6 +216,9 @@
 	if reason := b.gate.Closed(); reason != admission.ReasonNone {
 		return string(reason)
 	}
+	if limit := b.advertisedLimit(); limit.InForce {
+		return fmt.Sprintf("takes %g requests a second", limit.PerSecond)
+	}
 	if cold := b.gate.Forecast("", 1).Cold; cold > 0 {
 		return fmt.Sprintf("%s for %v more", admission.ReasonCold, cold.Round(time.Millisecond))
 	}
@@ -251,6 +261,7 @@
 	if !b.isTarget(env.Target) {
 		return b.refuse(req, env, admissionProblem(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter}))
 	}
+	b.hintLimit(env)
 	b.inflight.Add(1)
 	call := &backendCall{b: b, env: env, req: req, start: clock.Now(), remote: remote}
 	resp, problem := call.run()
@@ -293,6 +304,7 @@
 	if b.gate.Closed() != admission.ReasonNone || b.reportsDraining.Load() {
 		report = append(report, "/"+loadDraining...)
 	}
+	report = b.appendLimit(report, env.Target)
 	if forecast.Cold > 0 {
 		report = strconv.AppendInt(append(report, "/"+loadColdPrefix...), forecast.Cold.Milliseconds()+1, 10)
 	}
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -22,8 +22,10 @@
 	keyed     bool
 	startedAt time.Time // when the slot was acquired
 	sentAt    time.Time // when the request was sent to the upstream
-	released  bool      // the slot was released
-	remote    bool      // sent by another node
+	// limitReport is what the response advertises; zero before it arrived.
+	limitReport limitReport
+	released    bool // the slot was released
+	remote      bool // sent by another node
 	// receivedAt is when the body was complete, if it was received before admission.
 	receivedAt time.Time
 }
@@ -150,6 +152,7 @@
 	c.b.detector.requestEnded(c)
 	if complete {
 		c.b.cfg.Quarantine.Answered(c.env.Fingerprint, c.env.Service)
+		c.observeUnlimited()
 	}
 	held := clock.Since(c.startedAt)
 	c.b.mu.Lock()
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -34,6 +34,10 @@
 	NotExecuted string
 	// Load in an upstream's response is "running,waiting,slots".
 	Load string
+	// RateLimit in an upstream's response is the number of requests per second, a decimal
+	// number of at least 0, that it takes from all nodes together. A response without it
+	// ends the limit; one with an unreadable value changes nothing.
+	RateLimit string
 	// Instance names the answering instance in a response of an upstream's health
 	// endpoint. Cold is how long it stays cold, in milliseconds; a warm instance may
 	// omit it.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -56,6 +56,7 @@
 	c.b.detector.requestAnswered(c)
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
+	c.observeLimit(resp)
 	if problem := c.responseProblem(resp); problem != nil {
 		discardResponse(resp)
 		cancel()
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -19,6 +19,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/quarantine"
 )
@@ -52,6 +53,7 @@
 	headerObjectiveLeft  = "Walldrift-Objective-Left-Ms"
 	headerLate           = "Walldrift-Late"
 	headerFingerprint    = "Walldrift-Fingerprint"
+	headerKnownLimit     = "Walldrift-Known-Limit"
 	headerLoad           = "Walldrift-Load"
 	// headerHeld is the time from a request's arrival at the admitting node to the
 	// start of the response, including the upstream's time, in microseconds.
@@ -84,6 +86,9 @@
 	// Fingerprint is the same for all attempts of a request and distinguishes it from
 	// other requests; 0 if unknown, as from a node of an earlier build.
 	Fingerprint quarantine.Fingerprint
+	// KnownLimit is the limit that the upstream advertises, as far as the sender knows; the
+	// zero value if it knows none.
+	KnownLimit admission.AdvertisedLimit
 }
 
 // ObjectiveState is where a request stands relative to its objective deadline.
@@ -118,6 +123,9 @@
 	setIf(h, headerTenantID, e.Tenant)
 	setIf(h, headerKeyValue, e.Key)
 	setIf(h, headerFingerprint, e.Fingerprint.String())
+	if e.KnownLimit.InForce {
+		h.Set(headerKnownLimit, formatRate(e.KnownLimit.PerSecond))
+	}
 	setFlag(h, headerIdempotent, e.Idempotent)
 	setFlag(h, headerAwaitAdmission, e.AwaitsAdmission)
 	setFlag(h, headerEmpty, e.EmptyBody)
@@ -165,6 +173,8 @@
 	if e.Fingerprint, err = quarantine.ParseFingerprint(h.Get(headerFingerprint)); err != nil {
 		return e, err
 	}
+	// A limit that cannot be read is only a hint that is missing.
+	e.KnownLimit, _ = parseLimit(h.Get(headerKnownLimit))
 	e.KindWeight, err = strconv.ParseFloat(h.Get(headerKindWeight), 64)
 	return e, errors.Wrap(err, "kind weight")
 }
--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -28,15 +28,20 @@
 	b.detector.recordCrash()
 	b.lifetime.Swap(newProcessLifetime()).cancel()
 	b.deniedTarget.Store(nil)
+	b.forgetLimit("")
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runTimes, b.responseSizes = overload.NewRunTimes(), overload.NewResponseSizes()
 }
 
-// UpstreamReplaced records that another process is listed at the upstream's address. If
+// UpstreamReplaced records that another process, the given one, is listed at the upstream's
+// address. What an earlier one advertised does not hold for it. If
 // connections to the earlier process broke shortly before, it has crashed, although
 // probing can no longer show that: this node was paused while the upstream was down.
-func (b *Backend) UpstreamReplaced() { b.detector.recordCrash() }
+func (b *Backend) UpstreamReplaced(instance string) {
+	b.detector.recordCrash()
+	b.forgetLimit(instance)
+}
 
 // bindToLifetime cancels a call when the process to which it is sent ends, until
 // release is called.
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/overload"
@@ -57,10 +58,13 @@
 	return f.router.Candidates(clock.Now(), routing.Request{Service: snap.Service(service)}, f.members), true
 }
 
-func (f *Frontend) tryStarted(in membership.Instance) {
+// tryStarted records that a try has started and returns the limit that its upstream is
+// known to advertise.
+func (f *Frontend) tryStarted(in membership.Instance) admission.AdvertisedLimit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.router.Start(clock.Now(), in)
+	return f.router.AdvertisedLimit(in)
 }
 
 func (f *Frontend) responseStarted(name string) {
@@ -162,8 +166,10 @@
 
 // readLoadReport parses the load report of an admitting node; nil if there is none. Its
 // format is "in use/slots/waiting/service time/expected wait", times in microseconds,
-// followed by "/draining" if the node accepts no more requests and "/cold:" with the
-// milliseconds for which the upstream stays cold. Unknown further parts are ignored.
+// followed by "/draining" if the node accepts no more requests, "/cold:" with the
+// milliseconds for which the upstream stays cold, and "/limit:" with the requests per
+// second that it takes, or "-" for any number, if the node knows. Unknown further parts
+// are ignored.
 func readLoadReport(h http.Header) *routing.LoadReport {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var numbers [5]int
@@ -194,12 +200,19 @@
 				report.Cold = time.Duration(v) * time.Millisecond
 			}
 		}
+		if rate, ok := strings.CutPrefix(extra, loadLimitPrefix); ok {
+			if limit, ok := parseLimit(rate); ok || rate == loadNoLimit {
+				report.Limit = &limit
+			}
+		}
 	}
 	return report
 }
 
 // Optional parts of a load report.
 const (
-	loadDraining   = "draining"
-	loadColdPrefix = "cold:"
+	loadDraining    = "draining"
+	loadColdPrefix  = "cold:"
+	loadLimitPrefix = "limit:"
+	loadNoLimit     = "-"
 )
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -19,7 +19,7 @@
 func (ex *exchange) try(ctx context.Context, target membership.Instance) (*http.Response, retry.Class) {
 	ex.tries++
 	ex.tried = append(ex.tried, target.Name)
-	ex.f.tryStarted(target)
+	ex.env.KnownLimit = ex.f.tryStarted(target)
 	ex.setResponding(false)
 	sent := clock.Now()
 	resp, class := ex.tryUpstream(ctx, target, sent)
@@ -38,7 +38,7 @@
 	networkTime := readNetworkTime(resp.Header, clock.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), Load: readLoadReport(resp.Header), Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
+		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), OverLimit: resp.Header.Get(HeaderReason) == string(admission.ReasonAdvertised), Load: readLoadReport(resp.Header), Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
 		return resp, class
 	}
 	ex.setResponding(true)
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -91,7 +91,8 @@
 	if r.cfg.ByExpectedTime {
 		c.applyObjective(now, s, req, slots)
 		c.Wait = s.expectedWait(now, overload.QueueKind(req.Kind, c.Late))
-		c.Cost = r.expectedSeconds(s, c.Cost, slots, c.Wait, m.Instance) + s.expectedNetworkTime(now)
+		wait := max(c.Wait.Seconds(), s.limit.expectedSeconds(now, r.cfg.LoadReportLifetime))
+		c.Cost = r.expectedSeconds(s, c.Cost, slots, wait, m.Instance) + s.expectedNetworkTime(now)
 		c.Trial = s.dueForTrial(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, s, req)
@@ -113,14 +114,14 @@
 
 // expectedSeconds estimates how long a request takes at an upstream: its service time,
 // which grows as the slots fill up, the wait for a slot, and the retries after failures.
-// utilisation is the number of requests per slot.
-func (r *Router) expectedSeconds(s *upstreamState, utilisation, slots float64, wait time.Duration, in membership.Instance) float64 {
+// utilisation is the number of requests per slot, wait the expected wait in seconds.
+func (r *Router) expectedSeconds(s *upstreamState, utilisation, slots, wait float64, in membership.Instance) float64 {
 	service := s.load.Service.Seconds()
 	if service == 0 {
 		service = r.typicalServiceTime(in.Service)
 	}
 	busy := min(utilisation, 1)
-	queued := max(service*max(0, utilisation*slots-slots)/slots, wait.Seconds())
+	queued := max(service*max(0, utilisation*slots-slots)/slots, wait)
 	seconds := service*(1+busy*busy) + queued
 	if in.DataCentre != r.self.DataCentre {
 		// The extra cost shrinks as slots fill up, so that only the expected wait decides
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -90,6 +90,7 @@
 	}
 	s.inFlight++
 	s.allowance.spend()
+	s.limit.start(now)
 }
 
 // ResponseStarted records that an upstream has sent a response to a request, which may
@@ -111,10 +112,13 @@
 	// WrongInstance reports whether the address answered for another instance, which
 	// means that the requested instance has ended.
 	WrongInstance bool
-	Latency       time.Duration // time to the response; 0 if there was none
-	Load          *LoadReport   // nil if the response had none
-	Kind          string        // request kind
-	Late          bool          // the request was queued as a late one
+	// OverLimit reports whether the request was refused because of the limit that the
+	// upstream advertises.
+	OverLimit bool
+	Latency   time.Duration // time to the response; 0 if there was none
+	Load      *LoadReport   // nil if the response had none
+	Kind      string        // request kind
+	Late      bool          // the request was queued as a late one
 	// NetworkTime is the part of Latency spent neither at the node nor at the upstream; 0
 	// if unknown.
 	NetworkTime time.Duration
@@ -141,6 +145,7 @@
 		r.observeServiceTime(s.service, o.Load.Service)
 		r.updateFastest(s, name, o)
 		s.load, s.loadAt, s.inFlightAtLoad = *o.Load, now, s.inFlight
+		s.limit.observe(now, rnd, o.Load, o.OverLimit)
 		s.recordWait(now, overload.QueueKind(o.Kind, o.Late), o.Load.Wait)
 		s.recordRunTimes(now, o.Kind, o.Load.Runs)
 	}
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/admission"
 )
 
 // Config holds the parameters of the choice.
@@ -89,6 +91,8 @@
 	Draining bool
 	// Cold is how long the upstream stays cold; 0 if it is warm.
 	Cold time.Duration
+	// Limit is the limit that the upstream advertises; nil if its node does not know.
+	Limit *admission.AdvertisedLimit
 }
 
 // RunTimes holds quantiles of the run times of one request kind at an upstream; 0 if
@@ -120,6 +124,7 @@
 	networkTime        float64   // smoothed network time to its node and back, in seconds
 	networkTimeAt      time.Time
 	allowance          allowance
+	limit              limitState
 }
 
 // Smoothing of the network time. A connection that fills up is noticed within two or
@@ -186,11 +191,11 @@
 // expectedWait returns the time that a request of the kind is expected to wait for a
 // slot; 0 if there is no recent report.
 func (s *upstreamState) expectedWait(now time.Time, kind string) time.Duration {
-	w, ok := s.waits[kind]
-	if !ok || now.Sub(w.at) > waitReportTTL {
-		return 0
+	wait := s.limit.remaining(now)
+	if w, ok := s.waits[kind]; ok && now.Sub(w.at) <= waitReportTTL {
+		wait = max(wait, w.wait)
 	}
-	return w.wait
+	return wait
 }
 
 // runTimesReport holds the reported run times of one request kind.
--- a/internal/sidecar/advertised_limit_test.go
+++ b/internal/sidecar/advertised_limit_test.go
@@ -62,6 +62,7 @@
 	}{
 		{"one upstream of three", 3.5, []int{0}},
 		{"all upstreams", 20, []int{0, 1, 2}},
+		{"all upstreams under overload", 3.5, []int{0, 1, 2}},
 		{"no request at all", 0, []int{0}},
 		{"less than one a second", 0.4, []int{0}},
 	} {
@@ -73,13 +74,19 @@
 				watchers = append(watchers, f.watchAdvertised(i, headerLimit))
 				f.upstreams[i].advertise(headerLimit, strconv.FormatFloat(c.perSecond, 'f', -1, 64))
 			}
-			served, refused := f.sendThrough(limitSettleTime+limitWindow+time.Second, f.allNodes(), watchers...)
+			const duration = limitSettleTime + limitWindow + time.Second
+			got := f.sendThrough(duration, f.allNodes(), watchers...)
 			for _, a := range watchers {
 				a.checkLimit(t, c.perSecond)
 			}
 			if len(c.upstreams) < len(f.upstreams) {
-				assert.Assert(t, refused == 0, "%d refused and %d served, though two upstreams have no limit", refused, served)
+				assert.Assert(t, got.refused == 0, "%d refused and %d served, though two upstreams have no limit: %v, the slowest after %v", got.refused, got.served, got.reasons, got.slowestRefusal)
+				return
 			}
+			offered := c.perSecond * float64(len(c.upstreams)) * duration.Seconds()
+			assert.Assert(t, float64(got.served) >= 0.7*offered, "%d served, though the limits allow %v", got.served, offered)
+			assert.Assert(t, got.withoutRetryAfter == 0, "%d of %d refusals do not say when to retry", got.withoutRetryAfter, got.refused)
+			t.Logf("%d served, %d refused, the slowest refusal after %v", got.served, got.refused, got.slowestRefusal)
 		})
 	}
 }
@@ -89,7 +96,7 @@
 func TestRequestsBeyondAnAdvertisedLimitAmongRestarts(t *testing.T) {
 	t.Parallel()
 	const perSecond = 2
-	f := startFleet(t, 3, 20*time.Millisecond)
+	f := startFleet(t, 3, 300*time.Millisecond) // so that many requests come before the first response
 	a := f.watchAdvertised(0, headerLimit)
 	a.u.advertise(headerLimit, strconv.Itoa(perSecond))
 	var restarts sync.WaitGroup
@@ -99,7 +106,7 @@
 			a.restart(0)
 		}
 	})
-	f.sendThrough(limitSettleTime+2*limitWindow, []int{1, 2}, a)
+	f.sendThrough(limitSettleTime+2*limitWindow, []int{1, 2, 1, 2, 1, 2}, a)
 	restarts.Wait()
 	a.checkLimit(t, perSecond)
 }
--- a/internal/sidecar/advertised_test.go
+++ b/internal/sidecar/advertised_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/proxy"
 )
 
 // arrival is a request that reached an advertising upstream.
@@ -89,9 +91,31 @@
 	delete(a.toldAt, node)
 }
 
+// loadResult is what callers got.
+type loadResult struct {
+	served, refused   int
+	slowestRefusal    time.Duration
+	withoutRetryAfter int // refusals that do not say when to retry
+	reasons           []string
+}
+
+func (l *loadResult) record(resp *http.Response, took time.Duration) {
+	if resp.StatusCode == http.StatusOK {
+		l.served++
+		return
+	}
+	l.refused++
+	l.reasons = append(l.reasons, resp.Header.Get(proxy.HeaderReason))
+	l.slowestRefusal = max(l.slowestRefusal, took)
+	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err != nil || !(after > 0) {
+		l.withoutRetryAfter++
+	}
+}
+
 // sendThrough sends requests through some nodes for a duration, several at once.
-func (f *fleet) sendThrough(d time.Duration, nodes []int, watchers ...*advertiser) (served, refused int) {
+func (f *fleet) sendThrough(d time.Duration, nodes []int, watchers ...*advertiser) loadResult {
 	const callersPerNode, pause = 4, 10 * time.Millisecond
+	var result loadResult
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	until := time.Now().Add(d)
@@ -99,6 +123,7 @@
 		node := nodes[i%len(nodes)]
 		group.Go(func() {
 			for time.Now().Before(until) {
+				begin := time.Now()
 				resp, err := http.DefaultClient.Do(f.request(node, "GET", readPath(node), ""))
 				if err != nil {
 					time.Sleep(time.Millisecond) // its sidecar restarts
@@ -109,18 +134,14 @@
 					a.recordResponse(node, resp.Header)
 				}
 				mu.Lock()
-				if resp.StatusCode == http.StatusOK {
-					served++
-				} else {
-					refused++
-				}
+				result.record(resp, time.Since(begin))
 				mu.Unlock()
 				time.Sleep(pause)
 			}
 		})
 	}
 	group.Wait()
-	return served, refused
+	return result
 }
 
 // allNodes returns the indices of the nodes of a fleet.
--- a/internal/sidecar/announced_leaving_test.go
+++ b/internal/sidecar/announced_leaving_test.go
@@ -71,10 +71,10 @@
 				time.Sleep(time.Second)
 				c.during(f, a)
 			})
-			_, refused := f.sendThrough(6*time.Second, f.allNodes(), a)
+			got := f.sendThrough(6*time.Second, f.allNodes(), a)
 			change.Wait()
 			a.checkLeaving(t)
-			assert.Assert(t, refused == 0, "%d refused, though two upstreams stay", refused)
+			assert.Assert(t, got.refused == 0, "%d refused, though two upstreams stay", got.refused)
 		})
 	}
 }
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -111,6 +111,7 @@
 		Dialect:             s.platform.Dialect,
 		Transport:           newHeaderLogger(s.upstream, s.log),
 		OnConnect:           func(ok bool) { s.guard.onConnect(ok) },
+		OnLimit:             s.limitAdvertised,
 		RefusesConnections:  func() bool { return connectionRefused(s.cfg.Upstream.String()) },
 		OnCrash:             s.upstreamCrashed,
 		Quarantine:          s.quarantined,
--- a/internal/sidecar/cold_guard.go
+++ b/internal/sidecar/cold_guard.go
@@ -198,6 +198,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "probe own upstream")
 	}
+	g.backend.RecordProbe()
 	resp, err := g.upstream.RoundTrip(req)
 	if err != nil {
 		return 0, errors.Wrap(err, "probe own upstream")
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -39,6 +39,7 @@
 	Load:                 "Test-Load",
 	Instance:             "Test-Answering-Instance",
 	Cold:                 "Test-Cold-Left",
+	RateLimit:            headerLimit,
 	FractionalRetryAfter: true,
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,7 @@
 	guard       *coldGuard
 	quarantined *sharedQuarantine
 	quotas      *customerQuotas
+	limitLines  *logLimiter
 }
 
 // servers are the HTTP servers of a sidecar. The metrics server may have no listener.
@@ -74,7 +75,7 @@
 func New(cfg *settings.Sidecar, p Platform, logger *log.Logger) (*Sidecar, error) {
 	debug.SetMemoryLimit(int64(cfg.MemoryLimit) << 20)
 	debug.SetGCPercent(cfg.GCPercent)
-	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, blockReason: admission.ReasonDraining}
+	s := &Sidecar{cfg: cfg, platform: p, log: logger, metrics: telemetry.NewMetrics(), holder: &snapshot.Holder{}, blockReason: admission.ReasonDraining, limitLines: newLogLimiter()}
 	s.service.Store(&cfg.Service)
 	s.build()
 	if err := s.bind(); err != nil {
@@ -129,7 +130,7 @@
 	before := s.ownUpstream
 	s.ownUpstream = own
 	if before.ID != "" && own.ID != before.ID {
-		s.backend.UpstreamReplaced()
+		s.backend.UpstreamReplaced(own.ID)
 	}
 	if own.ID != before.ID || before.StartedAtMs == 0 || own.StartedAtMs <= before.StartedAtMs {
 		return
