An upstream that says in its responses that it leaves gets no more requests

Callers' requests went on to an upstream whose responses said that it leaves, until its entry in the store said so too or vanished; what it had not finished by its end was lost.

Cause: leaving was learned from the store alone. A load report's draining is another thing: a node says it when only itself restarts, so it lapses after a second.

Change: the node beside the upstream refuses what names an instance that has said it, and tells it in its load reports; the node of a caller excludes that process before it forwards any part of such a response, until it has been unlisted for a minute. The next process at the address, or a restart under the same ID, is another one.

Why it works: what counts is the node where the request began, and that one keeps the word itself, whatever other nodes restart.

--- a/internal/proxy/advertised_limit.go
+++ b/internal/proxy/advertised_limit.go
@@ -19,9 +19,8 @@
 // observeLimit applies the limit that a response advertises, before its node forwards any
 // part of it. It ignores responses that the expected instance did not make itself.
 func (c *backendCall) observeLimit(resp *http.Response) {
-	d := c.b.cfg.Dialect
-	limit, ok := d.advertisedLimit(resp.Header)
-	if !ok || d.misdirected(resp) || d.Signature != "" && resp.Header.Get(d.Signature) == "" {
+	limit, ok := c.b.cfg.Dialect.advertisedLimit(resp.Header)
+	if !ok || !c.b.cfg.Dialect.signed(resp) {
 		return
 	}
 	c.limitReport = limitReport{limit: limit, receivedAt: clock.Now()}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -39,6 +39,9 @@
 	// OnLimit is called with each change of the limit that the upstream advertises.
 	// Default nil: not called.
 	OnLimit func(admission.AdvertisedLimit)
+	// OnLeaving is called when an instance of the upstream first says that it leaves.
+	// Default nil: not called.
+	OnLeaving func(instance string)
 	// RefusesConnections probes whether the upstream refuses connections, as it does
 	// once its process has ended. It is called when the connection of a request breaks.
 	// Default nil: the upstream is not probed then.
@@ -82,6 +85,7 @@
 	claims           Claimer
 	reportsDraining  atomic.Bool
 	shutdownDeadline atomic.Pointer[time.Time]       // when this node cuts unanswered requests; nil unless it shuts down
+	leavingInstance  atomic.Pointer[string]          // last instance that said that it leaves
 	deniedTarget     atomic.Pointer[string]          // last target that the upstream rejected as another instance's
 	receiveLimiter   *transferLimiter                // nil if bodies stream to the upstream
 	sendLimiter      *transferLimiter                // nil if long responses are not limited
@@ -143,6 +147,9 @@
 	if cfg.OnConnect == nil {
 		b.cfg.OnConnect = func(bool) {}
 	}
+	if cfg.OnLeaving == nil {
+		b.cfg.OnLeaving = func(string) {}
+	}
 	if cfg.OnLimit == nil {
 		b.cfg.OnLimit = func(admission.AdvertisedLimit) {}
 	}
@@ -216,6 +223,9 @@
 	if reason := b.gate.Closed(); reason != admission.ReasonNone {
 		return string(reason)
 	}
+	if leaving := b.leavingInstance.Load(); leaving != nil {
+		return *leaving + " leaves"
+	}
 	if limit := b.advertisedLimit(); limit.InForce {
 		return fmt.Sprintf("takes %g requests a second", limit.PerSecond)
 	}
@@ -261,6 +271,9 @@
 	if !b.isTarget(env.Target) {
 		return b.refuse(req, env, admissionProblem(admission.Verdict{Reason: admission.ReasonWrongTarget, RetryAfter: defaultRetryAfter}))
 	}
+	if b.isLeaving(env.Target) {
+		return b.refuse(req, env, admissionProblem(admission.Verdict{Reason: admission.ReasonDraining, RetryAfter: defaultRetryAfter}))
+	}
 	b.hintLimit(env)
 	b.inflight.Add(1)
 	call := &backendCall{b: b, env: env, req: req, start: clock.Now(), remote: remote}
@@ -304,6 +317,9 @@
 	if b.gate.Closed() != admission.ReasonNone || b.reportsDraining.Load() {
 		report = append(report, "/"+loadDraining...)
 	}
+	if b.isLeaving(env.Target) {
+		report = append(report, "/"+loadLeaving...)
+	}
 	report = b.appendLimit(report, env.Target)
 	if forecast.Cold > 0 {
 		report = strconv.AppendInt(append(report, "/"+loadColdPrefix...), forecast.Cold.Milliseconds()+1, 10)
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -38,6 +38,9 @@
 	// number of at least 0, that it takes from all nodes together. A response without it
 	// ends the limit; one with an unreadable value changes nothing.
 	RateLimit string
+	// Leaving in an upstream's response, with the value LeavingNow, says that the upstream
+	// leaves: it ends soon and must get no further requests.
+	Leaving string
 	// Instance names the answering instance in a response of an upstream's health
 	// endpoint. Cold is how long it stays cold, in milliseconds; a warm instance may
 	// omit it.
@@ -46,6 +49,9 @@
 	FractionalRetryAfter bool
 }
 
+// LeavingNow is the value of Dialect.Leaving with which an upstream says that it leaves.
+const LeavingNow = "1"
+
 // DefaultDialect returns the dialect of a deployment that uses the project's own
 // headers.
 func DefaultDialect() Dialect { return Dialect{Deadline: HeaderTimeout} }
@@ -117,6 +123,12 @@
 	return d.misdirected(resp) || d.NotExecuted != "" && resp.Header.Get(d.NotExecuted) != ""
 }
 
+// signed reports whether a response, whatever its status, proves that the expected
+// instance made it.
+func (d Dialect) signed(resp *http.Response) bool {
+	return !d.misdirected(resp) && (d.Signature == "" || resp.Header.Get(d.Signature) != "")
+}
+
 // misdirected reports whether the response comes from an instance other than the
 // expected one. That instance did not run the request.
 func (d Dialect) misdirected(resp *http.Response) bool {
--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -28,6 +28,7 @@
 	b.detector.recordCrash()
 	b.lifetime.Swap(newProcessLifetime()).cancel()
 	b.deniedTarget.Store(nil)
+	b.leavingInstance.Store(nil)
 	b.forgetLimit("")
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -41,6 +42,9 @@
 func (b *Backend) UpstreamReplaced(instance string) {
 	b.detector.recordCrash()
 	b.forgetLimit(instance)
+	if !b.isLeaving(instance) {
+		b.leavingInstance.Store(nil)
+	}
 }
 
 // bindToLifetime cancels a call when the process to which it is sent ends, until
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -133,7 +133,7 @@
 func (f *Frontend) Prune() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.router.Prune(func(name string) bool {
+	f.router.Prune(clock.Now(), func(name string) bool {
 		_, ok := f.members(name)
 		return ok
 	})
@@ -166,7 +166,8 @@
 
 // readLoadReport parses the load report of an admitting node; nil if there is none. Its
 // format is "in use/slots/waiting/service time/expected wait", times in microseconds,
-// followed by "/draining" if the node accepts no more requests, "/cold:" with the
+// followed by "/draining" if the node accepts no more requests, "/leaving" if the
+// upstream has said that it leaves, "/cold:" with the
 // milliseconds for which the upstream stays cold, and "/limit:" with the requests per
 // second that it takes, or "-" for any number, if the node knows. Unknown further parts
 // are ignored.
@@ -192,8 +193,11 @@
 		Wait:    time.Duration(numbers[4]) * time.Microsecond,
 	}
 	for _, extra := range parts[len(numbers):] {
-		if extra == loadDraining {
+		switch extra {
+		case loadDraining:
 			report.Draining = true
+		case loadLeaving:
+			report.Leaving = true
 		}
 		if ms, ok := strings.CutPrefix(extra, loadColdPrefix); ok {
 			if v, err := strconv.ParseInt(ms, 10, 32); err == nil && v > 0 {
@@ -212,6 +216,7 @@
 // Optional parts of a load report.
 const (
 	loadDraining    = "draining"
+	loadLeaving     = "leaving"
 	loadColdPrefix  = "cold:"
 	loadLimitPrefix = "limit:"
 	loadNoLimit     = "-"
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -35,10 +35,12 @@
 		return ex.f.problemResponse(problem, ex.req), problem.class
 	}
 	class := classOf(resp.Header)
+	load := readLoadReport(resp.Header)
+	ex.f.recordLeaving(target, load)
 	networkTime := readNetworkTime(resp.Header, clock.Since(sent))
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
-		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), OverLimit: resp.Header.Get(HeaderReason) == string(admission.ReasonAdvertised), Load: readLoadReport(resp.Header), Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
+		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), OverLimit: resp.Header.Get(HeaderReason) == string(admission.ReasonAdvertised), Load: load, Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
 		return resp, class
 	}
 	ex.setResponding(true)
@@ -52,7 +54,6 @@
 	}
 	latency := clock.Since(sent)
 	ex.f.responseStarted(target.Name)
-	load := readLoadReport(resp.Header)
 	resp.Body = &trackedBody{ReadCloser: resp.Body, expected: resp.ContentLength, onEnd: func(bool) {
 		ex.f.shutdownBuffered.Add(-reserved)
 		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Load: load, Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -144,7 +144,7 @@
 		return ZeroWeight
 	case m.Status == membership.Gone:
 		return InstanceGone
-	case m.Status == membership.Leaving || s.reportsDraining(r.cfg, now):
+	case m.Status == membership.Leaving || s.reportsDraining(r.cfg, now) || r.hasAnnouncedLeaving(m.Instance):
 		return InstanceLeaving
 	case m.Evacuated:
 		return Evacuated
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -25,11 +25,12 @@
 	// service, smoothed, in seconds.
 	serviceTimes map[string]float64
 	fastest      map[string]fastUpstreams // by service, of the own data centre only
+	leaving      map[string]announcedLeaving
 }
 
 // NewRouter returns a router for the instance self that has observed nothing yet.
 func NewRouter(cfg Config, self membership.Instance) *Router {
-	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choiceCounters: make(map[string]*choiceCounter), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams)}
+	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choiceCounters: make(map[string]*choiceCounter), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving)}
 }
 
 // Candidates returns every upstream of the service with its exclusion, if it has one.
@@ -159,7 +160,8 @@
 
 // Prune drops the state of upstreams for which keep returns false, except while requests
 // to them are in flight.
-func (r *Router) Prune(keep func(name string) bool) {
+func (r *Router) Prune(now time.Time, keep func(name string) bool) {
+	r.pruneLeaving(now, keep)
 	for name, s := range r.upstreams {
 		if s.inFlight == 0 && !keep(name) {
 			delete(r.upstreams, name)
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -89,6 +89,8 @@
 	// Runs holds the run times of requests of the same kind.
 	Runs     RunTimes
 	Draining bool
+	// Leaving reports whether the upstream itself has said that it leaves.
+	Leaving bool
 	// Cold is how long the upstream stays cold; 0 if it is warm.
 	Cold time.Duration
 	// Limit is the limit that the upstream advertises; nil if its node does not know.
--- a/internal/sidecar/advertised_limit.go
+++ b/internal/sidecar/advertised.go
@@ -11,3 +11,10 @@
 		s.log.Info("limit of the own upstream", "in_force", limit.InForce, "per_second", limit.PerSecond, "suppressed", suppressed)
 	}
 }
+
+// leavingAnnounced logs and counts that the own upstream says in its responses that it
+// leaves.
+func (s *Sidecar) leavingAnnounced(instance string) {
+	s.metrics.Scope.Counter("upstream_leavings_announced").Inc(1)
+	s.log.Info("own upstream says that it leaves", "upstream", instance)
+}
--- a/internal/sidecar/advertised_test.go
+++ b/internal/sidecar/advertised_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -112,6 +113,12 @@
 	}
 }
 
+// refusedByUpstreams returns the reasons of the refusals without those of a sidecar that
+// shuts down or has just started itself.
+func (l *loadResult) refusedByUpstreams() []string {
+	return slices.DeleteFunc(l.reasons, func(reason string) bool { return reason == "node-leaves" || reason == "no-table" })
+}
+
 // sendThrough sends requests through some nodes for a duration, several at once.
 func (f *fleet) sendThrough(d time.Duration, nodes []int, watchers ...*advertiser) loadResult {
 	const callersPerNode, pause = 4, 10 * time.Millisecond
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -40,6 +40,7 @@
 	Instance:             "Test-Answering-Instance",
 	Cold:                 "Test-Cold-Left",
 	RateLimit:            headerLimit,
+	Leaving:              headerLeaving,
 	FractionalRetryAfter: true,
 }
 
