An advertised limit is used up: no margin in its window

The 5% by which the window of a cold upstream is longer served no advertised limit: that counts the average of seconds.

--- a/internal/admission/start_limit.go
+++ b/internal/admission/start_limit.go
@@ -5,16 +5,15 @@
 	"time"
 )
 
-// windowMargin lengthens the window in which requests are counted, because the time to
-// reach the upstream varies between requests: with a window of 1 s, an upstream with a
-// limit of five got six requests within a second.
-const windowMargin = 1.05
-
 // Time in which a limit's requests may be started at once.
 const (
 	// coldSpan is that of a cold upstream, which crashes if it gets more than its rate in
 	// any second.
 	coldSpan = time.Second
+	// coldMargin lengthens that time, because the time to reach the upstream varies between
+	// requests: without it, an upstream with a limit of five got six requests within a
+	// second.
+	coldMargin = 1.05
 	// advertisedSpan is that of an advertised limit. It is shorter than what callers
 	// usually wait, so that under load a request waits for the next start rather than
 	// being refused until the next burst.
@@ -56,7 +55,7 @@
 // whole number of starts, so that fractional rates are met on average.
 func newStartWindow(perSecond float64, span time.Duration) startWindow {
 	starts := min(math.Ceil(perSecond*span.Seconds()), maxWindowStarts)
-	return startWindow{starts: int(starts), length: time.Duration(math.Round(windowMargin * starts / perSecond * float64(time.Second)))}
+	return startWindow{starts: int(starts), length: time.Duration(math.Round(starts / perSecond * float64(time.Second)))}
 }
 
 // setColdRate sets the limit that applies while the upstream is cold, in requests per
@@ -69,6 +68,7 @@
 	}
 	if perSecond > 0 {
 		l.cold = newStartWindow(perSecond, coldSpan)
+		l.cold.length = time.Duration(float64(l.cold.length) * coldMargin)
 	}
 }
 
