--- a/cmd/walldrift/process_test.go
+++ b/cmd/walldrift/process_test.go
@@ -128,6 +128,7 @@
 	const readers, callsOfReader = 2 * 3, 3
 	calls := p.platformCalls() - before
 	t.Logf("%d platform calls by the restarted nodes", calls)
+	p.logPlatformCalls(before)
 	assert.Assert(t, calls <= int64(len(p.plan.Nodes)+readers*callsOfReader), "%d calls", calls)
 }
 
@@ -141,6 +142,18 @@
 	return counts.Calls
 }
 
+// logPlatformCalls logs the read calls that the platform has received after the first n.
+func (p *processFleet) logPlatformCalls(n int64) {
+	resp, err := httpClient.Get("http://" + p.plan.Platform + "/standin/calls")
+	assert.NilError(p.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var calls []standin.Call
+	assert.NilError(p.t, json.NewDecoder(resp.Body).Decode(&calls))
+	for _, c := range calls[min(n, int64(len(calls))):] {
+		p.t.Log(c)
+	}
+}
+
 // slowUpload is a request body that pauses after each of its parts.
 type slowUpload struct {
 	parts [][]byte
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -118,7 +119,7 @@
 		Seeds:      n.cfg.Seeds,
 		ReadSpread: n.cfg.ReadSpread,
 		WatchWait:  n.cfg.WatchWait,
-	}, n.checkTable, n.endpoint, platform.NewClient(n.cfg.Platform.String()), n.log, n.metrics.Scope)
+	}, n.checkTable, n.endpoint, platform.NewClient(n.cfg.Platform.String(), fmt.Sprintf("walldrift/%s/%d", self.Name, self.Generation)), n.log, n.metrics.Scope)
 
 	requests := proxy.NewMetrics(n.metrics.Scope)
 	pool := proxy.DefaultPoolConfig()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -51,15 +51,17 @@
 
 // Client is a Source that calls the platform over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base   string
+	caller string
+	http   *http.Client
 }
 
 // NewClient returns a client for the service at the base URL, such as
-// http://127.0.0.1:8500.
-func NewClient(base string) *Client {
+// http://127.0.0.1:8500. caller identifies the calling process in the service's logs; it is
+// sent as User-Agent.
+func NewClient(base, caller string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 90 * time.Second}
-	return &Client{base: base, http: &http.Client{Transport: t}}
+	return &Client{base: base, caller: caller, http: &http.Client{Transport: t}}
 }
 
 // responseAllowance is the time a call may take on top of the wait it requests.
@@ -83,6 +85,7 @@
 	if err != nil {
 		return Value{}, errors.Wrap(err, "platform address")
 	}
+	req.Header.Set("User-Agent", c.caller)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Value{}, errors.Wrap(err, "platform")
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -32,6 +32,7 @@
 	unavailable atomic.Bool
 	staleValues atomic.Pointer[map[string]platform.Value]
 	callRate    peakRate
+	callLog     callLog
 }
 
 // NewPlatform returns a Platform without values.
@@ -107,6 +108,7 @@
 // Paths besides the key-value interface: counters and fault injection.
 const (
 	pathCounts = "/standin/counts"
+	pathCalls  = "/standin/calls"
 	pathDown   = "/standin/down/"
 	pathStale  = "/standin/stale/"
 )
@@ -118,6 +120,7 @@
 	e.GET(platform.PathPrefix+"*", p.handleGet)
 	e.PUT(platform.PathPrefix+"*", p.handlePut)
 	e.GET(pathCounts, func(c echo.Context) error { return c.JSON(http.StatusOK, p.Counts()) })
+	e.GET(pathCalls, func(c echo.Context) error { return c.JSON(http.StatusOK, p.callLog.all()) })
 	e.POST(pathDown+":on", func(c echo.Context) error { p.SetDown(c.Param("on") == "on"); return c.NoContent(http.StatusNoContent) })
 	e.POST(pathStale+":on", func(c echo.Context) error {
 		p.SetStale(c.Param("on") == "on")
@@ -129,10 +132,12 @@
 func (p *Platform) handleGet(c echo.Context) error {
 	p.calls.Add(1)
 	p.callRate.add(time.Now())
+	key := c.Param("*")
+	ended := p.callLog.begin(Call{Caller: c.Request().UserAgent(), Key: key, Watch: c.QueryParam("index") != "", At: time.Now()})
+	defer ended()
 	if p.unavailable.Load() {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "down")
 	}
-	key := c.Param("*")
 	if text := c.QueryParam("index"); text != "" {
 		index, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
