--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,6 +10,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/decay"
 )
 
 // Reason says why a request was refused.
@@ -324,8 +326,7 @@
 	}
 	part := 1.0
 	if q.serviceTime > 0 {
-		ago := now.Sub(q.serviceTimeAt).Seconds() / serviceTimeDecay.Seconds()
-		part = max(serviceTimeSmoothing, 1-math.Exp(-max(ago, 0)))
+		part = max(serviceTimeSmoothing, 1-decay.Factor(now.Sub(q.serviceTimeAt), serviceTimeDecay))
 	}
 	q.serviceTimeAt = now
 	q.serviceTime += part * (s - q.serviceTime)
--- a/internal/cli/quotas.go
+++ b/internal/cli/quotas.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,17 +14,7 @@
 )
 
 func quotasCommand(out IO) *ff.Command {
-	fs := ff.NewFlagSet("quotas")
-	query := newAdminQuery(fs)
-	return &ff.Command{
-		Name:      "quotas",
-		Usage:     "walldrift quotas [--node ip:port] [--json]",
-		ShortHelp: "show the table's customers, their limits, and their requests at one sidecar",
-		Flags:     fs,
-		Exec: func(ctx context.Context, _ []string) error {
-			return query.printResponse(ctx, out, admin.PathQuotas, printQuotas)
-		},
-	}
+	return showCommand(out, "quotas", "show the table's customers, their limits, and their requests at one sidecar", admin.PathQuotas, printQuotas)
 }
 
 func printQuotas(w io.Writer, raw []byte) error {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -51,20 +51,26 @@
 	return printText(out.Out, raw)
 }
 
-func statusCommand(out IO) *ff.Command {
-	fs := ff.NewFlagSet("status")
+// showCommand returns a command without arguments that prints the response to a path of an
+// admin address.
+func showCommand(out IO, name, help, path string, printText func(io.Writer, []byte) error) *ff.Command {
+	fs := ff.NewFlagSet(name)
 	query := newAdminQuery(fs)
 	return &ff.Command{
-		Name:      "status",
-		Usage:     "walldrift status [--node ip:port] [--json]",
-		ShortHelp: "show the table version of every node, and the reason for it",
+		Name:      name,
+		Usage:     "walldrift " + name + " [--node ip:port] [--json]",
+		ShortHelp: help,
 		Flags:     fs,
 		Exec: func(ctx context.Context, _ []string) error {
-			return query.printResponse(ctx, out, admin.PathFleet, printFleet)
+			return query.printResponse(ctx, out, path, printText)
 		},
 	}
 }
 
+func statusCommand(out IO) *ff.Command {
+	return showCommand(out, "status", "show the table version of every node, and the reason for it", admin.PathFleet, printFleet)
+}
+
 // fleetRow is the status of one node in a response of admin.PathFleet.
 type fleetRow struct {
 	Name        string                         `json:"name"`
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/decay"
 )
 
 // Borrower spends the tokens that owners lend to one node.
@@ -20,10 +22,10 @@
 // account is a node's state for one customer.
 type account struct {
 	leased     int
-	leaseUntil time.Time // expiry of the leased tokens
-	demand     float64   // smoothed requests per second
-	demandAt   time.Time // last update of demand
-	waiting    int       // requests waiting for a grant
+	leaseUntil time.Time  // expiry of the leased tokens
+	demand     decay.Rate // requests
+	usedAt     time.Time  // last request, or creation
+	waiting    int        // requests waiting for a grant
 	borrowing  bool
 	emptyUntil time.Time // the owner has no tokens to lend until then
 	// The local reserve is used until unreachableUntil, as the owner doesn't respond.
@@ -52,7 +54,7 @@
 func (b *Borrower) account(now time.Time, customer string) *account {
 	a, ok := b.customers[customer]
 	if !ok {
-		a = &account{demandAt: now}
+		a = &account{usedAt: now}
 		b.customers[customer] = a
 	}
 	return a
@@ -131,9 +133,8 @@
 
 // countRequest adds a request to the demand.
 func (a *account) countRequest(now time.Time) {
-	fade := math.Exp(-max(now.Sub(a.demandAt).Seconds(), 0) / demandDecay.Seconds())
-	a.demand = a.demand*fade + 1/demandDecay.Seconds()
-	a.demandAt = now
+	a.demand.Count(now, demandDecay)
+	a.usedAt = now
 }
 
 // leaseDivisor gives the share of a lease for which tokens are borrowed, as a divisor:
@@ -142,7 +143,7 @@
 
 // tokensWanted returns how many tokens the node expects to spend before they expire.
 func (a *account) tokensWanted() int {
-	return max(int(a.demand*Lease.Seconds()/leaseDivisor), a.waiting, 1)
+	return max(int(a.demand.PerSecond()*Lease.Seconds()/leaseDivisor), a.waiting, 1)
 }
 
 // StartBorrowing records that a borrow request is sent to the owner, and returns the
@@ -203,7 +204,7 @@
 // Sweep removes idle accounts.
 func (b *Borrower) Sweep(now time.Time) {
 	for name, a := range b.customers {
-		if !a.borrowing && now.Sub(a.demandAt) > accountIdleTimeout {
+		if !a.borrowing && now.Sub(a.usedAt) > accountIdleTimeout {
 			delete(b.customers, name)
 		}
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -1,8 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"github.com/walldrift/walldrift/internal/decay"
 )
 
 // Lender lends the tokens of the customers that a node owns.
@@ -13,8 +14,7 @@
 // customerBucket is an owner's state for one customer.
 type customerBucket struct {
 	bucket
-	borrowRate   float64 // smoothed borrow requests per second
-	borrowRateAt time.Time
+	borrowRequests decay.Rate
 }
 
 // NewLender returns a lender that has lent nothing.
@@ -80,11 +80,7 @@
 // fallen to a third.
 const borrowRateDecay = time.Second
 
-func (l *customerBucket) countBorrow(now time.Time) {
-	fade := math.Exp(-max(now.Sub(l.borrowRateAt).Seconds(), 0) / borrowRateDecay.Seconds())
-	l.borrowRate = l.borrowRate*fade + 1/borrowRateDecay.Seconds()
-	l.borrowRateAt = now
-}
+func (l *customerBucket) countBorrow(now time.Time) { l.borrowRequests.Count(now, borrowRateDecay) }
 
 // retryDelayUnit is the delay after an empty grant when as many borrow requests arrive as
 // there are tokens.
@@ -94,7 +90,7 @@
 // many requests of a customer, each would ask as soon as a token may be available. The
 // more borrow requests there are per token, the longer the nodes wait.
 func (l *customerBucket) retryDelay() time.Duration {
-	return time.Duration(min(l.borrowRate/l.limit.Rate*retryDelayUnit.Seconds(), Lease.Seconds()) * float64(time.Second))
+	return time.Duration(min(l.borrowRequests.PerSecond()/l.limit.Rate*retryDelayUnit.Seconds(), Lease.Seconds()) * float64(time.Second))
 }
 
 // Paused records that this process was paused: other nodes may have lent in the meantime
--- a/internal/routing/limit.go
+++ b/internal/routing/limit.go
@@ -1,11 +1,11 @@
 package routing
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/decay"
 	"github.com/walldrift/walldrift/internal/membership"
 )
 
@@ -76,11 +76,11 @@
 // expectedSeconds returns the wait by which the upstream is compared with others. When the
 // reported wait is over, other nodes have probably used the limit again, so it decays with
 // the given time constant.
-func (l *limitState) expectedSeconds(now time.Time, decay time.Duration) float64 {
+func (l *limitState) expectedSeconds(now time.Time, fades time.Duration) float64 {
 	if l.wait == 0 {
 		return 0
 	}
-	return l.wait.Seconds() * math.Exp(-max(now.Sub(l.waitAt).Seconds(), 0)/decay.Seconds())
+	return l.wait.Seconds() * decay.Factor(now.Sub(l.waitAt), fades)
 }
 
 // AdvertisedLimit returns the limit that an instance is known to advertise.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/decay"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/overload"
 )
@@ -19,8 +20,8 @@
 	upstreams map[string]*upstreamState
 	// scratch is the buffer for the candidates of a choice, reused so that a choice among
 	// 108 upstreams doesn't allocate 65 KB (BenchmarkPick).
-	scratch        []Candidate
-	choiceCounters map[string]*choiceCounter // by service
+	scratch []Candidate
+	choices map[string]*decay.Rate // by service
 	// serviceTimes holds the mean reported service time over the upstreams of each
 	// service, smoothed, in seconds.
 	serviceTimes map[string]float64
@@ -30,7 +31,7 @@
 
 // NewRouter returns a router for the instance self that has observed nothing yet.
 func NewRouter(cfg Config, self membership.Instance) *Router {
-	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choiceCounters: make(map[string]*choiceCounter), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving)}
+	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choices: make(map[string]*decay.Rate), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving)}
 }
 
 // Candidates returns every upstream of the service with its exclusion, if it has one.
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -1,10 +1,10 @@
 package routing
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
+	"github.com/walldrift/walldrift/internal/decay"
 	"github.com/walldrift/walldrift/internal/snapshot"
 )
 
@@ -64,12 +64,6 @@
 	return perSecond*r.cfg.LoadReportLifetime.Seconds() >= minFreshShare*float64(upstreams)
 }
 
-// choiceCounter measures how often a node chooses among the upstreams of a service.
-type choiceCounter struct {
-	perSecond float64 // exponentially smoothed
-	at        time.Time
-}
-
 // choiceRateDecay is the time constant of the smoothed choice rate. It spans a few
 // requests of a node that sends one a second.
 const choiceRateDecay = 5 * time.Second
@@ -77,14 +71,13 @@
 // countChoice counts a choice among the upstreams of a service and returns the choices
 // per second.
 func (r *Router) countChoice(now time.Time, service string) float64 {
-	c, ok := r.choiceCounters[service]
+	choices, ok := r.choices[service]
 	if !ok {
-		c = &choiceCounter{at: now}
-		r.choiceCounters[service] = c
+		choices = &decay.Rate{}
+		r.choices[service] = choices
 	}
-	fade := math.Exp(-max(now.Sub(c.at).Seconds(), 0) / choiceRateDecay.Seconds())
-	c.perSecond, c.at = c.perSecond*fade+1/choiceRateDecay.Seconds(), now
-	return c.perSecond
+	choices.Count(now, choiceRateDecay)
+	return choices.PerSecond()
 }
 
 // drawCandidates draws upstreams from the list at random, at most draws times, and
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -5,11 +5,11 @@
 package routing
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/decay"
 )
 
 // Config holds the parameters of the choice.
@@ -154,7 +154,7 @@
 	if s.networkTimeAt.IsZero() {
 		return 0
 	}
-	return s.networkTime * math.Exp(-max(now.Sub(s.networkTimeAt).Seconds(), 0)/networkTimeDecay.Seconds())
+	return s.networkTime * decay.Factor(now.Sub(s.networkTimeAt), networkTimeDecay)
 }
 
 // estimatedRequests estimates the number of requests at the upstream: those in its load
@@ -164,8 +164,7 @@
 	if s.loadAt.IsZero() {
 		return own
 	}
-	age := now.Sub(s.loadAt).Seconds() / cfg.LoadReportLifetime.Seconds()
-	trust := math.Exp(-max(age, 0))
+	trust := decay.Factor(now.Sub(s.loadAt), cfg.LoadReportLifetime)
 	reported := float64(s.load.InUse + s.load.Waiting + s.inFlight - s.inFlightAtLoad)
 	return max(own, trust*reported+(1-trust)*own)
 }
