Tests: a restart of a sidecar beside callers is no data race

The race detector found it in the new tests alone: callers read the list of sidecars while one restarts. Race runs of the advertised and leaving tests, and of admission, routing, proxy and quota, are clean.

--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -181,6 +181,7 @@
 type fleet struct {
 	t         testing.TB
 	store     *memoryStore
+	mu        sync.RWMutex // guards sidecars while one restarts
 	sidecars  []*Sidecar
 	upstreams []*upstream
 	settings  []*settings.Sidecar
@@ -267,8 +268,11 @@
 func (f *fleet) restart(i int) {
 	f.stops[i]()
 	assert.NilError(f.t, <-f.done[i])
-	f.sidecars[i], f.stops[i], f.done[i] = f.run(f.settings[i])
-	for !f.sidecars[i].Ready() {
+	s, stop, done := f.run(f.settings[i])
+	f.mu.Lock()
+	f.sidecars[i], f.stops[i], f.done[i] = s, stop, done
+	f.mu.Unlock()
+	for !s.Ready() {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -291,7 +295,11 @@
 	}
 }
 
-func (f *fleet) callers(i int) string { return f.sidecars[i].servers.listeners[0].Addr().String() }
+func (f *fleet) callers(i int) string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.sidecars[i].servers.listeners[0].Addr().String()
+}
 
 var nextID atomic.Int64
 
