Tests that run at the same time take ports of their own

freePorts looked at the first port of its range only, so that two copies of the tests of processes could take the same 80 ports. It checks all and begins at a place that depends on the process.

--- a/cmd/walldrift/fleet_test.go
+++ b/cmd/walldrift/fleet_test.go
@@ -59,22 +59,35 @@
 	return p
 }
 
-// freePorts returns the start of a range of n ports below the ephemeral ones. It checks
-// only that the first port is free.
+// freePorts returns the start of a range of n free ports below the ephemeral ones. It
+// begins to look at a place that depends on this process, so that tests that run at the
+// same time do not take the same ports.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	for base := 21000; base < 32000; base += n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
-		if err != nil {
-			continue
+	const first, last = 21000, 32000
+	ranges := (last - first) / n
+	for i := range ranges {
+		base := first + (os.Getpid()+i)%ranges*n
+		if allFree(base, n) {
+			return base
 		}
-		assert.NilError(t, l.Close())
-		return base
 	}
 	t.Fatal("no free ports")
 	return 0
 }
 
+// allFree reports whether n ports are free for TCP.
+func allFree(base, n int) bool {
+	for port := base; port < base+n; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 func (p *processFleet) startPlatform() {
 	p.start("platform", "standin", "platform", "--listen", p.plan.Platform,
 		"--table", filepath.Join(p.dir, "table.csv"), "--instances", filepath.Join(p.dir, "instances.json"))
