Stand-in upstreams advertise a limit; nodes of the project's own dialect keep it

Leaving stays with the health page there: such an upstream may be taken back, its node's name and start being the same. The sidecars' test of leaving has no slack any more.

--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -54,7 +54,9 @@
 
 // DefaultDialect returns the dialect of a deployment that uses the project's own
 // headers.
-func DefaultDialect() Dialect { return Dialect{Deadline: HeaderTimeout} }
+func DefaultDialect() Dialect {
+	return Dialect{Deadline: HeaderTimeout, RateLimit: HeaderRateLimit}
+}
 
 // ColdRemaining returns how long an upstream says that it stays cold; false if its
 // response has no valid answer.
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -37,6 +37,10 @@
 	HeaderServedBy = "Walldrift-Upstream"
 )
 
+// HeaderRateLimit in an upstream's response is the limit that it advertises; see
+// Dialect.RateLimit.
+const HeaderRateLimit = "Upstream-Rate-Limit"
+
 // Headers between nodes.
 const (
 	headerPrefix         = "Walldrift-"
--- a/internal/sidecar/announced_leaving_test.go
+++ b/internal/sidecar/announced_leaving_test.go
@@ -14,13 +14,9 @@
 // leave.
 const headerLeaving = "Test-Leaving"
 
-const (
-	// leavingBound is how long a node may send to an upstream after it forwarded a
-	// response which says that the upstream leaves.
-	leavingBound = 2 * time.Second
-	// schedulingSlack allows for the time between a node's decision and this process's.
-	schedulingSlack = 100 * time.Millisecond
-)
+// leavingBound is how long a node may send to an upstream after it forwarded a response
+// which says that the upstream leaves.
+const leavingBound = 2 * time.Second
 
 // checkLeaving checks that no node sent a request long after it had forwarded a response
 // that says that the upstream leaves.
@@ -31,7 +27,7 @@
 	assert.Assert(t, !a.firstAt.IsZero(), "no node was told that the upstream leaves")
 	late := 0
 	for _, one := range a.arrivals {
-		if told := a.toldAt[one.node]; !told.IsZero() && one.sentAt.After(told.Add(leavingBound+schedulingSlack)) {
+		if told := a.toldAt[one.node]; !told.IsZero() && one.sentAt.After(told.Add(leavingBound)) {
 			late++
 		}
 	}
@@ -69,7 +65,7 @@
 			a.u.advertise(headerLeaving, "1")
 			var change sync.WaitGroup
 			change.Go(func() {
-				time.Sleep(leavingBound + schedulingSlack)
+				time.Sleep(leavingBound + 100*time.Millisecond)
 				c.during(f, a)
 			})
 			got := f.sendThrough(7*time.Second, c.nodes, a)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -23,6 +23,8 @@
 	// HeaderForgedOutcome adds an outcome header, which only nodes may set, to the response.
 	HeaderForgedOutcome = "X-Pretend-Outcome"
 	headerNodeOutcome   = "Walldrift-Outcome"
+	// headerRateLimit is the header in which an upstream advertises its limit.
+	headerRateLimit = "Upstream-Rate-Limit"
 )
 
 // maxPadding bounds the padding of a response, in bytes.
@@ -44,6 +46,7 @@
 	slots       chan struct{}
 	workPercent atomic.Int64 // percent of the normal time that a request takes
 	draining    atomic.Bool
+	rateLimit   atomic.Pointer[string] // advertised in each response; nil for none
 	inUse       atomic.Int64
 
 	mu        sync.Mutex
@@ -69,6 +72,16 @@
 // SetDraining sets whether the health endpoint reports draining.
 func (u *Upstream) SetDraining(on bool) { u.draining.Store(on) }
 
+// SetRateLimit sets the limit in requests per second that each response advertises; empty
+// for none. The upstream itself does not enforce it.
+func (u *Upstream) SetRateLimit(perSecond string) {
+	if perSecond == "" {
+		u.rateLimit.Store(nil)
+		return
+	}
+	u.rateLimit.Store(&perSecond)
+}
+
 // Runs returns how often each request ID ran.
 func (u *Upstream) Runs() map[string]int {
 	u.mu.Lock()
@@ -113,6 +126,9 @@
 	case "/standin/drain":
 		u.SetDraining(r.URL.Query().Get("on") != "false")
 		return
+	case "/standin/limit":
+		u.SetRateLimit(r.URL.Query().Get("per_second"))
+		return
 	case "/standin/slow":
 		if percent, err := strconv.Atoi(r.URL.Query().Get("percent")); err == nil && percent > 0 {
 			u.SetWorkPercent(percent)
@@ -192,6 +208,9 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	if limit := u.rateLimit.Load(); limit != nil {
+		w.Header().Set(headerRateLimit, *limit)
+	}
 	// Simulates an upstream that copies headers from calls of its own: nodes must not
 	// take its outcome header for that of a node.
 	if v := r.Header.Get(HeaderForgedOutcome); v != "" {
