--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -292,9 +292,9 @@
 	return max(time.Duration(seconds*float64(time.Second)), q.limit.wait(now, n))
 }
 
-// limitTimerSlack is how much later than allowed a request may start that waits for a
-// limit: a timer wakes it. Without it a request whose turn came within its last millisecond
-// waited in vain, while other upstreams had room.
+// limitTimerSlack is how long before its latest start a request that waits for a limit must
+// be expected to start: a timer wakes it, and may be late. Without it a request whose turn
+// came in its last millisecond waited in vain, while other upstreams had room.
 const limitTimerSlack = 10 * time.Millisecond
 
 func (q *Queue) tooLate(now time.Time, t *Ticket) bool {
--- a/internal/proxy/advertised_limit.go
+++ b/internal/proxy/advertised_limit.go
@@ -85,18 +85,19 @@
 	}
 }
 
-// appendLimit appends what an instance advertises to a load report, if this node knows.
-func (b *Backend) appendLimit(report []byte, instance string) []byte {
+// appendLimit appends to a load report the limit of a request's target, if there is one,
+// or that there is none to a sender that knows one.
+func (b *Backend) appendLimit(report []byte, env Envelope) []byte {
 	b.mu.Lock()
-	limit, known := b.advertised.Limit(instance)
+	limit, known := b.advertised.Limit(env.Target)
 	b.mu.Unlock()
 	switch {
-	case !known:
-		return report
-	case !limit.InForce:
+	case known && limit.InForce:
+		return append(append(report, "/"+loadLimitPrefix...), formatRate(limit.PerSecond)...)
+	case known && env.KnownLimit.InForce:
 		return append(report, "/"+loadLimitPrefix+loadNoLimit...)
 	}
-	return append(append(report, "/"+loadLimitPrefix...), formatRate(limit.PerSecond)...)
+	return report
 }
 
 // advertisedLimit returns the limit that a response advertises; false if it can't be read
--- a/internal/proxy/advertised_limit_test.go
+++ b/internal/proxy/advertised_limit_test.go
@@ -128,6 +128,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, b.advertisedLimit(), known)
 	assert.Equal(t, *reported(), known)
+	b.advertised.Observe("u", clock.Now(), clock.Now(), admission.AdvertisedLimit{})
+	assert.Assert(t, !reported().InForce, "the sender learns that the limit has ended")
+	env.KnownLimit = admission.AdvertisedLimit{}
+	assert.Assert(t, reported() == nil)
+	b.advertised.Observe("u", clock.Now(), clock.Now(), known)
 	b.UpstreamReplaced("u")
 	assert.Equal(t, b.advertisedLimit(), known)
 	b.UpstreamReplaced("next")
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -320,7 +320,7 @@
 	if b.isLeaving(env.Target) {
 		report = append(report, "/"+loadLeaving...)
 	}
-	report = b.appendLimit(report, env.Target)
+	report = b.appendLimit(report, env)
 	if forecast.Cold > 0 {
 		report = strconv.AppendInt(append(report, "/"+loadColdPrefix...), forecast.Cold.Milliseconds()+1, 10)
 	}
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -169,8 +169,8 @@
 // followed by "/draining" if the node accepts no more requests, "/leaving" if the
 // upstream has said that it leaves, "/cold:" with the
 // milliseconds for which the upstream stays cold, and "/limit:" with the requests per
-// second that it takes, or "-" for any number, if the node knows. Unknown further parts
-// are ignored.
+// second that it takes, or "-" if the limit that the sender knows has ended. Unknown
+// further parts are ignored.
 func readLoadReport(h http.Header) *routing.LoadReport {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var numbers [5]int
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -93,7 +93,7 @@
 	Leaving bool
 	// Cold is how long the upstream stays cold; 0 if it is warm.
 	Cold time.Duration
-	// Limit is the limit that the upstream advertises; nil if its node does not know.
+	// Limit is the limit that the upstream advertises; nil if nothing new is known of it.
 	Limit *admission.AdvertisedLimit
 }
 
