Bounds of what is kept for advertised limits

Overlapping responses with ever looser limits could make the tracker's list grow; 32 are kept, and the stricter of the latest two holds for both.

--- a/internal/admission/advertised_limit.go
+++ b/internal/admission/advertised_limit.go
@@ -99,8 +99,16 @@
 		kept--
 	}
 	t.current = slices.Replace(t.current, kept, at, l)
+	if last := len(t.current) - 1; last == maxOverlappingLimits {
+		// The stricter one of the latest two holds for both.
+		t.current[last-1].receivedAt = t.current[last].receivedAt
+		t.current = t.current[:last]
+	}
 }
 
+// maxOverlappingLimits bounds the limits of overlapping responses that are kept.
+const maxOverlappingLimits = 32
+
 // Hint applies a limit that another node knows of an instance and reports whether the
 // limit in force has changed. It counts only as long as no response of the upstream was
 // observed: a node that has started beside a limited upstream learns the limit with the
--- a/internal/admission/advertised_limit_test.go
+++ b/internal/admission/advertised_limit_test.go
@@ -62,6 +62,21 @@
 	})
 }
 
+// However many overlapping responses advertise ever looser limits, few are kept, and the
+// strictest one is in force until it is outdated.
+func TestLimitTrackerIsBounded(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	var tracker LimitTracker
+	for i := range 10 * maxOverlappingLimits {
+		tracker.Observe("a", begin, begin.Add(time.Duration(i)*time.Millisecond), AdvertisedLimit{true, float64(i)})
+		assert.Assert(t, len(tracker.current) <= maxOverlappingLimits)
+	}
+	assert.Equal(t, tracker.Current(), AdvertisedLimit{true, 0})
+	later := begin.Add(time.Hour)
+	tracker.Observe("a", later, later, AdvertisedLimit{true, 7})
+	assert.Equal(t, tracker.Current(), AdvertisedLimit{true, 7})
+}
+
 // What one process advertised does not hold for the next one at its address, and hints
 // count only until the upstream itself has said something.
 func TestLimitTrackerInstances(t *testing.T) {
