--- a/internal/http1/after_deadline_test.go
+++ b/internal/http1/after_deadline_test.go
@@ -29,25 +29,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	s := stallOnce{cancel: cancel}
-	addr, conns := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			if !s.hasBegun() {
-				respond(nc, "other", "no")
-				s.awaitBegin()
-			}
-			respond(nc, req.Header.Get(idHeader), "yes")
+	addr, conns := scriptServer(t, answerEach(func(nc net.Conn, req *http.Request) {
+		if !s.hasBegun() {
+			respond(nc, "other", "no")
+			s.awaitBegin()
 		}
-	})
+		respond(nc, req.Header.Get(idHeader), "yes")
+	}))
 	c := newTestClient()
-	matches := c.cfg.MatchesRequest
-	c.cfg.MatchesRequest = func(req *http.Request, resp *http.Response) bool {
-		s.stall(t)
-		return matches(req, resp)
-	}
+	s.stallIn(t, c)
 	body, err := roundTrip(c, newRequest(t, addr, "GET", "a", nil).WithContext(s.trace(ctx)))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "yes")
@@ -101,16 +91,10 @@
 // when the deadline was only set concurrently with the first write.
 func TestExpiredRequestIsNotSent(t *testing.T) {
 	arrived := make(chan string, 100)
-	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			arrived <- req.Header.Get(idHeader)
-			respond(nc, req.Header.Get(idHeader), "ok")
-		}
-	})
+	addr, _ := scriptServer(t, answerEach(func(nc net.Conn, req *http.Request) {
+		arrived <- req.Header.Get(idHeader)
+		respond(nc, req.Header.Get(idHeader), "ok")
+	}))
 	c := newTestClient()
 	for range 20 {
 		_, err := roundTrip(c, newRequest(t, addr, "GET", "in time", nil))
@@ -129,15 +113,9 @@
 
 // An expired request leaves the idle connection to other requests.
 func TestExpiredRequestTakesNoConnection(t *testing.T) {
-	addr, conns := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			respond(nc, req.Header.Get(idHeader), "ok")
-		}
-	})
+	addr, conns := scriptServer(t, answerEach(func(nc net.Conn, req *http.Request) {
+		respond(nc, req.Header.Get(idHeader), "ok")
+	}))
 	c := newTestClient()
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -172,11 +150,7 @@
 				close(closed)
 			})
 			c := newTestClient()
-			matches := c.cfg.MatchesRequest
-			c.cfg.MatchesRequest = func(req *http.Request, resp *http.Response) bool {
-				s.stall(t)
-				return matches(req, resp)
-			}
+			s.stallIn(t, c)
 			_, err := roundTrip(c, newRequest(t, addr, "GET", "a", nil).WithContext(s.trace(ctx)))
 			assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
 			<-closed
@@ -274,6 +248,15 @@
 // awaitBegin is called by the peer and returns when the pause begins.
 func (s *stallOnce) awaitBegin() { <-s.begun }
 
+// stallIn makes a client pause when it has read the head of a response.
+func (s *stallOnce) stallIn(t *testing.T, c *Client) {
+	matches := c.cfg.MatchesRequest
+	c.cfg.MatchesRequest = func(req *http.Request, resp *http.Response) bool {
+		s.stall(t)
+		return matches(req, resp)
+	}
+}
+
 func (s *stallOnce) stall(t *testing.T) {
 	t.Helper()
 	if s.ended {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -71,18 +71,25 @@
 	_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+idHeader+": "+id+"\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
 }
 
-func itoa(n int) string { return string(rune('0' + n)) }
-
-func TestConnectionIsReused(t *testing.T) {
-	addr, conns := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+// answerEach is a script that calls answer for each request of a connection.
+func answerEach(answer func(net.Conn, *http.Request)) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, nc net.Conn, br *bufio.Reader) {
 		for {
 			req, err := http.ReadRequest(br)
 			if err != nil {
 				return
 			}
-			respond(nc, req.Header.Get(idHeader), "ok")
+			answer(nc, req)
 		}
-	})
+	}
+}
+
+func itoa(n int) string { return string(rune('0' + n)) }
+
+func TestConnectionIsReused(t *testing.T) {
+	addr, conns := scriptServer(t, answerEach(func(nc net.Conn, req *http.Request) {
+		respond(nc, req.Header.Get(idHeader), "ok")
+	}))
 	c := newTestClient()
 	for _, id := range []string{"a", "b", "c"} {
 		body, err := roundTrip(c, newRequest(t, addr, "GET", id, nil))
@@ -94,16 +101,10 @@
 
 // A late duplicate response precedes the next response on the connection; it is skipped.
 func TestForeignResponseIsSkipped(t *testing.T) {
-	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			respond(nc, "other", "no")
-			respond(nc, req.Header.Get(idHeader), "yes")
-		}
-	})
+	addr, _ := scriptServer(t, answerEach(func(nc net.Conn, req *http.Request) {
+		respond(nc, "other", "no")
+		respond(nc, req.Header.Get(idHeader), "yes")
+	}))
 	c := newTestClient()
 	for _, id := range []string{"a", "b"} {
 		body, err := roundTrip(c, newRequest(t, addr, "GET", id, nil))
--- a/internal/http1/stall_test.go
+++ b/internal/http1/stall_test.go
@@ -290,18 +290,23 @@
 	assert.Assert(t, !bRan)
 }
 
+// limitsWithIdle returns the default limits with an idle timeout that may change, in
+// nanoseconds.
+func limitsWithIdle(idle *atomic.Int64) func() Limits {
+	return func() Limits {
+		l := DefaultLimits()
+		l.IdleTimeout = time.Duration(idle.Load())
+		return l
+	}
+}
+
 // Callers keep a connection for four fifths of the published idle timeout. If the timeout
 // grows while a connection waits, the longer one applies to it.
 func TestLongerIdleTimeoutAppliesToWaitingConnections(t *testing.T) {
 	var idle atomic.Int64
 	idle.Store(int64(shortTimeout))
-	limits := func() Limits {
-		l := DefaultLimits()
-		l.IdleTimeout = time.Duration(idle.Load())
-		return l
-	}
 	stall := newStallPoint(1)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limits}, stallPoints{wait: stall})
+	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsWithIdle(&idle)}, stallPoints{wait: stall})
 	nc, br := dial(t, addr)
 	<-stall.reached
 	idle.Store(int64(time.Minute))
@@ -318,13 +323,8 @@
 func TestShorterIdleTimeoutSparesWaitingConnections(t *testing.T) {
 	var idle atomic.Int64
 	idle.Store(int64(time.Minute))
-	limits := func() Limits {
-		l := DefaultLimits()
-		l.IdleTimeout = time.Duration(idle.Load())
-		return l
-	}
 	stall := newStallPoint(2)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limits}, stallPoints{wait: stall})
+	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsWithIdle(&idle)}, stallPoints{wait: stall})
 	nc, br := dial(t, addr)
 	write(t, nc, get("/a"))
 	read(t, br)
