--- a/internal/admission/advertised_limit_test.go
+++ b/internal/admission/advertised_limit_test.go
@@ -124,7 +124,7 @@
 		for range rapid.IntRange(0, 20).Draw(t, "before") {
 			q.Offer(now, &Ticket{Kind: "k", Weight: 1})
 		}
-		q.SetAdvertised(now, AdvertisedLimit{true, rate})
+		q.SetAdvertisedLimit(now, AdvertisedLimit{true, rate})
 		t.Repeat(map[string]func(*rapid.T){
 			"offer": func(*rapid.T) {
 				if v, _ := q.Offer(now, &Ticket{Kind: "k", Weight: 1}); v.Started {
@@ -173,13 +173,13 @@
 			}()
 			synctest.Wait()
 		}
-		g.SetAdvertised(AdvertisedLimit{true, 0.5})
-		assert.Equal(t, <-verdicts, `false "advertised" after 0s`)
+		g.SetAdvertisedLimit(AdvertisedLimit{true, 0.5})
+		assert.Equal(t, <-verdicts, `false "advertised-limit" after 0s`)
 		g.SetSlots(100)
 		time.Sleep(2200 * time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, <-verdicts, `true "" after 2s`)
-		g.SetAdvertised(AdvertisedLimit{})
+		g.SetAdvertisedLimit(AdvertisedLimit{})
 		assert.Equal(t, <-verdicts, `true "" after 2.2s`)
 	})
 }
@@ -189,14 +189,14 @@
 func TestLooserAdvertisedLimitAppliesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate(Config{Slots: 10, QueueLimit: 100})
-		g.SetAdvertised(AdvertisedLimit{true, 0})
+		g.SetAdvertisedLimit(AdvertisedLimit{true, 0})
 		assert.Assert(t, g.Acquire(t.Context(), &Ticket{Kind: "k"}).Started)
 		began := time.Now()
 		done := make(chan time.Duration)
 		go func() { g.Acquire(t.Context(), &Ticket{Kind: "k"}); done <- time.Since(began) }()
 		synctest.Wait()
 		time.Sleep(100 * time.Millisecond)
-		g.SetAdvertised(AdvertisedLimit{true, 4})
+		g.SetAdvertisedLimit(AdvertisedLimit{true, 4})
 		assert.Equal(t, <-done, 250*time.Millisecond)
 	})
 }
@@ -206,7 +206,7 @@
 func TestStartsOfAnEarlierProcessCount(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	q := NewQueue(Config{Slots: 100, StartedAt: begin})
-	q.SetAdvertised(begin, AdvertisedLimit{true, 20})
+	q.SetAdvertisedLimit(begin, AdvertisedLimit{true, 20})
 	starts := 0
 	for ms := range 1000 {
 		if v, _ := q.Offer(begin.Add(time.Duration(ms)*time.Millisecond), &Ticket{Kind: "k", NoWait: true}); v.Started {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -142,14 +142,14 @@
 // SetCold sets the time until which the upstream is cold.
 func (g *Gate) SetCold(until time.Time) { g.update(func(q *Queue) { q.SetCold(until) }) }
 
-// SetAdvertised sets the limit that the upstream advertises, and refuses the waiting
+// SetAdvertisedLimit sets the limit that the upstream advertises, and refuses the waiting
 // requests that can no longer start in time.
-func (g *Gate) SetAdvertised(a AdvertisedLimit) {
+func (g *Gate) SetAdvertisedLimit(a AdvertisedLimit) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := clock.Now()
-	for _, t := range g.queue.SetAdvertised(now, a) {
-		g.resolve(t, g.queue.Refusal(now, ReasonAdvertised))
+	for _, t := range g.queue.SetAdvertisedLimit(now, a) {
+		g.resolve(t, g.queue.Refusal(now, ReasonAdvertisedLimit))
 	}
 	g.resolveAll(g.queue.Fill(now))
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -19,20 +19,20 @@
 
 // The reasons.
 const (
-	ReasonNone        Reason = ""
-	ReasonQueueFull   Reason = "queue-full"   // the queue has no room
-	ReasonTooLate     Reason = "too-late"     // can't finish before its deadline
-	ReasonOutweighed  Reason = "outweighed"   // displaced by a request of a heavier kind
-	ReasonRate        Reason = "rate"         // rate limit of the table row
-	ReasonConcurrency Reason = "concurrency"  // concurrency limit of the table row
-	ReasonBusy        Reason = "busy"         // no free slot, and the sender prefers to try another upstream
-	ReasonDraining    Reason = "draining"     // the instance is leaving
-	ReasonEvacuated   Reason = "evacuated"    // the data centre is evacuated
-	ReasonCold        Reason = "cold"         // the cold upstream has got the requests that its rate allows
-	ReasonAdvertised  Reason = "advertised"   // the upstream has got the requests that its advertised limit allows
-	ReasonLink        Reason = "link-full"    // the response would wait too long for the link
-	ReasonCancelled   Reason = "cancelled"    // the caller gave up while the request waited
-	ReasonWrongTarget Reason = "wrong-target" // the node isn't beside the requested upstream
+	ReasonNone            Reason = ""
+	ReasonQueueFull       Reason = "queue-full"       // the queue has no room
+	ReasonTooLate         Reason = "too-late"         // can't finish before its deadline
+	ReasonOutweighed      Reason = "outweighed"       // displaced by a request of a heavier kind
+	ReasonRate            Reason = "rate"             // rate limit of the table row
+	ReasonConcurrency     Reason = "concurrency"      // concurrency limit of the table row
+	ReasonBusy            Reason = "busy"             // no free slot, and the sender prefers to try another upstream
+	ReasonDraining        Reason = "draining"         // the instance is leaving
+	ReasonEvacuated       Reason = "evacuated"        // the data centre is evacuated
+	ReasonCold            Reason = "cold"             // the cold upstream has got the requests that its rate allows
+	ReasonAdvertisedLimit Reason = "advertised-limit" // the upstream has got the requests that its advertised limit allows
+	ReasonLink            Reason = "link-full"        // the response would wait too long for the link
+	ReasonCancelled       Reason = "cancelled"        // the caller gave up while the request waited
+	ReasonWrongTarget     Reason = "wrong-target"     // the node isn't beside the requested upstream
 )
 
 // Ticket is one request for a slot. It is identified by its pointer.
@@ -118,9 +118,9 @@
 // Cold returns how long the upstream stays cold; 0 if it is warm or has no cold rate.
 func (q *Queue) Cold(now time.Time) time.Duration { return q.limit.coldRemaining(now) }
 
-// SetAdvertised sets the limit that the upstream advertises. It returns the waiting
+// SetAdvertisedLimit sets the limit that the upstream advertises. It returns the waiting
 // requests that can no longer start in time; the caller must refuse them.
-func (q *Queue) SetAdvertised(now time.Time, a AdvertisedLimit) (late []*Ticket) {
+func (q *Queue) SetAdvertisedLimit(now time.Time, a AdvertisedLimit) (late []*Ticket) {
 	q.limit.setAdvertised(a)
 	return q.removeHopeless(now)
 }
--- a/internal/admission/start_limit.go
+++ b/internal/admission/start_limit.go
@@ -148,7 +148,7 @@
 	case l.allows(now):
 		return ReasonNone
 	case l.windowWait(l.advertised, now, 1) > 0:
-		return ReasonAdvertised
+		return ReasonAdvertisedLimit
 	}
 	return ReasonCold
 }
--- a/internal/proxy/advertised_limit.go
+++ b/internal/proxy/advertised_limit.go
@@ -67,7 +67,7 @@
 		return
 	}
 	limit := b.advertised.Current()
-	b.gate.SetAdvertised(limit)
+	b.gate.SetAdvertisedLimit(limit)
 	b.cfg.OnLimit(limit)
 }
 
--- a/internal/routing/limit_test.go
+++ b/internal/routing/limit_test.go
@@ -37,7 +37,7 @@
 		f.gates[name] = admission.NewQueue(admission.Config{Slots: 100, QueueLimit: 100})
 		if i < limited {
 			f.limit[name] = admission.AdvertisedLimit{InForce: true, PerSecond: perSecond}
-			f.gates[name].SetAdvertised(epoch, f.limit[name])
+			f.gates[name].SetAdvertisedLimit(epoch, f.limit[name])
 		}
 	}
 	return f
