An advertised limit that is no number leaves a line and a count

It was passed over unsaid. Test with the values -1 and NaN; the mutant of unsigned responses is caught.

--- a/internal/proxy/advertised_limit.go
+++ b/internal/proxy/advertised_limit.go
@@ -19,8 +19,13 @@
 // observeLimit applies the limit that a response advertises, before its node forwards any
 // part of it. It ignores responses that the expected instance did not make itself.
 func (c *backendCall) observeLimit(resp *http.Response) {
-	limit, ok := c.b.cfg.Dialect.advertisedLimit(resp.Header)
-	if !ok || !c.b.cfg.Dialect.signed(resp) {
+	d := c.b.cfg.Dialect
+	if d.RateLimit == "" || !d.signed(resp) {
+		return
+	}
+	limit, ok := d.advertisedLimit(resp.Header)
+	if !ok {
+		c.b.cfg.OnInvalidLimit(resp.Header.Get(d.RateLimit))
 		return
 	}
 	c.limitReport = limitReport{limit: limit, receivedAt: clock.Now()}
@@ -100,12 +105,8 @@
 	return report
 }
 
-// advertisedLimit returns the limit that a response advertises; false if it can't be read
-// or the dialect has none.
+// advertisedLimit returns the limit that a response advertises; false if it can't be read.
 func (d Dialect) advertisedLimit(h http.Header) (admission.AdvertisedLimit, bool) {
-	if d.RateLimit == "" {
-		return admission.AdvertisedLimit{}, false
-	}
 	if len(h.Values(d.RateLimit)) == 0 {
 		return admission.AdvertisedLimit{}, true
 	}
--- a/internal/proxy/advertised_limit_test.go
+++ b/internal/proxy/advertised_limit_test.go
@@ -53,27 +53,28 @@
 		before  bool // a limit is in force
 		respond func(http.ResponseWriter)
 		after   bool
+		invalid string // reported as no limit
 	}{
-		{"with a limit", false, limited, true},
-		{"without a limit", true, func(http.ResponseWriter) {}, false},
-		{"a failure with a limit", false, func(w http.ResponseWriter) { limited(w); w.WriteHeader(http.StatusInternalServerError) }, true},
+		{"with a limit", false, limited, true, ""},
+		{"without a limit", true, func(http.ResponseWriter) {}, false, ""},
+		{"a failure with a limit", false, func(w http.ResponseWriter) { limited(w); w.WriteHeader(http.StatusInternalServerError) }, true, ""},
 		{"a refusal with a limit", false, func(w http.ResponseWriter) {
 			limited(w)
 			w.Header().Set("Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, true},
-		{"unreadable, with a limit before", true, func(w http.ResponseWriter) { w.Header().Set("Limit", "-1") }, true},
-		{"unreadable, without a limit before", false, func(w http.ResponseWriter) { w.Header().Set("Limit", "NaN") }, false},
-		{"unsigned, with a limit", false, func(w http.ResponseWriter) { limited(w); w.Header().Del("Signature") }, false},
+		}, true, ""},
+		{"unreadable, with a limit before", true, func(w http.ResponseWriter) { w.Header().Set("Limit", "-1") }, true, "-1"},
+		{"unreadable, without a limit before", false, func(w http.ResponseWriter) { w.Header().Set("Limit", "NaN") }, false, "NaN"},
+		{"unsigned, with a limit", false, func(w http.ResponseWriter) { limited(w); w.Header().Del("Signature") }, false, ""},
 		{"unsigned, without a limit", true, func(w http.ResponseWriter) {
 			w.Header().Del("Signature")
 			w.WriteHeader(http.StatusInternalServerError)
-		}, true},
-		{"of another instance", false, func(w http.ResponseWriter) { limited(w); w.WriteHeader(http.StatusMisdirectedRequest) }, false},
+		}, true, ""},
+		{"of another instance", false, func(w http.ResponseWriter) { limited(w); w.WriteHeader(http.StatusMisdirectedRequest) }, false, ""},
 		{"truncated, without a limit", true, func(w http.ResponseWriter) {
 			w.Header().Set("Content-Length", "1000")
 			_, _ = io.WriteString(w, "part")
-		}, true},
+		}, true, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			respond := limited
@@ -85,7 +86,8 @@
 			defer server.Close()
 			address, err := url.Parse(server.URL)
 			assert.NilError(t, err)
-			b := NewBackend(BackendConfig{Upstream: address, Slots: 10, QueueLimit: 10, Dialect: limitDialect, ResponseBufferLimit: 1 << 10}, &snapshot.Holder{}, nil, NewMetrics(telemetry.NewMetrics().Scope), time.Time{})
+			invalid := ""
+			b := NewBackend(BackendConfig{OnInvalidLimit: func(text string) { invalid = text }, Upstream: address, Slots: 10, QueueLimit: 10, Dialect: limitDialect, ResponseBufferLimit: 1 << 10}, &snapshot.Holder{}, nil, NewMetrics(telemetry.NewMetrics().Scope), time.Time{})
 			send := func() {
 				req := httptest.NewRequest("GET", "/", nil)
 				req.Header.Set("Id", "1")
@@ -102,6 +104,7 @@
 			respond = c.respond
 			send()
 			assert.Equal(t, b.advertisedLimit().InForce, c.after)
+			assert.Equal(t, invalid, c.invalid)
 		})
 	}
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -36,9 +36,12 @@
 	// OnConnect is called with each request to the upstream; ok says whether a
 	// connection could be made. Default nil: not called.
 	OnConnect func(ok bool)
-	// OnLimit is called with each change of the limit that the upstream advertises.
-	// Default nil: not called.
+	// OnLimit is called with each change of the limit that the upstream advertises. It must
+	// not call the Backend. Default nil: not called.
 	OnLimit func(admission.AdvertisedLimit)
+	// OnInvalidLimit is called with a limit that a response advertises and that is no
+	// number of at least 0; it has no effect. Default nil: not called.
+	OnInvalidLimit func(text string)
 	// OnLeaving is called when an instance of the upstream first says that it leaves.
 	// Default nil: not called.
 	OnLeaving func(instance string)
@@ -150,6 +153,9 @@
 	if cfg.OnLeaving == nil {
 		b.cfg.OnLeaving = func(string) {}
 	}
+	if cfg.OnInvalidLimit == nil {
+		b.cfg.OnInvalidLimit = func(string) {}
+	}
 	if cfg.OnLimit == nil {
 		b.cfg.OnLimit = func(admission.AdvertisedLimit) {}
 	}
--- a/internal/sidecar/advertised.go
+++ b/internal/sidecar/advertised.go
@@ -12,6 +12,17 @@
 	}
 }
 
+// maxLoggedLimit bounds the part of an invalid limit that a log line shows, in bytes.
+const maxLoggedLimit = 32
+
+// invalidLimit logs and counts a limit of the own upstream that has no meaning.
+func (s *Sidecar) invalidLimit(text string) {
+	s.metrics.Scope.Counter("upstream_limits_invalid").Inc(1)
+	if suppressed, ok := s.limitLines.allow(); ok {
+		s.log.Warn("limit of the own upstream is no number", "limit", text[:min(len(text), maxLoggedLimit)], "suppressed", suppressed)
+	}
+}
+
 // leavingAnnounced logs and counts that the own upstream says in its responses that it
 // leaves.
 func (s *Sidecar) leavingAnnounced(instance string) {
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -112,6 +112,7 @@
 		Transport:           newHeaderLogger(s.upstream, s.log),
 		OnConnect:           func(ok bool) { s.guard.onConnect(ok) },
 		OnLimit:             s.limitAdvertised,
+		OnInvalidLimit:      s.invalidLimit,
 		OnLeaving:           s.leavingAnnounced,
 		RefusesConnections:  func() bool { return connectionRefused(s.cfg.Upstream.String()) },
 		OnCrash:             s.upstreamCrashed,
