The test of upstreams that may be cold after an evacuation loads both of them alike

It failed twice under the race detector beside a busy machine (2 and 9 requests at the warm upstream, more than 10 expected; once in a run of all tests, once in 6 of this one). Cause: only one upstream moved to the evacuated data centre, so that the nodes preferred the other and sent this one trial requests alone, of which a slow machine makes fewer. Now both move. The bounds are the same.

--- a/internal/sidecar/cold_test.go
+++ b/internal/sidecar/cold_test.go
@@ -193,7 +193,10 @@
 	for name, cold := range map[string]time.Duration{"cold": coldTime, "warm": 0} {
 		t.Run(name, func(t *testing.T) {
 			f, monitors := startColdFleet(t, 2)
+			// Both upstreams move, so that neither is preferred as the one of the own data
+			// centre: it would leave the other one only occasional trial requests.
 			f.moveUpstream(0, "b")
+			f.moveUpstream(1, "b")
 			f.evacuate("b", false)
 			f.awaitEvacuated(1)
 			if cold > 0 {
