Responses are paced and admitted by the rate of the machine's link

Cause: the transfer limiter refuses only by transfers that already wait, so on a narrow link running requests fill it with responses that come too late, and long writes delay short messages. Change: with [instance] link, a request of a kind with long responses commits its mean size before it takes a slot, and is refused as link-full if the link would make its response late. Long responses are written in chunks as the link has room; a blocked write holds no lock and frees its place for others. The load report's wait is the later of slot and link. Metrics link_backlog_seconds, link_rate_mbit, link_refusals; refusals carry their inputs in Walldrift-Link.

--- a/internal/link/transfer.go
+++ b/internal/link/transfer.go
@@ -21,8 +21,9 @@
 type state int
 
 const (
-	idle     state = iota // the source is read, or nothing has been requested yet
+	idle     state = iota // nothing has been requested
 	awaiting              // waits for a chunk
+	granted               // has a chunk and reads it from the source
 	writing               // a chunk is being written
 )
 
@@ -57,6 +58,10 @@
 // End removes a transfer, whether it is complete or not.
 func (l *Link) End(now time.Time, t *Transfer) {
 	l.WriteEnded(now, t)
+	if t.state == granted {
+		l.tokens += float64(t.granted)
+	}
+	t.state = idle
 	if i := slices.Index(l.transfers, t); i >= 0 {
 		l.transfers = slices.Delete(l.transfers, i, i+1)
 	}
@@ -81,7 +86,7 @@
 			return nil, seconds(missing/l.Rate(now)) + time.Microsecond
 		}
 		l.tokens -= chunk
-		t.state, t.started, t.granted = idle, true, int64(chunk)
+		t.state, t.started, t.granted = granted, true, int64(chunk)
 		return t, 0
 	}
 	if slices.ContainsFunc(l.transfers, func(t *Transfer) bool { return t.state == awaiting }) {
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -69,6 +69,10 @@
 	// high latency better, fewer leaves a narrow link free for short responses. Default
 	// 0: no bound.
 	MaxSends int
+	// Links is the link of the machine. With it, long responses to other nodes are paced
+	// by the link's rate instead of being limited by MaxSends, and a request whose response
+	// would be late because of the link is refused. Default nil: the rate is not known.
+	Links *Links
 	// SendBufferLimit is the longest response that is buffered while it waits to be
 	// sent, in bytes. SendBufferTotal bounds the sum of these: once it is reached,
 	// responses longer than ResponseBufferLimit stream.
@@ -165,7 +169,7 @@
 	if cfg.MaxReceives > 0 {
 		b.receiveLimiter = newTransferLimiter(cfg.MaxReceives)
 	}
-	if cfg.MaxSends > 0 {
+	if cfg.MaxSends > 0 && cfg.Links == nil {
 		b.sendLimiter = newTransferLimiter(cfg.MaxSends)
 	}
 	return b
@@ -288,6 +292,9 @@
 		b.inflight.Add(-1)
 		resp = b.refuse(req, env, problem)
 	}
+	if remote {
+		b.cfg.Links.countSent(resp)
+	}
 	resp.Header.Set(headerHeld, strconv.FormatInt(clock.Since(call.start).Microseconds(), 10))
 	return resp
 }
@@ -312,7 +319,7 @@
 // has to be received before admission.
 func (b *Backend) setReportHeaders(h http.Header, env Envelope, longBody bool) {
 	forecast := b.gate.Forecast(env.queueKind(), env.KindWeight)
-	forecast.Wait += b.expectedSendWait(env.Kind)
+	forecast.Wait = b.waitWithLink(env.Kind, forecast.Wait)
 	if b.receiveLimiter != nil && longBody {
 		forecast.Wait += b.receiveLimiter.expectedWait()
 	}
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -28,6 +28,7 @@
 	remote      bool // sent by another node
 	// receivedAt is when the body was complete, if it was received before admission.
 	receivedAt time.Time
+	sending    *linkCommitment // for the response; nil if none is needed
 }
 
 func (c *backendCall) run() (*http.Response, *Problem) {
@@ -55,12 +56,14 @@
 		problem = c.acquireSlot(ctx)
 	}
 	if problem != nil {
+		c.sending.release()
 		c.finishKey(ledger.NotRun, nil)
 		return nil, problem
 	}
 	c.signalAdmitted()
 	resp, problem := c.dispatch(ctx, cancel)
 	if problem != nil {
+		c.sending.release()
 		c.releaseSlot(false)
 		outcome := ledger.OutcomeUnknown
 		if problem.class.NotRun() {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -140,6 +140,7 @@
 	if !complete && c.req.Context().Err() == nil && clock.Now().Before(c.start.Add(c.env.Timeout)) {
 		c.b.detector.connectionLost(c)
 	}
+	c.sending.release()
 	c.releaseSlot(complete)
 	cancel()
 	if !complete {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -32,6 +32,8 @@
 	reasons  *labelled[tally.Counter]
 	cuts     *labelled[tally.Counter]
 	refusals *labelled[tally.Counter]
+	// linkRefusals counts refusals because of the link by cause.
+	linkRefusals *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -55,10 +57,11 @@
 		tenants: newLabelled(func(l string) tally.Histogram {
 			return tagged("tenant", l).Histogram("tenant_request_seconds", latencyBuckets)
 		}),
-		classes:  newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
-		reasons:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
-		refusals: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
-		cuts:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
+		classes:      newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
+		reasons:      newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
+		refusals:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
+		linkRefusals: newLabelled(func(l string) tally.Counter { return tagged("cause", l).Counter("link_refusals") }),
+		cuts:         newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
 	}
 }
 
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -64,6 +64,7 @@
 	RetryAfterMs int64   `json:"retry_after_ms,omitempty"`
 	// class is how the caller's node classifies the response for retries.
 	class retry.Class
+	link  string // value of headerLink; empty for none
 }
 
 const problemType = "application/problem+json"
@@ -134,6 +135,7 @@
 	h.Set(HeaderOutcome, string(p.Outcome))
 	h.Set(HeaderReason, p.Reason)
 	h.Set(headerClass, p.class.String())
+	setIf(h, headerLink, p.link)
 	if p.RetryAfterMs > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(p.RetryAfterMs)/1000))))
 		h.Set(HeaderRetryAfterMs, strconv.FormatInt(p.RetryAfterMs, 10))
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -17,7 +17,7 @@
 
 // responseBufferLimit returns the longest response that is buffered now, in bytes.
 func (b *Backend) responseBufferLimit() int64 {
-	if b.sendLimiter == nil || b.sendBuffered.Load() >= b.cfg.SendBufferTotal {
+	if b.sendLimiter == nil && b.cfg.Links == nil || b.sendBuffered.Load() >= b.cfg.SendBufferTotal {
 		return b.cfg.ResponseBufferLimit
 	}
 	return max(b.cfg.SendBufferLimit, b.cfg.ResponseBufferLimit)
@@ -26,6 +26,9 @@
 // limitSend returns the response's body; that of a long response to another node waits
 // for the send limiter.
 func (c *backendCall) limitSend(resp *http.Response) io.ReadCloser {
+	if c.b.cfg.Links != nil {
+		return c.pace(resp)
+	}
 	if c.b.sendLimiter == nil {
 		return resp.Body
 	}
@@ -110,6 +113,9 @@
 // refuseFullLink refuses a request whose response would wait for the link beyond the
 // objective deadline, before the request takes a slot.
 func (c *backendCall) refuseFullLink() *Problem {
+	if c.b.cfg.Links != nil {
+		return c.commitResponse()
+	}
 	if !c.remote || c.env.Objective == nil {
 		return nil
 	}
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -88,6 +88,7 @@
 // build creates the parts of the sidecar and connects them.
 func (s *Sidecar) build() {
 	requestMetrics := proxy.NewMetrics(s.metrics.Scope)
+	links := proxy.NewLinks(s.cfg.LinkMbps, requestMetrics)
 	toUpstream := http1.DefaultClientConfig()
 	toUpstream.DialTimeout = dialTimeout
 	// The upstream runs on this machine and loses power with it, so missing
@@ -121,6 +122,7 @@
 		MaxReceives:         maxReceives,
 		MaxReceivedBody:     int64(s.cfg.BufferLimit),
 		MaxSends:            maxSends,
+		Links:               links,
 		SendBufferLimit:     sendBufferLimit,
 		SendBufferTotal:     int64(s.cfg.MemoryLimit) << 20 / bufferMemoryDivisor,
 	}, s.holder, nil, requestMetrics, clock.Now())
