A frontend counts the long responses that it awaits against its own link

Cause: a response enters through the link of the machine where the request came in; if that is full, the upstream runs requests whose responses come too late. Change: the frontend commits the mean size of the route's responses before it sends a request to another machine, and refuses the request as link-full if the response could not arrive within the objective. Request heads, short bodies and short responses are counted in both directions. The request line has a field link with the inputs of a refusal.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -285,6 +285,9 @@
 		return b.refuse(req, env, admissionProblem(admission.Verdict{Reason: admission.ReasonDraining, RetryAfter: defaultRetryAfter}))
 	}
 	b.hintLimit(env)
+	if remote {
+		b.cfg.Links.countReceived(req)
+	}
 	b.inflight.Add(1)
 	call := &backendCall{b: b, env: env, req: req, start: clock.Now(), remote: remote}
 	resp, problem := call.run()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -58,6 +58,8 @@
 	// responding says that it is still arriving.
 	responseStarted bool
 	responding      atomic.Bool
+	awaiting        *linkCommitment // for the response of the last try; nil if none is needed
+	linkDecision    string          // inputs of the last refusal because of the link
 }
 
 func (ex *exchange) serve(ctx context.Context, w http.ResponseWriter) {
@@ -88,6 +90,9 @@
 	var last *http.Response // response of the previous try; nil for none
 	for {
 		target, problem := ex.choose()
+		if problem == nil {
+			problem = ex.awaitResponse(target)
+		}
 		if problem != nil {
 			ex.finishWithoutUpstream(w, last, problem)
 			return
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -45,6 +45,8 @@
 	requestsCtx      context.Context // cancelled by CancelAll
 	cancelRequests   context.CancelFunc
 
+	awaited *awaitedResponses
+
 	mu              sync.Mutex // guards the fields below
 	router          *routing.Router
 	budgets         map[string]*retry.Budget // by service
@@ -99,6 +101,9 @@
 	Quarantine Quarantine
 	// Quota enforces customers' limits. Default: no limits.
 	Quota Quota
+	// Links: see BackendConfig.Links. The frontend counts the long responses that it awaits
+	// from other nodes, and refuses a request whose response could not arrive in time.
+	Links *Links
 	// BodyLimit returns the longest request body that is accepted, in bytes; 0 for no
 	// limit.
 	BodyLimit func() int64
@@ -155,6 +160,7 @@
 		dispatcher:       d,
 		metrics:          m,
 		ready:            ready,
+		awaited:          newAwaitedResponses(),
 		router:           routing.NewRouter(cfg.Routing, cfg.Self),
 		budgets:          make(map[string]*retry.Budget),
 		refusedRequests:  overload.NewRefusedRequests(),
--- a/internal/proxy/http1_dispatcher.go
+++ b/internal/proxy/http1_dispatcher.go
@@ -23,9 +23,12 @@
 	return &HTTP1Dispatcher{client: client, local: local, self: self}
 }
 
+// Local reports whether the instance is the upstream beside this node.
+func (h *HTTP1Dispatcher) Local(in membership.Instance) bool { return in.Peer.Addr() == h.self }
+
 // TransportTo implements Dispatcher.
 func (h *HTTP1Dispatcher) TransportTo(_ context.Context, in membership.Instance) (http.RoundTripper, error) {
-	if in.Peer.Addr() == h.self {
+	if h.Local(in) {
 		return h.local, nil
 	}
 	return peerTransport{client: h.client, addr: in.Peer.String()}, nil
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -30,6 +30,14 @@
 // headers of the project and the platform and the framing of a short message.
 const headBytes = 700
 
+// countReceived counts a request of another node and a short body.
+func (l *Links) countReceived(req *http.Request) {
+	if l == nil {
+		return
+	}
+	l.receive.short(headBytes + min(max(req.ContentLength, 0), receiveThreshold))
+}
+
 // countSent counts a response head, and the body unless it is paced or counted as it is
 // sent.
 func (l *Links) countSent(resp *http.Response) {
@@ -118,6 +126,13 @@
 	}
 }
 
+// done takes n bytes that were transferred off the commitment.
+func (c *linkCommitment) done(n int64) {
+	if c != nil {
+		c.m.update(func(time.Time) { c.c.Sent(n) })
+	}
+}
+
 // release ends the commitment; further calls do nothing.
 func (c *linkCommitment) release() { c.resize(0) }
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -37,6 +37,9 @@
 	// Leaving is set for a request that this node accepted, refused or cut during its
 	// shutdown.
 	Leaving *ShutdownRecord
+	// Link is what the last refusal because of a link is based on, as in headerLink; empty
+	// if there was none.
+	Link string
 }
 
 // TryRecord describes one try of a request.
@@ -63,6 +66,9 @@
 	if ex.f.cfg.Record == nil {
 		return
 	}
+	if d := resp.Header.Get(headerLink); d != "" {
+		ex.linkDecision = d
+	}
 	ex.tryRecords = append(ex.tryRecords, TryRecord{
 		Upstream: upstream,
 		At:       sent.Sub(ex.start),
@@ -105,5 +111,6 @@
 
 		Fingerprint: ex.env.Fingerprint,
 		Leaving:     ex.shutdown,
+		Link:        ex.linkDecision,
 	})
 }
--- a/internal/proxy/send_link.go
+++ b/internal/proxy/send_link.go
@@ -86,7 +86,7 @@
 	if length < link.LongThreshold {
 		c.sending.release()
 		if length < 0 {
-			return &countedSend{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
+			return &countedBody{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
 		}
 		return resp.Body
 	}
@@ -110,14 +110,14 @@
 	return req.RemoteAddr
 }
 
-// countedSend is the body of a response of unknown length, which is sent as it comes.
-type countedSend struct {
+// countedBody is a body that passes the link as it comes.
+type countedBody struct {
 	io.ReadCloser
 	m *machineLink
 }
 
 // Read counts what it returns as short messages.
-func (s *countedSend) Read(p []byte) (int, error) {
+func (s *countedBody) Read(p []byte) (int, error) {
 	n, err := s.ReadCloser.Read(p)
 	if n > 0 {
 		s.m.short(int64(n))
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -23,6 +23,9 @@
 	ex.setResponding(false)
 	sent := clock.Now()
 	resp, class := ex.tryUpstream(ctx, target, sent)
+	if class != retry.Answered {
+		ex.awaiting.release()
+	}
 	ex.recordTry(target.Name, sent, class, resp)
 	return resp, class
 }
@@ -44,6 +47,7 @@
 		return resp, class
 	}
 	ex.setResponding(true)
+	ex.receiveResponse(target, resp)
 	limit, reserved := ex.f.responseBufferLimit(resp.ContentLength)
 	ex.f.shutdownBuffered.Add(reserved)
 	if resp.Body, _ = bufferResponse(resp, limit); resp.Body == nil {
@@ -55,6 +59,7 @@
 	latency := clock.Since(sent)
 	ex.f.responseStarted(target.Name)
 	resp.Body = &trackedBody{ReadCloser: resp.Body, expected: resp.ContentLength, onEnd: func(bool) {
+		ex.awaiting.release()
 		ex.f.shutdownBuffered.Add(-reserved)
 		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: resp.StatusCode >= http.StatusInternalServerError, Latency: latency, Load: load, Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
 	}}
@@ -120,6 +125,7 @@
 	}
 	admitted := make(chan struct{})
 	out := ex.peerRequest(ctx, target, admitted)
+	ex.f.countRequest(target, out)
 	resp, err := transport.RoundTrip(out)
 	if err != nil {
 		return nil, sendFailure(ctx, err)
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -144,6 +144,7 @@
 		Retry:               policy,
 		Seed:                uint64(clock.Now().UnixNano()),
 		MaxInFlight:         s.cfg.MaxInFlight,
+		Links:               links,
 		Dialect:             s.platform.Dialect,
 		BufferLimit:         int64(s.cfg.BufferLimit),
 		BufferTotal:         int64(s.cfg.MemoryLimit) << 20 / bufferMemoryDivisor,
--- a/internal/sidecar/request_log.go
+++ b/internal/sidecar/request_log.go
@@ -46,6 +46,7 @@
 		"sent", rec.Cut.Sent,
 		"table_age_ms", millis(rec.Cut.TableAge),
 		"fingerprint", rec.Fingerprint.String(),
+		"link", rec.Link,
 		"tries", formatTries(rec.Tries),
 		"left_out", suppressed,
 	}
