A long request body is refused if the link can't carry it in time

Cause: the receive limiter bounds the bodies received at once, not their bytes, so a request was refused only after its body had waited for its turn. Change: the backend commits its receiving link to the bodies that it has agreed to receive, and refuses a request whose body would arrive too late for its run, while the sender still withholds it. The load report's wait for a request with a long body is the later of slot and link.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -324,7 +324,7 @@
 	forecast := b.gate.Forecast(env.queueKind(), env.KindWeight)
 	forecast.Wait = b.waitWithLink(env.Kind, forecast.Wait)
 	if b.receiveLimiter != nil && longBody {
-		forecast.Wait += b.receiveLimiter.expectedWait()
+		forecast.Wait = b.waitWithBody(forecast.Wait)
 	}
 	report := strconv.AppendInt(make([]byte, 0, 48), int64(forecast.InUse), 10)
 	for _, n := range [...]int64{int64(forecast.Slots), int64(forecast.Waiting), forecast.Service.Microseconds(), forecast.Wait.Microseconds()} {
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -27,6 +27,11 @@
 	if !c.receivesFirst() || !c.slotLikely() {
 		return nil
 	}
+	commitment, problem := c.commitBody()
+	if problem != nil {
+		return problem
+	}
+	defer commitment.release()
 	maxWait := c.env.Timeout
 	if c.env.NoWait {
 		maxWait = 0
@@ -38,7 +43,7 @@
 	}
 	start := clock.Now()
 	body := make([]byte, c.req.ContentLength)
-	_, err := io.ReadFull(c.req.Body, body)
+	_, err := io.ReadFull(&arrivingBody{ReadCloser: c.req.Body, commitment: commitment}, body)
 	c.b.receiveLimiter.release(clock.Since(start))
 	if err != nil {
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonBodyCut, defaultRetryAfter)
