--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -62,7 +62,7 @@
 	textField("instance", "data_centre", required, "data centre of the machine", func(s *Sidecar) *string { return &s.DataCentre }),
 	textField("instance", "region", required, "region of the data centre", func(s *Sidecar) *string { return &s.Region }),
 
-	positiveField("instance", "link", "Mbit/s", "", "rate of the machine's link; those with the greatest read the store and tell the others; not known by default, all alike", func(s *Sidecar) *float64 { return &s.LinkMbps }),
+	positiveField("instance", "link", "Mbit/s", "", "rate of the machine's link; long transfers are paced and admitted by it; those with the greatest read the store and tell the others; not known by default, all alike", func(s *Sidecar) *float64 { return &s.LinkMbps }),
 
 	addressField("listen", "callers", required, "TCP address for HTTP from callers", func(s *Sidecar) *netip.AddrPort { return &s.Callers }),
 	addressField("listen", "peers", required, "TCP address for requests from other sidecars, the same port on every machine", func(s *Sidecar) *netip.AddrPort { return &s.Peers }),
