Cover routes pinned to another service's upstream by a test

The mutant that drops this check of a table survived TestAcceptedTablesAreClosed, as FromTable rejects such tables too. TestParseFindings has a row for it, and the mutant runs against that test: caught. Tests of internal/table pass.

--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -34,6 +34,7 @@
 	}{
 		{"route to unknown service", "route,lookup,tariff", "route,lookup,toll", Finding{6, ColService, RuleReference, `dangling route: no service "toll"`}},
 		{"route to unknown upstream", "lookup,tariff,,", "lookup,tariff,tariff-9,", Finding{6, ColUpstream, RuleReference, `dangling route: no upstream "tariff-9"`}},
+		{"route to another service's upstream", "route,lookup,tariff,,", "service,toll,,,,,,,,,,,,\nupstream,toll-1,toll,,1,,,,,,,,,\nroute,lookup,tariff,toll-1,", Finding{8, ColUpstream, RuleReference, `upstream "toll-1" belongs to service "toll"`}},
 		{"upstream of unknown service", "tariff-2,tariff", "tariff-2,toll", Finding{5, ColService, RuleReference, `no service "toll"`}},
 		{"duplicate upstream", "upstream,tariff-2", "upstream,tariff-1", Finding{5, ColName, RuleDuplicate, `"tariff-1" already stands in row 4`}},
 		{"negative weight", "tariff,,2.5", "tariff,,-2.5", Finding{5, ColWeight, RuleRange, "-2.5 is outside 0 to 1e+09"}},
