Test that an old entry does not restore a removed upstream

The mutant that drops this rule of Registry.applyUpstreams survived TestMergeAgainstOracle. A test of the registry alone covers the rule, and the mutant runs against it: caught. Tests of internal/discovery pass.

--- a/internal/discovery/registry_test.go
+++ b/internal/discovery/registry_test.go
@@ -38,6 +38,18 @@
 	assert.DeepEqual(t, upstreamIDs(r), []string{"b"})
 }
 
+// An entry that was published before its upstream was removed does not restore it when it
+// is received late; one that was published afterwards does.
+func TestOldEntryDoesNotRestoreRemovedUpstream(t *testing.T) {
+	r := NewRegistry()
+	r.Replace(startTime, listing(9, upstreamWith("a", 3)))
+	r.Apply(startTime, Update{Revision: 12, Removed: []Removal{{ID: "a", Revision: 12}}})
+	assert.Assert(t, !r.Apply(startTime, listing(13, upstreamWith("a", 11))))
+	assert.DeepEqual(t, upstreamIDs(r), []string(nil))
+	assert.Assert(t, r.Apply(startTime, listing(14, upstreamWith("a", 14))))
+	assert.DeepEqual(t, upstreamIDs(r), []string{"a"})
+}
+
 // Entries that expired during an outage of the store are kept for OutageGrace after its
 // recovery; those that have reappeared by then stay, the others are dropped.
 func TestMissingEntriesAreKeptForOutageGrace(t *testing.T) {
