Count repeated runs also when the stand-in's table is full

Upstream.countRun ignored all runs once it had counted maxCountedIDs requests, so that a duplicate run went unseen. Now it ignores new IDs alone. The test fails before (1 run counted in place of 2). Tests of internal/standin pass.

--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -177,11 +177,15 @@
 	u.respond(w, r, Echo{Upstream: u.cfg.Name, RequestID: id, Path: r.URL.Path, Bytes: int(n), SHA256: hex.EncodeToString(sum.Sum(nil))})
 }
 
+// countRun counts a run of a request. Once maxCountedIDs are counted, it ignores new IDs.
 func (u *Upstream) countRun(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.lastStart = time.Now()
-	if id != "" && len(u.runs) < maxCountedIDs {
+	if id == "" {
+		return
+	}
+	if _, counted := u.runs[id]; counted || len(u.runs) < maxCountedIDs {
 		u.runs[id]++
 	}
 }
