Name the neighbour that holds the version waited for

Engine.waitingFor printed the version of one neighbour with the name of another, the one that was asked. It prints the asked neighbour's version now, or the version and name of another neighbour if none was asked. The test fails before ("version 3 from n2", where n1 holds it). Tests of internal/distribution pass.

--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -316,6 +316,18 @@
 	assert.Equal(t, n.Status(s.now).Refused, "")
 }
 
+// The status names the version together with the neighbour that holds it, also if several
+// neighbours hold newer ones.
+func TestWaitingForNamesTheHolderOfTheVersion(t *testing.T) {
+	s := newSim(3)
+	n, second, third := s.nodes[s.names[0]], version.Of(2, nil), version.Of(3, nil)
+	n.Receive(s.now, s.names[2], &Message{Digest: &Digest{Held: [docCount]version.ID{DocTable: second}}})
+	n.Receive(s.now, s.names[1], &Message{Digest: &Digest{Held: [docCount]version.ID{DocTable: third}}})
+	assert.Equal(t, n.Status(s.now).Waiting, "version "+second.String()+" from "+s.names[2])
+	s.disconnect(s.names[0], s.names[2])
+	assert.Equal(t, n.Status(s.now).Waiting, "version "+third.String()+" from "+s.names[1])
+}
+
 func TestStatusQueryReachesEveryNodeOnce(t *testing.T) {
 	s := newSim(6)
 	s.connect(s.names[0], s.names[3]) // a second path
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -64,12 +64,13 @@
 	return line
 }
 
-// waitingFor describes what the node waits for; empty if nothing.
+// waitingFor describes what the node waits for; empty if nothing. Of several neighbours
+// that hold a newer table it names the one that was asked for it.
 func (e *Engine) waitingFor(now time.Time) string {
 	t := e.docs[DocTable]
-	for _, peer := range e.neighbours() {
+	for _, peer := range append([]string{t.wantSentTo}, e.neighbours()...) {
 		if peerVersion := t.peerVersions[peer]; peerVersion.Newer(t.held) && t.refusalOf(peerVersion) == nil {
-			return "version " + peerVersion.String() + " from " + t.wantSentTo
+			return "version " + peerVersion.String() + " from " + peer
 		}
 	}
 	switch {
