Refuse a certificate that has the instance name in another place

LoadIdentity accepted any DNS name of the certificate, but peers read the first one only, so a node with its name in second place started and was turned away by all others. LoadIdentity returns an error for it now.

--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -61,13 +61,16 @@
 }
 
 // Issue generates a key and a certificate for the named instance.
-func (a *Authority) Issue(name string) (*Identity, error) {
+func (a *Authority) Issue(name string) (*Identity, error) { return a.issue(name) }
+
+// issue is Issue with any number of DNS names.
+func (a *Authority) issue(names ...string) (*Identity, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "instance key")
 	}
-	tmpl := certificateTemplate(name)
-	tmpl.DNSNames = []string{name}
+	tmpl := certificateTemplate(names[0])
+	tmpl.DNSNames = names
 	tmpl.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
 	tmpl.KeyUsage = x509.KeyUsageDigitalSignature
 	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -136,3 +136,15 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// Peers read the first DNS name of a certificate alone, so a node must not start with a
+// certificate that has its instance name in another place.
+func TestIdentityMustBeNamedFirst(t *testing.T) {
+	a, err := NewAuthority()
+	assert.NilError(t, err)
+	id, err := a.issue("one", "two")
+	assert.NilError(t, err)
+	assert.NilError(t, id.verify("one"))
+	assert.ErrorContains(t, id.verify("two"), `its first DNS name is "one"`)
+	assert.ErrorContains(t, id.verify("three"), "three")
+}
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -24,8 +24,8 @@
 }
 
 // LoadIdentity reads an identity from PEM files. It returns an error unless the
-// certificate is valid for the instance name under the authority. The instance name must
-// be its first DNS name, as peers read no other; LoadIdentity doesn't check the order.
+// certificate is valid under the authority and has the instance name as its first DNS
+// name, as peers read no other.
 func LoadIdentity(name, certFile, keyFile, authorityFile string) (*Identity, error) {
 	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
@@ -43,7 +43,8 @@
 	return id, id.verify(name)
 }
 
-// verify checks that the authority signed the certificate and that it is valid for name.
+// verify checks that the authority signed the certificate, that it is valid for name, and
+// that peers read this name from it.
 func (id *Identity) verify(name string) error {
 	leaf, err := x509.ParseCertificate(id.Certificate.Certificate[0])
 	if err != nil {
@@ -54,7 +55,13 @@
 		Roots:     id.Authority,
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
 	})
-	return errors.Wrapf(err, "certificate for instance %q", name)
+	if err != nil {
+		return errors.Wrapf(err, "certificate for instance %q", name)
+	}
+	if named, err := instanceName(leaf); err != nil || named != name {
+		return errors.Newf("certificate for instance %q: its first DNS name is %q", name, named)
+	}
+	return nil
 }
 
 func (id *Identity) serverTLS() *tls.Config {
@@ -89,10 +96,20 @@
 	return &key, nil
 }
 
-// peerName returns the instance name in the peer's certificate: its first DNS name.
+// peerName returns the instance name in the peer's certificate.
 func peerName(state tls.ConnectionState) (string, error) {
-	if len(state.PeerCertificates) == 0 || len(state.PeerCertificates[0].DNSNames) == 0 {
-		return "", errors.New("peer certificate names no instance")
+	if len(state.PeerCertificates) == 0 {
+		return "", errNoInstance
+	}
+	return instanceName(state.PeerCertificates[0])
+}
+
+var errNoInstance = errors.New("peer certificate names no instance")
+
+// instanceName returns the instance that a certificate names: its first DNS name.
+func instanceName(cert *x509.Certificate) (string, error) {
+	if len(cert.DNSNames) == 0 {
+		return "", errNoInstance
 	}
-	return state.PeerCertificates[0].DNSNames[0], nil
+	return cert.DNSNames[0], nil
 }
