Check that refusals are true in TestRepeatedKeyRunsAtMostOnceOverRestart

A request that is refused as not run must not raise the count of its key's runs, and a key whose requests were all refused so must not have run. Passes five times of five; tests of internal/fleet pass.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -250,12 +250,23 @@
 	for range 8 {
 		keys = append(keys, newKey())
 	}
+	// mayHaveRun are the keys of which not all requests were refused as not run.
+	mayHaveRun := make(map[string]bool)
+	var mu sync.Mutex
 	var group sync.WaitGroup
 	for round := range 6 {
 		for i, key := range keys {
 			n := []string{"look-1", "look-2"}[(i+round)%2]
 			group.Go(func() {
-				send(t, f, n, "POST", "/pay/x", map[string]string{standin.HeaderRequestID: key, lowerCaseKeyHeader: key}, strings.NewReader("draw"))
+				before := runsOf(f, key)
+				r := send(t, f, n, "POST", "/pay/x", map[string]string{standin.HeaderRequestID: key, lowerCaseKeyHeader: key}, strings.NewReader("draw"))
+				if r.header.Get(proxy.HeaderOutcome) == string(proxy.OutcomeNotRun) {
+					assert.Check(t, runsOf(f, key) == before, "%s was refused as not run and ran", key)
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				mayHaveRun[key] = true
 			})
 		}
 		group.Wait()
@@ -267,16 +278,23 @@
 	}
 	ran := 0
 	for _, key := range keys {
-		runs := 0
-		for _, u := range f.Upstreams {
-			runs += u.Runs()[key]
-		}
+		runs := runsOf(f, key)
 		assert.Assert(t, runs <= 1, "%s ran %d times", key, runs)
+		assert.Assert(t, runs == 0 || mayHaveRun[key], "%s ran, though each of its requests was refused as not run", key)
 		ran += runs
 	}
 	assert.Assert(t, ran > 0)
 }
 
+// runsOf returns how often the upstreams ran a request.
+func runsOf(f *Fleet, id string) int {
+	runs := 0
+	for _, u := range f.Upstreams {
+		runs += u.Runs()[id]
+	}
+	return runs
+}
+
 // A request with a streaming body is refused before the body is read, so that it can be
 // sent complete to another upstream.
 func TestRefusedUploadGoesElsewhereWhole(t *testing.T) {
