Give one staleness before anything is known

Follower.Staleness returned 0 before anything was known, the value of the freshest news, where Follower.Status returned the largest duration. Both return unknownStaleness now, so news_age_ms of a request's line does not call news fresh that a node lacks. The test fails before (0s). Tests of internal/discovery pass.

--- a/internal/discovery/follow_peers.go
+++ b/internal/discovery/follow_peers.go
@@ -81,7 +81,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, f.cfg.PeerTimeout)
 	defer cancel()
 	sentAt := clock.Now()
-	req := PeerRequest{After: state.cursor, Table: f.tableVersion(), IncludeTable: slot == 0 || state.includeTable, Age: f.stalenessOrUnknown(sentAt), AcceptPatch: !state.requestFull}
+	req := PeerRequest{After: state.cursor, Table: f.tableVersion(), IncludeTable: slot == 0 || state.includeTable, Age: f.Staleness(sentAt), AcceptPatch: !state.requestFull}
 	f.addKnownState(&req, state)
 	update, err := f.peers.Ask(callCtx, state.source.Peer, req)
 	if err != nil {
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -126,7 +126,7 @@
 type Status struct {
 	Reader    bool          // reads the store for others
 	Sources   []string      // names of its update sources
-	Staleness time.Duration // since it last knew the store's whole state
+	Staleness time.Duration // Follower.Staleness
 	// TableAge is the time since the table in force was received, and TableFrom its
 	// origin: SourceStore or the node that sent it.
 	TableAge  time.Duration
@@ -154,22 +154,14 @@
 	f.notifyUpdated()
 }
 
-// Staleness returns the time since this node last knew the store's whole state; 0 if it
-// never did. It takes no lock, as it is called for every request.
+// Staleness returns the time since this node last knew the store's whole state;
+// unknownStaleness if it never did. It takes no lock, as it is called for every request.
 func (f *Follower) Staleness(now time.Time) time.Duration {
 	at := f.syncedAtAtomic.Load()
 	if at == nil {
-		return 0
-	}
-	return now.Sub(*at)
-}
-
-// stalenessOrUnknown is Staleness, but unknownStaleness before anything is known.
-func (f *Follower) stalenessOrUnknown(now time.Time) time.Duration {
-	if f.syncedAtAtomic.Load() == nil {
 		return unknownStaleness
 	}
-	return f.Staleness(now)
+	return now.Sub(*at)
 }
 
 // markSynced records that the store's whole state as of the given time is known. The lock
@@ -188,7 +180,7 @@
 func (f *Follower) Status(now time.Time) Status {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := Status{Reader: f.reader, Staleness: now.Sub(f.syncedAt), TableFrom: f.documentFrom, Unusable: f.registry.Unusable(), Evacuated: f.registry.Evacuated()}
+	s := Status{Reader: f.reader, Staleness: f.Staleness(now), TableFrom: f.documentFrom, Unusable: f.registry.Unusable(), Evacuated: f.registry.Evacuated()}
 	if !f.documentSince.IsZero() {
 		s.TableAge = now.Sub(f.documentSince)
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -115,6 +115,16 @@
 	t.Cleanup(func() { stop(); <-done })
 }
 
+// Before anything is known, the staleness must not look like that of fresh news.
+func TestStalenessBeforeAnythingIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := follow(t, &fakeSource{fail: errors.New("down")})
+		time.Sleep(time.Second)
+		assert.Equal(t, f.Staleness(time.Now()), unknownStaleness)
+		assert.Equal(t, f.Status(time.Now()).Staleness, unknownStaleness)
+	})
+}
+
 func TestSnapshotFollowsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSource{state: Update{Revision: 1, Document: testDocument(1)}}
--- a/internal/discovery/peer_update.go
+++ b/internal/discovery/peer_update.go
@@ -81,8 +81,7 @@
 	LinksHash uint64     `cbor:"16,keyasint,omitempty"`
 }
 
-// unknownStaleness is the PeerUpdate.Age of a node that does not know the store's state
-// yet.
+// unknownStaleness is the staleness of a node that does not know the store's state yet.
 const unknownStaleness = time.Duration(math.MaxInt64)
 
 // maxPeerMessageBytes bounds the encoded peer messages that are read: a table that does
