Inject the fault of the bench's scenario one-lying

The scenario ran without any fault: MeasureGoodput's stand-ins never got ReportIdle. The first upstream reports no load now once the load is warm.

--- a/internal/bench/goodput.go
+++ b/internal/bench/goodput.go
@@ -22,7 +22,7 @@
 const (
 	ScenarioPlain   Scenario = "plain"
 	ScenarioSlow    Scenario = "one-slow"     // one upstream of the first service takes five times as long per request
-	ScenarioLying   Scenario = "one-lying"    // stands for an upstream that reports no load; no policy reads load reports, so nothing is injected
+	ScenarioLying   Scenario = "one-lying"    // one upstream of the first service reports no load; no policy reads load reports at present
 	ScenarioKilled  Scenario = "third-killed" // a third of the upstreams and their nodes are killed
 	ScenarioRolling Scenario = "rolling"      // four nodes restart gracefully, one after another
 )
@@ -193,7 +193,7 @@
 
 // injectFaults injects the scenario's faults while the load runs.
 func (g *goodputRun) injectFaults(ctx context.Context) error {
-	if g.cfg.Scenario == ScenarioPlain || g.cfg.Scenario == ScenarioLying {
+	if g.cfg.Scenario == ScenarioPlain {
 		return nil
 	}
 	select {
@@ -201,9 +201,12 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	first := g.fleet.Upstreams[g.layout.Placements()[0].Name]
 	switch g.cfg.Scenario {
 	case ScenarioSlow:
-		g.fleet.Upstreams[g.layout.Placements()[0].Name].SetWorkPercent(slowWorkPercent)
+		first.SetWorkPercent(slowWorkPercent)
+	case ScenarioLying:
+		first.SetReportIdle(true)
 	case ScenarioKilled:
 		for name := range g.killedNames() {
 			g.fleet.Kill(name)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -35,8 +35,7 @@
 	Name        string
 	Slots       int           // concurrent requests; more wait in the upstream
 	ServiceTime time.Duration // time that one request takes
-	// ReportIdle makes the load endpoint always report an idle upstream.
-	ReportIdle bool
+	ReportIdle  bool          // initial value of SetReportIdle
 }
 
 // Upstream is a fake of one upstream instance. It echoes the request, so that a caller
@@ -46,6 +45,7 @@
 	slots       chan struct{}
 	workPercent atomic.Int64 // percent of the normal time that a request takes
 	draining    atomic.Bool
+	reportIdle  atomic.Bool
 	rateLimit   atomic.Pointer[string] // advertised in each response; nil for none
 	inUse       atomic.Int64
 
@@ -61,6 +61,7 @@
 func NewUpstream(cfg UpstreamConfig) *Upstream {
 	u := &Upstream{cfg: cfg, slots: make(chan struct{}, cfg.Slots), runs: make(map[string]int)}
 	u.workPercent.Store(normalWorkPercent)
+	u.reportIdle.Store(cfg.ReportIdle)
 	return u
 }
 
@@ -72,6 +73,9 @@
 // SetDraining sets whether the health endpoint reports draining.
 func (u *Upstream) SetDraining(on bool) { u.draining.Store(on) }
 
+// SetReportIdle sets whether the load endpoint always reports an idle upstream.
+func (u *Upstream) SetReportIdle(on bool) { u.reportIdle.Store(on) }
+
 // SetRateLimit sets the limit in requests per second that each response advertises; empty
 // for none. The upstream itself does not enforce it.
 func (u *Upstream) SetRateLimit(perSecond string) {
@@ -148,7 +152,7 @@
 
 func (u *Upstream) serveLoad(w http.ResponseWriter) {
 	inUse := u.inUse.Load()
-	if u.cfg.ReportIdle {
+	if u.reportIdle.Load() {
 		inUse = 0
 	}
 	_, _ = io.WriteString(w, strconv.FormatInt(inUse, 10)+"\n")
