Check the 500 ms of TestConnectionWithoutRequestEndsWhileDraining

The test accepted any close within the 10 s of HeaderTimeout, where the rule is firstRequestTimeout. It checks that the close comes within 400 ms of it, before or after.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -109,6 +109,10 @@
 	}
 }
 
+// schedulingSlack is the difference between a timeout and its measured time that a busy
+// machine may cause.
+const schedulingSlack = 400 * time.Millisecond
+
 // A caller that connects to a draining server and sends nothing keeps the connection open
 // for at most firstRequestTimeout.
 func TestConnectionWithoutRequestEndsWhileDraining(t *testing.T) {
@@ -118,7 +122,8 @@
 	start := time.Now()
 	_, err := br.ReadByte()
 	assert.Equal(t, err, io.EOF)
-	assert.Assert(t, time.Since(start) < DefaultLimits().HeaderTimeout)
+	elapsed := time.Since(start)
+	assert.Assert(t, elapsed > firstRequestTimeout-schedulingSlack && elapsed < firstRequestTimeout+schedulingSlack, "closed after %v", elapsed)
 }
 
 // A response whose head was sent before the server began to drain does not announce the
