Merge the equal set-ups of two pairs of tests of internal/http1

The tests of changed idle timeouts share startIdling, those of a request that is read across a drain share readAcrossDrain. Behaviour and checks are the same; the two mutants of the second pair are still caught. Tests of internal/http1 pass.

--- a/internal/http1/drain_test.go
+++ b/internal/http1/drain_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -126,19 +127,23 @@
 	assert.Assert(t, elapsed > firstRequestTimeout-schedulingSlack && elapsed < firstRequestTimeout+schedulingSlack, "closed after %v", elapsed)
 }
 
-// A response whose head was sent before the server began to drain does not announce the
-// close. A request that is being read while that response ends must still be answered.
-func TestRequestReadAsThePreviousResponseEndsIsAnswered(t *testing.T) {
+// readAcrossDrain starts a server that drains while it reads a second request, with
+// serveSecond as the handler of that. The first response ends meanwhile; its head was sent
+// before the drain and does not announce the close.
+func readAcrossDrain(t *testing.T, serveSecond http.HandlerFunc) (net.Conn, *bufio.Reader) {
+	t.Helper()
 	flushed, release := make(chan struct{}), make(chan struct{})
 	stall := newStallPoint(3) // reads: the first request, the first part of the second, its rest
 	s, addr := startStalled(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/a" {
-			w.WriteHeader(http.StatusOK)
-			w.(http.Flusher).Flush()
-			close(flushed)
-			<-release
+		if r.URL.Path != "/a" {
+			serveSecond(w, r)
+			return
 		}
-		_, _ = io.WriteString(w, r.URL.Path)
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		close(flushed)
+		<-release
+		_, _ = io.WriteString(w, "/a")
 	})}, stallPoints{read: stall})
 	nc, br := dial(t, addr)
 	request := get("/b")
@@ -155,42 +160,24 @@
 	}
 	close(stall.resume)
 	write(t, nc, request[9:])
-	resp, body = read(t, br)
+	return nc, br
+}
+
+// A request that is being read while the response before it ends must still be answered.
+func TestRequestReadAsThePreviousResponseEndsIsAnswered(t *testing.T) {
+	_, br := readAcrossDrain(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	resp, body := read(t, br)
 	assert.Assert(t, resp.Close && body == "/b")
 }
 
 // In the same situation the second request must be cancelled if its caller disconnects.
 func TestCallerDisconnectWhileDrainingIsDetected(t *testing.T) {
-	flushed, release, running, cancelled := make(chan struct{}), make(chan struct{}), make(chan struct{}), make(chan struct{})
-	stall := newStallPoint(3)
-	s, addr := startStalled(t, Config{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/a" {
-				w.WriteHeader(http.StatusOK)
-				w.(http.Flusher).Flush()
-				close(flushed)
-				<-release
-				return
-			}
-			close(running)
-			<-r.Context().Done()
-			close(cancelled)
-		}),
-	}, stallPoints{read: stall})
-	nc, br := dial(t, addr)
-	request := get("/b")
-	write(t, nc, get("/a"))
-	<-flushed
-	write(t, nc, request[:9])
-	<-stall.reached
-	s.Drain()
-	close(release)
-	read(t, br)
-	for !s.allClosing() {
-		time.Sleep(time.Millisecond)
-	}
-	close(stall.resume)
-	write(t, nc, request[9:])
+	running, cancelled := make(chan struct{}), make(chan struct{})
+	nc, _ := readAcrossDrain(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(cancelled)
+	})
 	<-running
 	assert.NilError(t, nc.Close())
 	select {
--- a/internal/http1/stall_test.go
+++ b/internal/http1/stall_test.go
@@ -300,14 +300,22 @@
 	}
 }
 
+// startIdling starts a server whose idle timeout may change and whose nth wait of a
+// connection stalls, and connects to it.
+func startIdling(t *testing.T, timeout time.Duration, n int64) (idle *atomic.Int64, stall *stallPoint, nc net.Conn, br *bufio.Reader) {
+	t.Helper()
+	idle = new(atomic.Int64)
+	idle.Store(int64(timeout))
+	stall = newStallPoint(n)
+	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsWithIdle(idle)}, stallPoints{wait: stall})
+	nc, br = dial(t, addr)
+	return idle, stall, nc, br
+}
+
 // Callers keep a connection for four fifths of the published idle timeout. If the timeout
 // grows while a connection waits, the longer one applies to it.
 func TestLongerIdleTimeoutAppliesToWaitingConnections(t *testing.T) {
-	var idle atomic.Int64
-	idle.Store(int64(shortTimeout))
-	stall := newStallPoint(1)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsWithIdle(&idle)}, stallPoints{wait: stall})
-	nc, br := dial(t, addr)
+	idle, stall, nc, br := startIdling(t, shortTimeout, 1)
 	<-stall.reached
 	idle.Store(int64(time.Minute))
 	waitPastTimeout()
@@ -321,11 +329,7 @@
 // If the idle timeout is shortened while a connection waits, its caller relies on the
 // longer one, so the connection is kept for that.
 func TestShorterIdleTimeoutSparesWaitingConnections(t *testing.T) {
-	var idle atomic.Int64
-	idle.Store(int64(time.Minute))
-	stall := newStallPoint(2)
-	_, addr := startStalled(t, Config{Handler: http.HandlerFunc(echo), Limits: limitsWithIdle(&idle)}, stallPoints{wait: stall})
-	nc, br := dial(t, addr)
+	idle, stall, nc, br := startIdling(t, time.Minute, 2)
 	write(t, nc, get("/a"))
 	read(t, br)
 	<-stall.reached
