--- a/internal/distribution/engine_test.go
+++ b/internal/distribution/engine_test.go
@@ -169,10 +169,12 @@
 // reads, lost links, restarts and pauses, all overlapping. It checks that a node's
 // version never goes back, that a document that was rejected or never published is never
 // in force, and that once the links are restored all nodes hold the highest version that
-// any node then held.
+// any node then held. Without restarts, that is the highest one that was ever in force: no
+// version is lost.
 func TestVersionsUnderFaults(t *testing.T) {
 	moves, faults := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
+		restarted := false
 		s := newSim(rapid.IntRange(2, 6).Draw(t, "nodes"))
 		s.published = [][]byte{document(1, "first")}
 		name := rapid.SampledFrom(s.names)
@@ -209,6 +211,7 @@
 			"link": func(t *rapid.T) { s.connect(name.Draw(t, "a"), name.Draw(t, "b")) },
 			"restart": func(t *rapid.T) {
 				faults++
+				restarted = true
 				n := name.Draw(t, "node")
 				for _, other := range s.names {
 					s.disconnect(n, other)
@@ -244,6 +247,7 @@
 				highest = h
 			}
 		}
+		assert.Assert(t, restarted || highest == s.accepted, "%v was in force, the highest held is %v", s.accepted, highest)
 		for i := range s.names {
 			s.connect(s.names[i], s.names[(i+1)%len(s.names)])
 		}
@@ -316,6 +320,18 @@
 	assert.Equal(t, n.Status(s.now).Refused, "")
 }
 
+// The status names the version together with the neighbour that holds it, also if several
+// neighbours hold newer ones.
+func TestWaitingForNamesTheHolderOfTheVersion(t *testing.T) {
+	s := newSim(3)
+	n, second, third := s.nodes[s.names[0]], version.Of(2, nil), version.Of(3, nil)
+	n.Receive(s.now, s.names[2], &Message{Digest: &Digest{Held: [docCount]version.ID{DocTable: second}}})
+	n.Receive(s.now, s.names[1], &Message{Digest: &Digest{Held: [docCount]version.ID{DocTable: third}}})
+	assert.Equal(t, n.Status(s.now).Waiting, "version "+second.String()+" from "+s.names[2])
+	s.disconnect(s.names[0], s.names[2])
+	assert.Equal(t, n.Status(s.now).Waiting, "version "+third.String()+" from "+s.names[1])
+}
+
 func TestStatusQueryReachesEveryNodeOnce(t *testing.T) {
 	s := newSim(6)
 	s.connect(s.names[0], s.names[3]) // a second path
