Regions of data centres in the settings of a sidecar

The section [regions] has a key for each data centre, with the region as its value. Discovery fills in the region of each upstream where it makes the instance; the router is unchanged. Without the section, and for a data centre without an entry, the region is unknown and decisions are the same as before. Entries without a region, and one that contradicts instance.region, are findings with their line. Reload compares settings with reflect.DeepEqual, because they now contain a map.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -78,6 +78,9 @@
 	// own entry. DataCentre is its data centre.
 	Self       netip.AddrPort
 	DataCentre string
+	// Regions maps data centres to their regions. The region of the upstreams of a data
+	// centre without an entry is unknown, which is no region of any node.
+	Regions map[string]string
 	// PeerPort is the port of the nodes beside the upstreams.
 	PeerPort uint16
 }
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -89,6 +89,7 @@
 		Name:       k.ID,
 		Service:    k.Service,
 		DataCentre: k.DataCentre,
+		Region:     f.cfg.Regions[k.DataCentre],
 		Peer:       netip.AddrPortFrom(k.Address.Addr(), f.cfg.PeerPort),
 		State:      membership.ListedLive,
 		Generation: k.StartedAtMs,
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -24,8 +24,10 @@
 	// Doc is the description on the reference page.
 	Doc string
 
-	// set parses value and stores it.
+	// set parses value and stores it; nil if Key is anyKey.
 	set func(n *T, value string) error
+	// setEntry stores one entry of a section with free keys; nil unless Key is anyKey.
+	setEntry func(n *T, key, value string) error
 }
 
 // Fields returns all settings of a node in the order of the reference page.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -90,10 +90,15 @@
 	if err != nil {
 		return nil, Findings{{File: file, Message: err.Error()}}
 	}
-	l := &loader{file: file, lines: strings.Split(string(raw), "\n"), known: knownNames(fields)}
+	l := newLoader(file, raw)
+	l.known = knownNames(fields)
 	l.rejectUnknown(cfg)
 	parsed := new(T)
 	for _, f := range fields {
+		if f.Key == anyKey {
+			applyEntries(l, parsed, cfg, f, overrides)
+			continue
+		}
 		applyField(l, parsed, cfg, f, overrides)
 	}
 	l.rejectUnknownOverrides(overrides)
@@ -111,6 +116,10 @@
 	findings Findings
 }
 
+func newLoader(file string, raw []byte) *loader {
+	return &loader{file: file, lines: strings.Split(string(raw), "\n")}
+}
+
 // knownNames returns section.key of each field.
 func knownNames[T any](fields []Field[T]) map[string]bool {
 	known := make(map[string]bool, len(fields))
@@ -152,7 +161,7 @@
 func (l *loader) rejectUnknown(cfg *ini.File) {
 	for _, s := range cfg.Sections() {
 		for _, k := range s.Keys() {
-			if !l.known[s.Name()+"."+k.Name()] {
+			if !l.isKnown(s.Name(), k.Name()) {
 				l.addFinding(l.lineOf(s.Name(), k.Name()), s.Name()+"."+k.Name(), "unknown setting")
 			}
 		}
@@ -162,7 +171,7 @@
 func (l *loader) rejectUnknownOverrides(overrides []Overrides) {
 	for _, o := range overrides {
 		for name := range o {
-			if !l.known[name] {
+			if section, key, _ := strings.Cut(name, "."); !l.isKnown(section, key) {
 				l.addFinding(0, name, "unknown setting in an override")
 			}
 		}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	DataCentre string
 	Region     string
 	LinkMbps   float64 // link rate of the machine in Mbit/s; 0 if not known
+	// Regions maps data centres to their regions; nil if no region but the own is known.
+	Regions map[string]string
 
 	Callers netip.AddrPort // TCP, HTTP from callers
 	Peers   netip.AddrPort // TCP, requests from other sidecars; the same port on all
@@ -64,6 +67,8 @@
 
 	positiveField("instance", "link", "Mbit/s", "", "rate of the machine's link; those with the greatest read the store and tell the others; not known by default, all alike", func(s *Sidecar) *float64 { return &s.LinkMbps }),
 
+	entriesField("regions", "region", "region of the data centre that is the key; upstreams of other data centres of the own region get requests when they are expected to answer sooner; a data centre without an entry counts as another region", func(s *Sidecar) *map[string]string { return &s.Regions }),
+
 	addressField("listen", "callers", required, "TCP address for HTTP from callers", func(s *Sidecar) *netip.AddrPort { return &s.Callers }),
 	addressField("listen", "peers", required, "TCP address for requests from other sidecars, the same port on every machine", func(s *Sidecar) *netip.AddrPort { return &s.Peers }),
 	addressField("listen", "ready", required, "TCP address for readiness", func(s *Sidecar) *netip.AddrPort { return &s.Ready }),
@@ -110,12 +115,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if findings := s.checkStaleness(file); len(findings) > 0 {
+	if findings := slices.Concat(s.checkStaleness(file), s.checkOwnRegion(file, raw)); len(findings) > 0 {
 		return nil, findings
 	}
 	return s, nil
 }
 
+// checkOwnRegion checks that the entry of the own data centre in the section of the
+// regions, if there is one, names the own region.
+func (s *Sidecar) checkOwnRegion(file string, raw []byte) Findings {
+	region, ok := s.Regions[s.DataCentre]
+	if !ok || region == s.Region {
+		return nil
+	}
+	return Findings{{File: file, Line: newLoader(file, raw).lineOf("regions", s.DataCentre), Key: "regions." + s.DataCentre,
+		Message: fmt.Sprintf("%q is not instance.region, %q", region, s.Region)}}
+}
+
 // Discovery returns the configuration of the follower, which gets tables and upstreams
 // from the store or from other sidecars. It is derived from the lesser of the two bounds.
 func (s *Sidecar) Discovery() discovery.Config {
@@ -129,6 +145,7 @@
 	c.NodesPerReader = s.NodesPerReader
 	c.LinkMbps = uint32(min(math.Ceil(s.LinkMbps), math.MaxUint32))
 	c.Self, c.DataCentre, c.PeerPort = s.Upstream, s.DataCentre, s.Peers.Port()
+	c.Regions = s.Regions
 	return c
 }
 
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -84,5 +85,5 @@
 	}
 	current, requested := *s.cfg, *next
 	current.Service, current.LogLevel = requested.Service, requested.LogLevel
-	s.log.Info("settings reloaded", "service", next.Service, "log_level", next.LogLevel, "restart_needed", current != requested)
+	s.log.Info("settings reloaded", "service", next.Service, "log_level", next.LogLevel, "restart_needed", !reflect.DeepEqual(current, requested))
 }
