Further tries go by rank while a service rejects many requests

If upstreams reject half of all arrivals for seconds, the budget of 0.15 further tries for each request serves whichever rejected requests come first. A rejected call makes its parent request fail, while a caller's own request comes again.

retry.RankedBudget keeps the bucket of each service and counts recent arrivals, rejections and the tries that each rank asks for. A rank is whether the refusal is final, then the priority. While more than a tenth of the arrivals are rejected, tokens are held for the ranks above a rank, and it may use only what they leave of the tokens earned. A request with less time left than the typical run of its kind gets no further try. Otherwise decisions are those of retry.Budget. The inputs are in the request's log line, and walldrift_ranked_retries counts the tries by rank.

Without the held tokens, the share, the threshold, the bound or the run time a test fails.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -39,6 +39,7 @@
 	// objectiveDeadline is when the request should be answered; zero if its route has
 	// no objective.
 	objectiveDeadline time.Time
+	refusalIsFinal    bool // the callers of its route do not retry
 	tried             []string
 	tries             int
 	upstreamTries     int // tries that may have reached an upstream
@@ -48,6 +49,7 @@
 	tryRecords       []TryRecord
 	cut              CutRecord
 	notRetriedReason retry.Reason // why no further try was made
+	retry            *RetryRecord // the last decision by rank; nil if there was none
 	version          version.ID
 	// noWait makes the next try ask for a slot without waiting for one.
 	noWait bool
@@ -102,12 +104,13 @@
 		ex.mayHaveRun = ex.mayHaveRun || class == retry.Ambiguous
 		if class.MayHaveReachedUpstream() {
 			ex.upstreamTries++
+			ex.f.observeArrival(ex.service.Name, class)
 		}
 		if class == retry.Answered {
 			ex.finish(w, resp)
 			return
 		}
-		reason := ex.f.decideRetry(ex.service.Name, retry.Try{
+		reason := ex.decideRetry(resp, retry.Try{
 			Class:             class,
 			Idempotent:        ex.route.Idempotent,
 			Arrived:           ex.upstreamTries,
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -47,7 +47,7 @@
 
 	mu              sync.Mutex // guards the fields below
 	router          *routing.Router
-	budgets         map[string]*retry.Budget // by service
+	budgets         map[string]*retry.RankedBudget // by service
 	refusedRequests *overload.RefusedRequests
 	responseTimes   *overload.RunTimes // of answered requests, as callers see them
 	noWaitBudget    *retry.Budget      // for tries that do not wait for a slot
@@ -156,7 +156,7 @@
 		metrics:          m,
 		ready:            ready,
 		router:           routing.NewRouter(cfg.Routing, cfg.Self),
-		budgets:          make(map[string]*retry.Budget),
+		budgets:          make(map[string]*retry.RankedBudget),
 		refusedRequests:  overload.NewRefusedRequests(),
 		responseTimes:    overload.NewRunTimes(),
 		noWaitBudget:     retry.NewBudget(noWaitPolicy),
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -32,6 +32,7 @@
 	reasons  *labelled[tally.Counter]
 	cuts     *labelled[tally.Counter]
 	refusals *labelled[tally.Counter]
+	ranked   *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -58,6 +59,7 @@
 		classes:  newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
 		reasons:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
 		refusals: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
+		ranked:   newLabelled(func(l string) tally.Counter { return tagged("rank", l).Counter("ranked_retries") }),
 		cuts:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
 	}
 }
--- a/internal/proxy/objective.go
+++ b/internal/proxy/objective.go
@@ -19,10 +19,9 @@
 		return
 	}
 	ex.callerExpiry = ex.start.Add(wait)
-	var refusalIsFinal bool
-	ex.firstAttempt, refusalIsFinal = ex.f.lookupFirstAttempt(ex.start, ex.route.Name, ex.identity(), ex.callerExpiry)
+	ex.firstAttempt, ex.refusalIsFinal = ex.f.lookupFirstAttempt(ex.start, ex.route.Name, ex.identity(), ex.callerExpiry)
 	ex.objectiveDeadline = ex.firstAttempt.Add(ex.route.Objective)
-	if refusalIsFinal && ex.deadline.After(ex.objectiveDeadline) {
+	if ex.refusalIsFinal && ex.deadline.After(ex.objectiveDeadline) {
 		// A refusal would be final, so a late response is better.
 		ex.objectiveDeadline = ex.deadline
 	}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -37,6 +37,9 @@
 	// Leaving is set for a request that this node accepted, refused or cut during its
 	// shutdown.
 	Leaving *ShutdownRecord
+	// Retry is the last decision on a further try that depended on the request's rank;
+	// nil if there was none.
+	Retry *RetryRecord
 }
 
 // TryRecord describes one try of a request.
@@ -105,5 +108,6 @@
 
 		Fingerprint: ex.env.Fingerprint,
 		Leaving:     ex.shutdown,
+		Retry:       ex.retry,
 	})
 }
--- /dev/null
+++ b/internal/proxy/retry_rank_test.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+// rejectingService is a frontend on the customer table whose upstreams answer or reject.
+type rejectingService struct {
+	f        *Frontend
+	rejects  bool
+	runTimes string // headerRunTimes of the rejections
+	last     Record
+}
+
+func newRejectingService(t *testing.T) *rejectingService {
+	t.Helper()
+	s := &rejectingService{}
+	upstream := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
+		if !s.rejects {
+			return respondOK(r)
+		}
+		resp := notRun(http.StatusServiceUnavailable, retry.Rejected, reasonRejected, rejectedRetryAfter).response(r)
+		resp.Header.Set(headerRunTimes, s.runTimes)
+		return resp, nil
+	}}}
+	h := &snapshot.Holder{}
+	h.Advance(customerTable(t))
+	cfg := FrontendConfig{
+		Dialect: customerDialect, Routing: routing.DefaultConfig(), Seed: 1,
+		Retry:  retry.Policy{Ratio: 0.15, Reserve: 3, FreeTries: 1},
+		Record: func(r *Record) { s.last = *r },
+	}
+	s.f = NewFrontend(cfg, h, everyMember, upstream, NewMetrics(tally.NoopScope), func() bool { return true })
+	return s
+}
+
+// send sends a request of priority 0 or of priority 2 and returns its record if there is
+// one.
+func (s *rejectingService) send(urgent, rejects bool) Record {
+	s.rejects, s.last = rejects, Record{}
+	path := "/open/x"
+	if urgent {
+		path = "/closed/x"
+	}
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Header.Set("X-Key", "s3cret")
+	s.f.ServeHTTP(httptest.NewRecorder(), r)
+	return s.last
+}
+
+// Guards against a budget that less urgent requests use up while more urgent ones of the
+// same service are rejected, and against decisions without a record of their inputs.
+func TestMoreUrgentRequestsAreRetriedFirst(t *testing.T) {
+	s := newRejectingService(t)
+	for range 10 {
+		s.send(true, true)
+		s.send(true, false)
+	}
+	for range 10 {
+		s.send(false, false)
+	}
+	held := s.send(false, true)
+	assert.Equal(t, held.NotRetried, retry.ReasonHeld)
+	assert.Equal(t, len(held.Tries), 1)
+	assert.Assert(t, held.Retry.Rank == retry.RankOf(false, 2) && held.Retry.RejectedShare > 0.1 && held.Retry.Held > 1)
+	assert.Equal(t, len(s.send(true, true).Tries), 2)
+}
+
+// Guards against tries that cannot end before the deadline of the request, which is a
+// second after its arrival.
+func TestNoRetryWithoutTimeToRun(t *testing.T) {
+	s := newRejectingService(t)
+	s.runTimes = "2000000/3000000"
+	assert.Equal(t, len(s.send(true, true).Tries), 2) // not yet rejecting
+	s.send(true, true)
+	for range 20 {
+		s.send(true, false)
+	}
+	s.send(true, true)
+	rec := s.send(true, true)
+	assert.Equal(t, rec.NotRetried, retry.ReasonRunTime)
+	assert.Equal(t, rec.Retry.TypicalRun, 2*time.Second)
+}
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -80,10 +80,10 @@
 }
 
 // budget returns the retry budget of a service. The lock must be held.
-func (f *Frontend) budget(service string) *retry.Budget {
+func (f *Frontend) budget(service string) *retry.RankedBudget {
 	b, ok := f.budgets[service]
 	if !ok {
-		b = retry.NewBudget(f.cfg.Retry)
+		b = retry.NewRankedBudget(f.cfg.Retry)
 		f.budgets[service] = b
 	}
 	return b
@@ -92,7 +92,7 @@
 func (f *Frontend) depositRetryTokens(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.budget(service).Deposit()
+	f.budget(service).Deposit(clock.Now())
 	f.noWaitBudget.Deposit()
 }
 
@@ -123,10 +123,17 @@
 	f.refusedRequests.Add(clock.Now(), route, id, firstAttempt, expiry)
 }
 
-func (f *Frontend) decideRetry(service string, t retry.Try) retry.Reason {
+func (f *Frontend) decideRetry(service string, req retry.Request, t retry.Try) retry.Ruling {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(service).Decide(t)
+	return f.budget(service).Decide(clock.Now(), req, t)
+}
+
+// observeArrival counts a try that may have reached an upstream of the service.
+func (f *Frontend) observeArrival(service string, class retry.Class) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Observe(clock.Now(), class)
 }
 
 // Prune drops the state of upstreams that are no longer known.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -121,6 +121,10 @@
 	ReasonTime   Reason = "no-time"
 	ReasonBody   Reason = "body-gone"
 	ReasonBudget Reason = "budget"
+	// ReasonHeld means that the budget is kept for requests whose failure costs more.
+	ReasonHeld Reason = "budget-held"
+	// ReasonRunTime means that the time left is less than such a request usually runs.
+	ReasonRunTime Reason = "no-time-to-run"
 	// ReasonEverywhere means that every upstream would refuse the request.
 	ReasonEverywhere Reason = "refused-everywhere"
 	// ReasonNoUpstream is used by callers of Decide when no untried upstream is left.
@@ -130,25 +134,31 @@
 // Decide returns Allowed if another try may follow, and then withdraws it from the budget
 // unless it is free.
 func (b *Budget) Decide(t Try) Reason {
+	reason, free := b.check(t)
+	if reason == Allowed && !free && !b.Withdraw() {
+		return ReasonBudget
+	}
+	return reason
+}
+
+// check returns Allowed if another try may follow as far as the budget permits, and
+// whether it is free.
+func (b *Budget) check(t Try) (reason Reason, free bool) {
 	switch {
 	case t.Class == Answered:
-		return ReasonDone
+		return ReasonDone, false
 	case !t.Class.NotRun() && !t.Idempotent:
-		return ReasonMayRun
+		return ReasonMayRun, false
 	case t.RefusedEverywhere:
-		return ReasonEverywhere
+		return ReasonEverywhere, false
 	case b.exhausted(t):
-		return ReasonTries
+		return ReasonTries, false
 	case t.Remaining < b.policy.MinRemaining:
-		return ReasonTime
+		return ReasonTime, false
 	case !t.Replayable:
-		return ReasonBody
-	case b.policy.FreeTries > 0 && t.Arrived == 0:
-		return Allowed
-	case !b.Withdraw():
-		return ReasonBudget
+		return ReasonBody, false
 	}
-	return Allowed
+	return Allowed, b.policy.FreeTries > 0 && t.Arrived == 0
 }
 
 // exhausted reports whether the maximum number of tries has been made.
--- a/internal/sidecar/request_log.go
+++ b/internal/sidecar/request_log.go
@@ -49,9 +49,28 @@
 		"tries", formatTries(rec.Tries),
 		"left_out", suppressed,
 	}
+	fields = append(fields, retryFields(rec.Retry)...)
 	r.log.Info("request", append(fields, shutdownFields(rec.Leaving)...)...)
 }
 
+// retryFields returns the additional log fields of a request for which a further try at a
+// service that rejects requests was decided on.
+func retryFields(r *proxy.RetryRecord) []any {
+	if r == nil {
+		return nil
+	}
+	return []any{
+		"retry_rank", r.Rank.String(),
+		"rejected_share", hundredths(r.RejectedShare),
+		"retry_tokens", hundredths(r.Tokens),
+		"retry_held", hundredths(r.Held),
+		"retry_left_ms", millis(r.Left),
+		"retry_run_ms", millis(r.TypicalRun),
+	}
+}
+
+func hundredths(v float64) float64 { return math.Round(100*v) / 100 }
+
 // shutdownFields returns the additional log fields of a request that a leaving node
 // admitted, refused or cut.
 func shutdownFields(l *proxy.ShutdownRecord) []any {
