--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -34,6 +34,8 @@
 	refusals *labelled[tally.Counter]
 	// linkRefusals counts refusals because of the link by cause.
 	linkRefusals *labelled[tally.Counter]
+	// ranked counts further tries at services that reject many requests, by rank.
+	ranked *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -62,6 +64,7 @@
 		refusals:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
 		linkRefusals: newLabelled(func(l string) tally.Counter { return tagged("cause", l).Counter("link_refusals") }),
 		cuts:         newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
+		ranked:       newLabelled(func(l string) tally.Counter { return tagged("rank", l).Counter("ranked_retries") }),
 	}
 }
 
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -40,6 +40,9 @@
 	// Link is what the last refusal because of a link is based on, as in headerLink; empty
 	// if there was none.
 	Link string
+	// Retry is the last decision on a further try that depended on the request's rank;
+	// nil if there was none.
+	Retry *RetryRecord
 }
 
 // TryRecord describes one try of a request.
@@ -112,5 +115,6 @@
 		Fingerprint: ex.env.Fingerprint,
 		Leaving:     ex.shutdown,
 		Link:        ex.linkDecision,
+		Retry:       ex.retry,
 	})
 }
