Routing: cost of the second choice and the worthwhile wait

A request that waits at a slow upstream stays there although another one has free slots, as the waiting request's node doesn't know what the other upstreams offer. The sender knows it: Pick now also yields the cost of its second choice, for services whose upstreams report their speed, and WorthwhileWait derives from it how long a wait at the chosen upstream is worthwhile. Choices draw the same random numbers and are the same with and without it (TestSecondCostOnlyWithSpeedReports).

Tests: go test ./internal/routing passes.

--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -20,6 +20,15 @@
 	// the expected seconds until the response. The candidate with the lower cost is
 	// chosen.
 	Cost float64
+	// QueuedCost is the part of Cost that the wait for a slot causes; only with
+	// Config.ByExpectedTime.
+	QueuedCost float64
+	// SecondCost is the cost of the second choice, scaled to Weight; see WorthwhileWait.
+	// It is 0 if there is no second choice or if requests to the service aren't moved.
+	SecondCost float64
+	// RoundTrip is the expected network time to the upstream and back; only with
+	// Config.ByExpectedTime.
+	RoundTrip time.Duration
 	// Wait is the time that a request is expected to wait for a slot, from a load report
 	// no older than waitReportTTL; 0 if there is none.
 	Wait time.Duration
@@ -42,7 +51,10 @@
 	Service *snapshot.Service
 	Pinned  string   // the only upstream that may run the request; empty for any
 	Tried   []string // upstreams already tried for this request
-	Kind    string   // request kind, for which waits and run times are reported
+	// MovedFrom lists the upstreams that returned this request while it waited. They may
+	// be chosen again, by what they reported with that.
+	MovedFrom []string
+	Kind      string // request kind, for which waits and run times are reported
 	// ObjectiveDeadline is when the request should be answered; zero if it has no
 	// objective.
 	ObjectiveDeadline time.Time
@@ -92,7 +104,10 @@
 		c.applyObjective(now, s, req, slots)
 		c.Wait = s.expectedWait(now, overload.QueueKind(req.Kind, c.Late))
 		wait := max(c.Wait.Seconds(), s.limit.expectedSeconds(now, r.cfg.LoadReportLifetime))
-		c.Cost = r.expectedSeconds(s, c.Cost, slots, wait, m.Instance) + s.expectedNetworkTime(now)
+		networkTime := s.expectedNetworkTime(now)
+		c.Cost, c.QueuedCost = r.expectedSeconds(s, c.Cost, slots, wait, m.Instance)
+		c.Cost += networkTime
+		c.RoundTrip = time.Duration(networkTime * float64(time.Second))
 		c.Trial = s.dueForTrial(now)
 	}
 	c.Excluded = r.exclusion(now, u, m, s, req)
@@ -115,21 +130,22 @@
 // expectedSeconds estimates how long a request takes at an upstream: its service time,
 // which grows as the slots fill up, the wait for a slot, and the retries after failures.
 // utilisation is the number of requests per slot, wait the expected wait in seconds.
-func (r *Router) expectedSeconds(s *upstreamState, utilisation, slots, wait float64, in membership.Instance) float64 {
+// queued is the part of the result that the wait causes.
+func (r *Router) expectedSeconds(s *upstreamState, utilisation, slots, wait float64, in membership.Instance) (seconds, queued float64) {
 	service := s.load.Service.Seconds()
 	if service == 0 {
 		service = r.typicalServiceTime(in.Service)
 	}
 	busy := min(utilisation, 1)
-	queued := max(service*max(0, utilisation*slots-slots)/slots, wait)
-	seconds := service*(1+busy*busy) + queued
+	queued = max(service*max(0, utilisation*slots-slots)/slots, wait)
+	seconds = service*(1+busy*busy) + queued
 	if in.DataCentre != r.self.DataCentre {
 		// The extra cost shrinks as slots fill up, so that only the expected wait decides
 		// once all slots are in use.
 		seconds += service * r.cfg.CrossDataCentreCost * (1 - busy*busy)
 	}
 	successRate := max(1-s.failureRate, minSuccessRate)
-	return seconds / (successRate * successRate)
+	return seconds / (successRate * successRate), queued / (successRate * successRate)
 }
 
 // minSuccessRate limits how much failures raise the cost of an upstream, so that it still
--- /dev/null
+++ b/internal/routing/moves.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/walldrift/walldrift/internal/admission"
+)
+
+// speedReportLifetime is how long requests to a service may be moved after an upstream of
+// the service last reported its speed. A node that sends one request a second to a
+// service gets several reports in this time, so that moving doesn't stop and start with
+// single responses.
+const speedReportLifetime = 10 * time.Second
+
+// movesRequests reports whether requests that wait at an upstream of the service may be
+// moved to another one: only if its upstreams report their speed, as moving is needed
+// only where the speeds differ.
+func (r *Router) movesRequests(now time.Time, service string) bool {
+	at, ok := r.speedReportedAt[service]
+	return ok && now.Sub(at) <= speedReportLifetime
+}
+
+// observeSpeedReport records that an upstream of the service has reported its speed.
+func (r *Router) observeSpeedReport(now time.Time, service string, load *LoadReport) {
+	if load.Speed > 0 {
+		r.speedReportedAt[service] = now
+	}
+}
+
+// pruneSpeedReports drops the services whose upstreams no longer report their speed.
+func (r *Router) pruneSpeedReports(now time.Time) {
+	for service := range r.speedReportedAt {
+		if !r.movesRequests(now, service) {
+			delete(r.speedReportedAt, service)
+		}
+	}
+}
+
+// secondCost returns the cost of the best candidate other than the chosen one, scaled to
+// the weight of the chosen one, so that the two compare as in a choice. It is at least
+// the cost of the chosen one, which noise or a trial may have preferred to a better one.
+// It returns 0 if there is no other candidate.
+func secondCost(chosen *Candidate, cs []Candidate) float64 {
+	second := 0.0
+	for i := range cs {
+		c := &cs[i]
+		if c.Upstream == chosen.Upstream {
+			continue
+		}
+		if cost := c.Cost / c.Weight * chosen.Weight; second == 0 || cost < second {
+			second = cost
+		}
+	}
+	if second == 0 {
+		return 0
+	}
+	return max(second, chosen.Cost)
+}
+
+const (
+	// minMoveTime is the least time that moving a request takes: on a fast network the
+	// nodes' own work on a refusal and on a further request decides.
+	minMoveTime = time.Millisecond
+	// maxWorthwhileWait bounds the worthwhile wait where the second choice is much worse.
+	// No caller waits that long.
+	maxWorthwhileWait = time.Minute
+)
+
+// WorthwhileWait returns how long a request should wait for a slot at a candidate that
+// Pick has chosen: the expected time at the second choice, less that at the chosen
+// upstream without the wait, plus the round trip that moving the request costs. Without a
+// second choice the wait has no bound.
+func WorthwhileWait(c Candidate) admission.WaitBound {
+	if c.SecondCost == 0 {
+		return admission.WaitBound{}
+	}
+	roundTrip := max(c.RoundTrip, minMoveTime)
+	gain := min(max(c.SecondCost-(c.Cost-c.QueuedCost), 0), maxWorthwhileWait.Seconds())
+	return admission.WaitBound{Worthwhile: time.Duration(gain*float64(time.Second)) + roundTrip, RoundTrip: roundTrip}
+}
--- /dev/null
+++ b/internal/routing/moves_test.go
@@ -0,0 +1,90 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/snapshot"
+)
+
+const ms = time.Millisecond
+
+// The worthwhile wait is what the second choice takes longer, plus the round trip. A
+// candidate that was chosen by noise or as a trial is not left for the wait that was
+// known when it was chosen.
+func TestWorthwhileWait(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		candidate Candidate
+		want      admission.WaitBound
+	}{
+		{"no second choice", Candidate{Cost: 0.1, RoundTrip: 3 * ms}, admission.WaitBound{}},
+		{"second choice takes longer", Candidate{Cost: 0.1, SecondCost: 0.13, RoundTrip: 3 * ms}, admission.WaitBound{Worthwhile: 33 * ms, RoundTrip: 3 * ms}},
+		{"with a wait at the chosen one", Candidate{Cost: 0.1, QueuedCost: 0.04, SecondCost: 0.1, RoundTrip: 3 * ms}, admission.WaitBound{Worthwhile: 43 * ms, RoundTrip: 3 * ms}},
+		{"no network time known", Candidate{Cost: 0.1, SecondCost: 0.1}, admission.WaitBound{Worthwhile: minMoveTime, RoundTrip: minMoveTime}},
+		{"second choice is useless", Candidate{Cost: 0.1, SecondCost: 1e30}, admission.WaitBound{Worthwhile: maxWorthwhileWait + minMoveTime, RoundTrip: minMoveTime}},
+	} {
+		got := WorthwhileWait(c.candidate)
+		assert.Equal(t, got.RoundTrip, c.want.RoundTrip, c.name)
+		assert.Assert(t, (got.Worthwhile-c.want.Worthwhile).Abs() < time.Microsecond, "%s: %v", c.name, got.Worthwhile)
+	}
+}
+
+// The second choice is the best of the others by the costs that decide the choice,
+// whatever the order of the upstreams, and costs no less than the chosen one.
+func TestSecondCost(t *testing.T) {
+	a, b, c := &snapshot.Upstream{}, &snapshot.Upstream{}, &snapshot.Upstream{}
+	for _, test := range []struct {
+		name   string
+		chosen Candidate
+		all    []Candidate
+		want   float64
+	}{
+		{"alone", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}}, 0},
+		{"best of two others", Candidate{Upstream: b, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 3, Weight: 1}, {Upstream: b, Cost: 1, Weight: 1}, {Upstream: c, Cost: 2, Weight: 1}}, 2},
+		{"other of less weight", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}, {Upstream: b, Cost: 2, Weight: 0.5}}, 4},
+		{"chosen as a trial", Candidate{Upstream: a, Cost: 3, Weight: 1}, []Candidate{{Upstream: b, Cost: 2, Weight: 1}, {Upstream: a, Cost: 3, Weight: 1}}, 3},
+	} {
+		assert.Equal(t, secondCost(&test.chosen, test.all), test.want, test.name)
+	}
+}
+
+// Choices have a second cost only while an upstream of the service reports its speed, and
+// are otherwise the same with and without it.
+func TestSecondCostOnlyWithSpeedReports(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByExpectedTime = true
+	with, without := newTestbedWith(cfg, 5), newTestbedWith(cfg, 5)
+	for _, b := range []*testbed{with, without} {
+		for name, m := range b.members {
+			m.Service = b.service.Name
+			b.members[name] = m
+		}
+	}
+	second := 0
+	for i := range 2000 {
+		report := LoadReport{InUse: i % 7, Slots: 4, Service: time.Duration(50+i%40) * ms, Wait: time.Duration(i%5) * ms}
+		var chosen [2]Candidate
+		for j, b := range []*testbed{with, without} {
+			b.now = b.now.Add(10 * ms)
+			chosen[j], _ = b.pick()
+			b.router.Start(b.now, chosen[j].Instance)
+			report.Speed = 100 * (1 - j)
+			b.router.End(b.now, b.rnd, chosen[j].Instance.Name, Outcome{Load: &report, Kind: "k", NetworkTime: ms})
+		}
+		assert.Equal(t, chosen[0].Upstream.Name, chosen[1].Upstream.Name)
+		assert.Equal(t, chosen[1].SecondCost, 0.0)
+		if chosen[0].SecondCost > 0 {
+			second++
+		}
+	}
+	assert.Assert(t, second > 1900, "%d of 2000", second)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { with.pick() }), 0.0)
+	assert.Assert(t, with.router.movesRequests(with.now, "s"))
+	assert.Assert(t, !with.router.movesRequests(with.now.Add(speedReportLifetime+1), "s"))
+	with.router.Prune(with.now.Add(time.Hour), func(string) bool { return true })
+	assert.Equal(t, len(with.router.speedReportedAt), 0)
+}
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -54,7 +54,11 @@
 		return usable[0], true
 	}
 	if r.cfg.ByExpectedTime {
-		return leastCost(rnd, usable), true
+		chosen := leastCost(rnd, usable)
+		if r.movesRequests(now, req.Service.Name) {
+			chosen.SecondCost = secondCost(&chosen, usable)
+		}
+		return chosen, true
 	}
 	a := drawWeighted(rnd, usable, total, -1)
 	b := drawWeighted(rnd, usable, total-usable[a].Weight, a)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,11 +27,13 @@
 	serviceTimes map[string]float64
 	fastest      map[string]fastUpstreams // by service, of the own data centre only
 	leaving      map[string]announcedLeaving
+	// speedReportedAt holds when an upstream of each service last reported its speed.
+	speedReportedAt map[string]time.Time
 }
 
 // NewRouter returns a router for the instance self that has observed nothing yet.
 func NewRouter(cfg Config, self membership.Instance) *Router {
-	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choices: make(map[string]*decay.Rate), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving)}
+	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choices: make(map[string]*decay.Rate), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving), speedReportedAt: make(map[string]time.Time)}
 }
 
 // Candidates returns every upstream of the service with its exclusion, if it has one.
@@ -145,6 +147,7 @@
 	}
 	if o.Load != nil {
 		r.observeServiceTime(s.service, o.Load.Service)
+		r.observeSpeedReport(now, s.service, o.Load)
 		r.updateFastest(s, name, o)
 		s.load, s.loadAt, s.inFlightAtLoad = *o.Load, now, s.inFlight
 		s.limit.observe(now, rnd, o.Load, o.OverLimit)
@@ -163,6 +166,7 @@
 // to them are in flight.
 func (r *Router) Prune(now time.Time, keep func(name string) bool) {
 	r.pruneLeaving(now, keep)
+	r.pruneSpeedReports(now)
 	for name, s := range r.upstreams {
 		if s.inFlight == 0 && !keep(name) {
 			delete(r.upstreams, name)
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -43,6 +43,7 @@
 	if rnd.Float64() < fastUpstreamShare {
 		out = r.addFastest(out, now, req, members)
 	}
+	out = r.addNamed(out, now, req, members, req.MovedFrom)
 	if !anyInTime(out) {
 		out = r.drawCandidates(out, now, rnd, req, members, req.Service.Upstreams, sampleSize*drawsPerSample)
 	}
@@ -117,6 +118,20 @@
 	return out
 }
 
+// addNamed appends the upstreams of the service with the given names that are not in out
+// yet.
+func (r *Router) addNamed(out []Candidate, now time.Time, req Request, members Members, names []string) []Candidate {
+	for _, name := range names {
+		u := req.Service.Upstream(name)
+		if u == nil || alreadyDrawn(out, u) {
+			continue
+		}
+		out = append(out, Candidate{Upstream: u})
+		r.evaluate(&out[len(out)-1], now, req, members)
+	}
+	return out
+}
+
 func alreadyDrawn(cs []Candidate, u *snapshot.Upstream) bool {
 	for i := range cs {
 		if cs[i].Upstream == u {
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -93,6 +93,9 @@
 	Leaving bool
 	// Cold is how long the upstream stays cold; 0 if it is warm.
 	Cold time.Duration
+	// Speed is how long work takes at the upstream now, in percent of the usual; 0 if the
+	// upstream doesn't say.
+	Speed int
 	// Limit is the limit that the upstream advertises; nil if nothing new is known of it.
 	Limit *admission.AdvertisedLimit
 }
