Admission: return a request whose wait is no longer worthwhile

The forecast of a gate is known exactly only to the node beside the upstream, so it compares the forecast with the wait that the sender holds worthwhile (Walldrift-Worthwhile-Wait-Us: wait and round trip). It returns the request with reason moved on arrival, or while it waits once the remaining wait has risen beyond the bound by a round trip, if there is time left for another upstream. Bodies that were received, streamed bodies and requests with a key are not returned.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -119,10 +119,16 @@
 			own += k.waiting
 		}
 	}
-	weight := max(t.Weight, minWeight)
+	return q.countAheadAt(t.Kind, t.Weight, own)
+}
+
+// countAheadAt is countAhead for the request of a kind that is served as the given one of
+// its kind.
+func (q *Queue) countAheadAt(kind string, weight float64, own int) int {
+	weight = max(weight, minWeight)
 	n := own
 	for _, k := range q.kinds {
-		if k.name != t.Kind {
+		if k.name != kind {
 			n += min(k.waiting, int(float64(own)*k.weight/weight))
 		}
 	}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -46,6 +46,7 @@
 	ch := make(chan Verdict, 1)
 	g.waiters[t] = ch
 	latest := g.queue.LatestStart(t)
+	g.returnMovable()
 	g.armLimitTimer()
 	g.mu.Unlock()
 	return g.wait(ctx, t, ch, latest)
@@ -104,9 +105,21 @@
 	for _, t := range late {
 		g.resolve(t, g.queue.Refusal(clock.Now(), ReasonTooLate))
 	}
+	g.returnMovable()
 	g.armLimitTimer()
 }
 
+// returnMovable returns the waiting requests that are now better placed at another
+// upstream. The lock must be held.
+func (g *Gate) returnMovable() {
+	now := clock.Now()
+	for _, t := range g.queue.TakeMovable(now) {
+		v := g.queue.Refusal(now, ReasonMoved)
+		v.Queued = true
+		g.resolve(t, v)
+	}
+}
+
 // armLimitTimer schedules the start of requests that wait only for the limit of the
 // upstream. The lock must be held.
 func (g *Gate) armLimitTimer() {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -31,6 +31,7 @@
 	ReasonCold            Reason = "cold"             // the cold upstream has got the requests that its rate allows
 	ReasonAdvertisedLimit Reason = "advertised-limit" // the upstream has got the requests that its advertised limit allows
 	ReasonLink            Reason = "link-full"        // the response would wait too long for the link
+	ReasonMoved           Reason = "moved"            // the sender has a better choice than to wait here
 	ReasonCancelled       Reason = "cancelled"        // the caller gave up while the request waited
 	ReasonWrongTarget     Reason = "wrong-target"     // the node isn't beside the requested upstream
 )
@@ -49,6 +50,9 @@
 	Latest time.Time
 	// NoWait requests a slot at once or a refusal.
 	NoWait bool
+	// Bound is how long the request should wait before it is returned to its sender with
+	// ReasonMoved; zero means that it isn't moved.
+	Bound WaitBound
 
 	arrived time.Time
 }
@@ -72,6 +76,8 @@
 	Reason  Reason
 	// RetryAfter is when to retry a refused request.
 	RetryAfter time.Duration
+	// Queued reports whether a request that is refused with ReasonMoved had been queued.
+	Queued bool
 }
 
 // Smoothing of the measured service time.
@@ -95,6 +101,7 @@
 	cfg           Config
 	inUse         int
 	waiting       int
+	bounded       bool         // false if no waiting request has a WaitBound
 	kinds         []*kindQueue // with waiting requests, or idle and kept
 	pass          float64      // pass of the kind that was served last
 	serviceTimeAt time.Time    // last update of serviceTime
@@ -186,6 +193,9 @@
 	if t.NoWait {
 		return q.Refusal(now, ReasonBusy), nil
 	}
+	if q.movesAtOnce(now, t) {
+		return q.Refusal(now, ReasonMoved), nil
+	}
 	if q.tooLate(now, t) {
 		return q.Refusal(now, q.lateReason(now)), nil
 	}
@@ -197,6 +207,7 @@
 	}
 	q.kindFor(t).push(t)
 	q.waiting++
+	q.bounded = q.bounded || t.Bound.Worthwhile > 0
 	return Verdict{Waiting: true}, displaced
 }
 
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -99,9 +99,11 @@
 		// short wait.
 		ticket.Latest = laterOf(c.start, c.receivedAt).Add(maxWait)
 	}
+	ticket.Bound = c.waitBound()
 	v := b.gate.Acquire(ctx, ticket)
 	b.metrics.queued(c.env.Kind, clock.Since(c.start))
 	if !v.Started {
+		b.metrics.returned(v)
 		b.releaseLimit()
 		return admissionProblem(v)
 	}
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -58,6 +58,7 @@
 	headerLate           = "Walldrift-Late"
 	headerFingerprint    = "Walldrift-Fingerprint"
 	headerKnownLimit     = "Walldrift-Known-Limit"
+	headerWorthwhileWait = "Walldrift-Worthwhile-Wait-Us"
 	headerLoad           = "Walldrift-Load"
 	// headerHeld is the time from a request's arrival at the admitting node to the
 	// start of the response, including the upstream's time, in microseconds.
@@ -93,6 +94,9 @@
 	// KnownLimit is the limit that the upstream advertises, as far as the sender knows; the
 	// zero value if it knows none.
 	KnownLimit admission.AdvertisedLimit
+	// WaitBound is how long a wait at the target is worthwhile; the zero value if the
+	// request isn't moved.
+	WaitBound admission.WaitBound
 }
 
 // ObjectiveState is where a request stands relative to its objective deadline.
@@ -130,6 +134,7 @@
 	if e.KnownLimit.InForce {
 		h.Set(headerKnownLimit, formatRate(e.KnownLimit.PerSecond))
 	}
+	setIf(h, headerWorthwhileWait, formatWaitBound(e.WaitBound))
 	setFlag(h, headerIdempotent, e.Idempotent)
 	setFlag(h, headerAwaitAdmission, e.AwaitsAdmission)
 	setFlag(h, headerEmpty, e.EmptyBody)
@@ -179,6 +184,7 @@
 	}
 	// A limit that cannot be read is only a hint that is missing.
 	e.KnownLimit, _ = parseLimit(h.Get(headerKnownLimit))
+	e.WaitBound = parseWaitBound(h.Get(headerWorthwhileWait))
 	e.KindWeight, err = strconv.ParseFloat(h.Get(headerKindWeight), 64)
 	return e, errors.Wrap(err, "kind weight")
 }
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -54,6 +54,9 @@
 	if c.env.NoWait {
 		return f.InUse < f.Slots && f.Waiting == 0
 	}
+	if bound := c.waitBound(); bound.Worthwhile > 0 && f.Wait > bound.Worthwhile {
+		return false
+	}
 	maxWait, bounded := c.b.maxWait(c.env)
 	return !bounded || f.Wait <= maxWait
 }
