Proxy: place a request again that its upstream returned

A request that an upstream returns with reason moved has not run. The sender places it again by its present load reports: neither as a try nor from the retry budget, at most twice per request and for half of the requests per sidecar (a token is held for each bounded request). A streamed body, a key owner and a pinned route have no bound. The upstream that returned the request stays eligible and is part of the next choice, whose bound is beyond the wait that it has reported. Each move is a try record with the bound and the ages of the load reports behind it.

Requests are moved only for services of which an upstream has reported its speed within 10 s (part /speed: of the load report). Others are sent without the header.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -51,6 +51,11 @@
 	version          version.ID
 	// noWait makes the next try ask for a slot without waiting for one.
 	noWait bool
+	// moves counts how often the request was returned while it waited, movedFrom lists by
+	// which upstreams. reports is what the wait bound of the last try was based on.
+	moves     int
+	movedFrom []string
+	reports   ReportAges
 	// shutdown is the request's record during a shutdown of this node; nil if the node
 	// did not shut down when the request arrived.
 	shutdown *ShutdownRecord
@@ -94,6 +99,10 @@
 		}
 		discardResponse(last)
 		resp, class := ex.try(ctx, target)
+		if ex.movesOn(ctx, class, resp) {
+			last = nil
+			continue
+		}
 		last = resp
 		ex.f.metrics.tryEnded(class)
 		if ex.skipsBusyUpstream(ctx, class, resp) {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -51,6 +51,7 @@
 	refusedRequests *overload.RefusedRequests
 	responseTimes   *overload.RunTimes // of answered requests, as callers see them
 	noWaitBudget    *retry.Budget      // for tries that do not wait for a slot
+	moveBudget      *retry.Budget      // for requests that upstreams return while they wait
 	rnd             *rand.Rand
 }
 
@@ -160,6 +161,7 @@
 		refusedRequests:  overload.NewRefusedRequests(),
 		responseTimes:    overload.NewRunTimes(),
 		noWaitBudget:     retry.NewBudget(noWaitPolicy),
+		moveBudget:       retry.NewBudget(movePolicy),
 		rnd:              rand.New(rand.NewPCG(cfg.Seed, 1)),
 	}
 }
--- /dev/null
+++ b/internal/proxy/moves_test.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/retry"
+	"github.com/walldrift/walldrift/internal/routing"
+	"github.com/walldrift/walldrift/internal/snapshot"
+	"github.com/walldrift/walldrift/internal/table"
+)
+
+type script = []func(*http.Request) (*http.Response, error)
+
+// withLoad adds the load report of an upstream that reports its speed.
+func withLoad(respond func(*http.Request) (*http.Response, error), load string) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (*http.Response, error) {
+		resp, err := respond(r)
+		if err == nil {
+			resp.Header.Set(headerLoad, load)
+		}
+		return resp, err
+	}
+}
+
+const (
+	idleLoad = "0/4/0/20000/0/speed:100"
+	fullLoad = "4/4/8/20000/60000/speed:250"
+)
+
+// newMovingFrontend returns a frontend that knows all upstreams of a service as idle and
+// as reporting their speed if moves is set, and the records of its requests.
+func newMovingFrontend(t *testing.T, s *scripted, service string, moves bool) (*Frontend, *[]Record) {
+	t.Helper()
+	var records []Record
+	member := func(name string) (membership.Member, bool) {
+		m, ok := everyMember(name)
+		m.Service = service
+		return m, ok
+	}
+	f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy(), Record: func(r *Record) { records = append(records, *r) }}, member, s)
+	f.cfg.Routing.ByExpectedTime = true
+	f.router = routing.NewRouter(f.cfg.Routing, f.cfg.Self)
+	load := idleLoad
+	if !moves {
+		load, _, _ = strings.Cut(load, "/speed")
+	}
+	f.pick(routing.Request{Service: f.holder.Current().Service(service)})
+	for _, u := range f.holder.Current().Service(service).Upstreams {
+		m, _ := member(u.Name)
+		f.tryStarted(m.Instance)
+		f.tryEnded(u.Name, routing.Outcome{Load: readLoadReport(http.Header{headerLoad: {load}}), NetworkTime: time.Millisecond})
+	}
+	return f, &records
+}
+
+// A request that is returned goes to another upstream, at most twice; then it queues. The
+// moves leave it all its tries, and a refusal in the end says that it has not run.
+func TestMovedRequestGoesToAnotherUpstream(t *testing.T) {
+	moved := withLoad(refuse(admission.ReasonMoved), fullLoad)
+	rejected := func(r *http.Request) (*http.Response, error) {
+		return notRun(http.StatusServiceUnavailable, retry.Rejected, reasonRejected, 0).response(r), nil
+	}
+	for _, c := range []struct {
+		name    string
+		script  script
+		bounded []bool
+		status  int
+		outcome string
+	}{
+		{"answered by the next choice", script{moved, respondOK}, []bool{true, true}, http.StatusOK, ""},
+		{"third choice queues", script{moved, moved, respondOK}, []bool{true, true, false}, http.StatusOK, ""},
+		{"moves are no tries", script{moved, moved, rejected, respondOK}, []bool{true, true, false, false}, http.StatusOK, ""},
+		{"refused in the end", script{moved, moved, refuse(admission.ReasonTooLate), refuse(admission.ReasonTooLate)}, []bool{true, true, false, false}, http.StatusServiceUnavailable, string(OutcomeNotRun)},
+		{"an earlier try may have run", script{failConnection, moved, moved, refuse(admission.ReasonTooLate)}, []bool{true, true, true, false}, http.StatusBadGateway, string(OutcomeUnknown)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &scripted{script: c.script}
+			f, records := newMovingFrontend(t, s, "tariff", true)
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+			assert.Equal(t, w.Code, c.status)
+			assert.Equal(t, w.Header().Get(HeaderOutcome), c.outcome)
+			var bounded []bool
+			for _, env := range s.seen {
+				bounded = append(bounded, env.WaitBound.Worthwhile > 0)
+			}
+			assert.DeepEqual(t, bounded, c.bounded)
+			assert.Equal(t, len((*records)[0].Tries), len(s.seen), "each move is in the request log")
+			for i, try := range (*records)[0].Tries {
+				assert.Equal(t, try.Upstream, s.seen[i].Target)
+				assert.Equal(t, try.WaitBound > 0, c.bounded[i])
+			}
+		})
+	}
+}
+
+// An upstream that has returned a request may get it again if its report is still the
+// best, with a bound beyond the wait that it has reported.
+func TestMovedRequestDoesNotBounce(t *testing.T) {
+	s := &scripted{script: script{withLoad(refuse(admission.ReasonMoved), "4/4/1/20000/8000/speed:100"), respondOK}}
+	f, _ := newMovingFrontend(t, s, "enforcement", true)
+	busy := readLoadReport(http.Header{headerLoad: {fullLoad}})
+	for _, u := range f.holder.Current().Service("enforcement").Upstreams[1:] {
+		m, _ := f.members(u.Name)
+		f.tryStarted(m.Instance)
+		f.tryEnded(u.Name, routing.Outcome{Load: busy})
+	}
+	f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/enforcement/x", nil))
+	assert.Equal(t, len(s.seen), 2)
+	assert.Equal(t, s.seen[0].Target, s.seen[1].Target)
+	assert.Assert(t, s.seen[1].WaitBound.Worthwhile > 8*time.Millisecond, "%v", s.seen[1].WaitBound)
+}
+
+// Without speed reports nothing is bounded, and moves beyond the budget are not made.
+func TestMovesAreBounded(t *testing.T) {
+	moved := withLoad(refuse(admission.ReasonMoved), fullLoad)
+	s := &scripted{script: script{moved, respondOK}}
+	f, _ := newMovingFrontend(t, s, "tariff", false)
+	f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+	assert.Equal(t, s.seen[0].WaitBound, admission.WaitBound{})
+
+	const requests = 400
+	moves := 0
+	s = &scripted{script: script{func(r *http.Request) (*http.Response, error) {
+		if r.Header.Get(headerWorthwhileWait) == "" {
+			return withLoad(respondOK, idleLoad)(r)
+		}
+		moves++
+		return withLoad(refuse(admission.ReasonMoved), idleLoad)(r)
+	}}}
+	f, _ = newMovingFrontend(t, s, "tariff", true)
+	for range requests {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+		assert.Equal(t, w.Code, http.StatusOK)
+	}
+	assert.Assert(t, moves <= requests/2+20 && moves >= requests/2, "%d moves of %d requests", moves, requests)
+}
+
+// Only a request that any upstream may run and that can be sent again is moved.
+func TestWhichRequestsAreMovable(t *testing.T) {
+	several := &snapshot.Service{Upstreams: make([]*snapshot.Upstream, 2)}
+	for _, c := range []struct {
+		name string
+		ex   *exchange
+		want bool
+	}{
+		{"usual", &exchange{}, true},
+		{"second move", &exchange{moves: 1}, true},
+		{"third move", &exchange{moves: 2}, false},
+		{"streamed body", &exchange{body: &requestBody{stream: strings.NewReader("x")}}, false},
+		{"pinned", &exchange{route: &snapshot.Route{Route: table.Route{Upstream: "u"}}}, false},
+		{"key owner", &exchange{env: Envelope{Key: "k"}}, false},
+		{"single upstream", &exchange{service: &snapshot.Service{Upstreams: make([]*snapshot.Upstream, 1)}}, false},
+	} {
+		if c.ex.body == nil {
+			c.ex.body = &requestBody{}
+		}
+		if c.ex.route == nil {
+			c.ex.route = &snapshot.Route{}
+		}
+		if c.ex.service == nil {
+			c.ex.service = several
+		}
+		assert.Equal(t, c.ex.movable(), c.want, c.name)
+	}
+}
+
+// A speed that is no sensible percentage must not change the rest of the load report.
+func TestSpeedInLoadReport(t *testing.T) {
+	for part, want := range map[string]int{"/speed:250": 250, "": 0, "/speed:": 0, "/speed:0": 0, "/speed:-1": 0, "/speed:1e2": 0, "/speed:99999999999": 0, "/later:1/speed:100": 100} {
+		load := readLoadReport(http.Header{headerLoad: {"1/4/2/20000/3000" + part}})
+		assert.Assert(t, load != nil && load.Waiting == 2 && load.Speed == want, "%q: %+v", part, load)
+	}
+}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -49,6 +49,15 @@
 	Reason   string
 	// Load is the admitting node's load report, which starts with in use/slots/waiting.
 	Load string
+	// WaitBound is the wait that was worthwhile at the upstream; 0 if the request could
+	// not be moved. Reports is what it was based on.
+	WaitBound time.Duration
+	Reports   ReportAges
+}
+
+// ReportAges holds the ages of the load reports by which a wait bound was determined.
+type ReportAges struct {
+	Chosen, Second time.Duration // of the chosen upstream and of the second choice
 }
 
 // Recorder receives records. It must not block or retain the record.
@@ -71,18 +80,21 @@
 		Status:   resp.StatusCode,
 		Reason:   resp.Header.Get(HeaderReason),
 		Load:     resp.Header.Get(headerLoad),
+
+		WaitBound: ex.env.WaitBound.Worthwhile,
+		Reports:   ex.reports,
 	})
 }
 
-// record passes a request that failed, was refused, was retried or was slow to the
-// recorder.
+// record passes a request that failed, was refused, was retried, was moved or was slow to
+// the recorder.
 func (ex *exchange) record(status int, outcome, reason string) {
 	if ex.f.cfg.Record == nil {
 		return
 	}
 	took := clock.Since(ex.start)
 	slow := ex.route.Objective > 0 && took > time.Duration(slowShare*float64(ex.route.Objective))
-	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && ex.tries <= 1 && !slow && !ex.shutdown.notable() {
+	if status < http.StatusInternalServerError && outcome == outcomeNames[0] && ex.tries <= 1 && ex.moves == 0 && !slow && !ex.shutdown.notable() {
 		return
 	}
 	ex.f.cfg.Record(&Record{
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -94,6 +94,7 @@
 	defer f.mu.Unlock()
 	f.budget(service).Deposit()
 	f.noWaitBudget.Deposit()
+	f.moveBudget.Deposit()
 }
 
 func (f *Frontend) withdrawNoWaitToken() bool {
@@ -169,8 +170,9 @@
 // followed by "/draining" if the node accepts no more requests, "/leaving" if the
 // upstream has said that it leaves, "/cold:" with the
 // milliseconds for which the upstream stays cold, and "/limit:" with the requests per
-// second that it takes, or "-" if the limit that the sender knows has ended. Unknown
-// further parts are ignored.
+// second that it takes, or "-" if the limit that the sender knows has ended, and "/speed:"
+// with how long work takes at the upstream now, in percent of the usual. Unknown further
+// parts are ignored.
 func readLoadReport(h http.Header) *routing.LoadReport {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var numbers [5]int
@@ -204,6 +206,11 @@
 				report.Cold = time.Duration(v) * time.Millisecond
 			}
 		}
+		if percent, ok := strings.CutPrefix(extra, loadSpeedPrefix); ok {
+			if v, err := strconv.ParseInt(percent, 10, 32); err == nil && v > 0 {
+				report.Speed = int(v)
+			}
+		}
 		if rate, ok := strings.CutPrefix(extra, loadLimitPrefix); ok {
 			if limit, ok := parseLimit(rate); ok || rate == loadNoLimit {
 				report.Limit = &limit
@@ -220,4 +227,5 @@
 	loadColdPrefix  = "cold:"
 	loadLimitPrefix = "limit:"
 	loadNoLimit     = "-"
+	loadSpeedPrefix = "speed:"
 )
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -88,6 +88,7 @@
 	if exceedsMaxWait(c) {
 		return membership.Instance{}, notRun(http.StatusServiceUnavailable, retry.Limited, reasonAllBusy, c.Wait)
 	}
+	ex.boundWait(c)
 	return c.Instance, nil
 }
 
@@ -97,6 +98,7 @@
 		Service:           ex.service,
 		Pinned:            ex.route.Upstream,
 		Tried:             ex.tried,
+		MovedFrom:         ex.movedFrom,
 		Kind:              ex.kind,
 		ObjectiveDeadline: ex.objectiveDeadline,
 		CallerRetry:       ex.firstAttempt.Before(ex.start),
--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -36,25 +36,31 @@
 	}
 }
 
-// secondCost returns the cost of the best candidate other than the chosen one, scaled to
-// the weight of the chosen one, so that the two compare as in a choice. It is at least
-// the cost of the chosen one, which noise or a trial may have preferred to a better one.
-// It returns 0 if there is no other candidate.
-func secondCost(chosen *Candidate, cs []Candidate) float64 {
-	second := 0.0
+// setSecond sets the cost and the report age of the second choice: the best candidate
+// other than c, which was chosen. The cost is scaled to the weight of c, so that the two
+// compare as in a choice. It is at least the cost of c, which noise or a trial may have
+// preferred to a better one.
+func (c *Candidate) setSecond(cs []Candidate) {
+	at, least := -1, 0.0
 	for i := range cs {
-		c := &cs[i]
-		if c.Upstream == chosen.Upstream {
+		if cs[i].Upstream == c.Upstream {
 			continue
 		}
-		if cost := c.Cost / c.Weight * chosen.Weight; second == 0 || cost < second {
-			second = cost
+		if cost := cs[i].Cost / cs[i].Weight; at < 0 || cost < least {
+			at, least = i, cost
 		}
 	}
-	if second == 0 {
+	if at >= 0 {
+		c.SecondCost, c.SecondAge = max(least*c.Weight, c.Cost), cs[at].ReportAge
+	}
+}
+
+// reportAge returns the age of the last load report; 0 if there is none.
+func (s *upstreamState) reportAge(now time.Time) time.Duration {
+	if s.loadAt.IsZero() {
 		return 0
 	}
-	return max(second, chosen.Cost)
+	return now.Sub(s.loadAt)
 }
 
 const (
--- a/internal/routing/moves_test.go
+++ b/internal/routing/moves_test.go
@@ -48,7 +48,8 @@
 		{"other of less weight", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}, {Upstream: b, Cost: 2, Weight: 0.5}}, 4},
 		{"chosen as a trial", Candidate{Upstream: a, Cost: 3, Weight: 1}, []Candidate{{Upstream: b, Cost: 2, Weight: 1}, {Upstream: a, Cost: 3, Weight: 1}}, 3},
 	} {
-		assert.Equal(t, secondCost(&test.chosen, test.all), test.want, test.name)
+		test.chosen.setSecond(test.all)
+		assert.Equal(t, test.chosen.SecondCost, test.want, test.name)
 	}
 }
 
--- a/internal/sidecar/request_log.go
+++ b/internal/sidecar/request_log.go
@@ -71,7 +71,9 @@
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// formatTries formats tries as "upstream@12.5ms+30.1ms:class:status:reason:load".
+// formatTries formats tries as "upstream@12.5ms+30.1ms:class:status:reason:load". A try that
+// could be moved has ":bound=" with the worthwhile wait and the ages of the load reports
+// of the chosen upstream and of the second choice, in ms.
 func formatTries(tries []proxy.TryRecord) string {
 	var b strings.Builder
 	for i, t := range tries {
@@ -84,6 +86,11 @@
 		b.WriteString("ms+")
 		b.WriteString(strconv.FormatFloat(millis(t.Took), 'f', 1, 64))
 		b.WriteString("ms:" + t.Class.String() + ":" + strconv.Itoa(t.Status) + ":" + t.Reason + ":" + t.Load)
+		if t.WaitBound > 0 {
+			b.WriteString(":bound=" + formatMillis(t.WaitBound) + "/" + formatMillis(t.Reports.Chosen) + "/" + formatMillis(t.Reports.Second))
+		}
 	}
 	return b.String()
 }
+
+func formatMillis(d time.Duration) string { return strconv.FormatFloat(millis(d), 'f', 1, 64) }
