--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -38,8 +38,9 @@
 
 // setSecond sets the cost and the report age of the second choice: the best candidate
 // other than c, which was chosen. The cost is scaled to the weight of c, so that the two
-// compare as in a choice. It is at least the cost of c, which noise or a trial may have
-// preferred to a better one.
+// compare as in a choice, and raised by costNoise, as choices treat costs that differ by
+// less as equal. It is at least the cost of c, which a trial may have preferred to a better
+// one.
 func (c *Candidate) setSecond(cs []Candidate) {
 	at, least := -1, 0.0
 	for i := range cs {
@@ -51,7 +52,7 @@
 		}
 	}
 	if at >= 0 {
-		c.SecondCost, c.SecondAge = max(least*c.Weight, c.Cost), cs[at].ReportAge
+		c.SecondCost, c.SecondAge = max(least*c.Weight*(1+costNoise), c.Cost), cs[at].ReportAge
 	}
 }
 
--- /dev/null
+++ b/internal/routing/moves_load_test.go
@@ -0,0 +1,160 @@
+package routing
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/admission"
+	"github.com/walldrift/walldrift/internal/overload"
+)
+
+// unevenService is a service with free slots, of which one upstream at a time, in turn,
+// is slow for 600 ms.
+type unevenService struct {
+	*testbed
+	moves   bool // the upstreams report their speed
+	mu      sync.Mutex
+	routers []*Router
+	gates   []*admission.Gate
+	begin   time.Time
+
+	atSlow, inTime int // requests whose first choice is slow, and those of them in time
+	moved          int
+}
+
+const (
+	unevenUpstreams = 6
+	unevenSlots     = 8
+	unevenNodes     = 20
+	unevenRunMean   = 25 * ms
+	unevenRunSpread = 0.5  // standard deviation of the logarithm
+	unevenLoad      = 0.75 // of the slots, while no upstream is slow
+	unevenObjective = 100 * ms
+	unevenOneWay    = ms / 2
+	slowness        = 2.5
+	slowFor         = 600 * ms
+	slowEvery       = time.Second
+)
+
+func newUnevenService(moves bool) *unevenService {
+	cfg := DefaultConfig()
+	cfg.ByExpectedTime = true
+	s := &unevenService{testbed: newTestbedWith(cfg, unevenUpstreams), moves: moves, begin: time.Now()}
+	for _, u := range s.service.Upstreams {
+		u.Concurrency = unevenSlots
+		m := s.members[u.Name]
+		m.Service = s.service.Name
+		s.members[u.Name] = m
+		s.gates = append(s.gates, admission.NewGate(admission.Config{Slots: unevenSlots, QueueLimit: 2 * unevenSlots}))
+	}
+	for range unevenNodes {
+		s.routers = append(s.routers, NewRouter(cfg, s.router.self))
+	}
+	return s
+}
+
+func (s *unevenService) slow(upstream int) bool {
+	at := time.Since(s.begin)
+	return int(at/slowEvery)%unevenUpstreams == upstream && at%slowEvery < slowFor
+}
+
+// send sends one request from a node until it is answered or refused.
+func (s *unevenService) send(node int) {
+	start := time.Now()
+	req := Request{Service: s.service, Kind: "k", ObjectiveDeadline: start.Add(unevenObjective)}
+	atSlow := false
+	for {
+		s.mu.Lock()
+		c, ok := s.routers[node].Pick(time.Now(), s.rnd, req, s.lookup)
+		if !ok || c.Wait > c.MaxWait {
+			s.mu.Unlock()
+			return
+		}
+		s.routers[node].Start(time.Now(), c.Instance)
+		upstream := slices.Index(s.service.Upstreams, c.Upstream)
+		if len(req.Tried)+len(req.MovedFrom) == 0 && s.slow(upstream) {
+			atSlow = true
+			s.atSlow++
+		}
+		run := time.Duration(float64(unevenRunMean) * math.Exp(unevenRunSpread*s.rnd.NormFloat64()-unevenRunSpread*unevenRunSpread/2))
+		s.mu.Unlock()
+		reason := s.runAt(node, upstream, c, len(req.MovedFrom) < 2, run)
+		switch {
+		case reason == admission.ReasonMoved:
+			req.MovedFrom = append(req.MovedFrom, c.Upstream.Name)
+			continue
+		case reason != admission.ReasonNone && len(req.Tried) == 0:
+			req.Tried = append(req.Tried, c.Upstream.Name)
+			continue
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.moved += len(req.MovedFrom)
+		if atSlow && reason == admission.ReasonNone && time.Since(start) <= unevenObjective {
+			s.inTime++
+		}
+		return
+	}
+}
+
+// runAt runs a request at an upstream and returns why it was refused, if it was.
+func (s *unevenService) runAt(node, upstream int, c Candidate, movable bool, run time.Duration) admission.Reason {
+	time.Sleep(unevenOneWay)
+	g := s.gates[upstream]
+	ticket := &admission.Ticket{Kind: "k", Weight: 1, Latest: time.Now().Add(overload.MaxWait(c.TimeLeft, 2*unevenRunMean, g.SlotInterval(), false))}
+	if movable {
+		ticket.Bound = WorthwhileWait(c)
+	}
+	v := g.Acquire(context.Background(), ticket)
+	if v.Started {
+		if s.slow(upstream) {
+			run = time.Duration(float64(run) * slowness)
+		}
+		time.Sleep(run)
+		g.Release(run)
+	}
+	f := g.Forecast("k", 1)
+	report := &LoadReport{InUse: f.InUse, Slots: f.Slots, Waiting: f.Waiting, Service: f.Service, Wait: f.Wait}
+	if s.moves {
+		report.Speed = 100
+	}
+	time.Sleep(unevenOneWay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers[node].End(time.Now(), s.rnd, c.Upstream.Name, Outcome{Load: report, Kind: "k", NetworkTime: 2 * unevenOneWay})
+	return v.Reason
+}
+
+// One upstream turns 2.5 times slower for 600 ms while others have free slots. Of the
+// requests that are placed there, at least 15% fewer must miss their objective than without
+// moves, and moves must stay rare beside requests.
+func TestMovesToFreeUpstreams(t *testing.T) {
+	missed := make(map[bool]float64)
+	for _, moves := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newUnevenService(moves)
+			var requests sync.WaitGroup
+			offered := 0
+			for ; time.Since(s.begin) < 30*time.Second; offered++ {
+				s.mu.Lock()
+				gap := s.rnd.ExpFloat64() * float64(unevenRunMean) / (unevenUpstreams * unevenSlots * unevenLoad)
+				node := s.rnd.IntN(unevenNodes)
+				s.mu.Unlock()
+				time.Sleep(time.Duration(gap))
+				requests.Go(func() { s.send(node) })
+			}
+			requests.Wait()
+			missed[moves] = 1 - float64(s.inTime)/float64(s.atSlow)
+			t.Logf("moves %v: %.3f of %d missed, %d moves of %d requests", moves, missed[moves], s.atSlow, s.moved, offered)
+			assert.Assert(t, s.moved <= offered/4, "%d moves of %d requests", s.moved, offered)
+		})
+	}
+	assert.Assert(t, missed[true] < 0.85*missed[false], "%.3f missed without moves, %.3f with", missed[false], missed[true])
+}
