A long response must fit the link even if it is longer than the mean

Responses were admitted to a full link by their mean size. The size that nine in ten do not exceed decides now; the mean is still what is committed. Tests of overload, link and proxy pass.

--- a/internal/proxy/awaited.go
+++ b/internal/proxy/awaited.go
@@ -37,12 +37,11 @@
 	}
 }
 
-// expect returns the mean size, in bytes, and the typical run time of a route; 0 if
-// unknown.
-func (a *awaitedResponses) expect(route string) (size int64, run time.Duration) {
+// expect returns the response size and the typical run time of a route; zero if unknown.
+func (a *awaitedResponses) expect(route string) (size transferSize, run time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int64(a.sizes.Mean(route)), a.runs[route]
+	return transferSize{mean: int64(a.sizes.Mean(route)), long: int64(a.sizes.Long(route))}, a.runs[route]
 }
 
 // localTargets is implemented by dispatchers that know which instances are on this
@@ -69,7 +68,7 @@
 		return nil
 	}
 	size, run := ex.f.awaited.expect(ex.route.Name)
-	if size < link.LongThreshold {
+	if size.mean < link.LongThreshold {
 		return nil
 	}
 	bounded := !ex.objectiveDeadline.IsZero()
@@ -112,7 +111,7 @@
 		return
 	}
 	if ex.awaiting == nil {
-		ex.awaiting, _ = receive.admit(resp.ContentLength, 0, 0, false)
+		ex.awaiting, _ = receive.admit(exactly(resp.ContentLength), 0, 0, false)
 	}
 	ex.awaiting.resize(resp.ContentLength)
 	resp.Body = &arrivingBody{ReadCloser: resp.Body, commitment: ex.awaiting}
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -94,20 +94,31 @@
 	return m.link.Wait(clock.Now(), ready)
 }
 
-// admit commits size bytes if they can be sent within left, or if left is not bounded.
-// Otherwise it returns a nil commitment.
-func (m *machineLink) admit(size int64, ready, left time.Duration, bounded bool) (*linkCommitment, link.Decision) {
+// transferSize is the size of a long transfer before it is known, in bytes.
+type transferSize struct {
+	mean int64
+	// long is a size that few transfers exceed. A transfer must fit even if it is that
+	// long: otherwise half of those that are admitted to a full link are late.
+	long int64
+}
+
+// exactly returns the size of a transfer whose length is known.
+func exactly(length int64) transferSize { return transferSize{mean: length, long: length} }
+
+// admit commits the mean size if a long transfer can be sent within left, or if left is
+// not bounded. Otherwise it returns a nil commitment.
+func (m *machineLink) admit(size transferSize, ready, left time.Duration, bounded bool) (*linkCommitment, link.Decision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
 	var d link.Decision
 	if bounded {
-		if d = m.link.Decide(now, size, ready, left); !d.Fits {
+		if d = m.link.Decide(now, size.long, ready, left); !d.Fits {
 			m.report(now)
 			return nil, d
 		}
 	}
-	c := &linkCommitment{m: m, c: m.link.Commit(size)}
+	c := &linkCommitment{m: m, c: m.link.Commit(size.mean)}
 	m.report(now)
 	return c, d
 }
--- a/internal/proxy/receive_link.go
+++ b/internal/proxy/receive_link.go
@@ -21,7 +21,7 @@
 		left = c.env.Objective.Left - clock.Since(c.start) - run
 	}
 	slotWait := c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight).Wait
-	commitment, d := c.b.cfg.Links.receive.admit(c.req.ContentLength, slotWait, left, c.env.Objective != nil)
+	commitment, d := c.b.cfg.Links.receive.admit(exactly(c.req.ContentLength), slotWait, left, c.env.Objective != nil)
 	if commitment == nil {
 		return nil, c.b.metrics.linkProblem(linkCauseBody, d)
 	}
--- a/internal/proxy/send_link.go
+++ b/internal/proxy/send_link.go
@@ -36,8 +36,8 @@
 // responses, or refuses the request if the response can't be complete within its
 // objective.
 func (c *backendCall) commitResponse() *Problem {
-	size := c.b.meanResponseSize(c.env.Kind)
-	if !c.remote || size < link.LongThreshold || c.req.Method == http.MethodHead {
+	size := c.b.responseSize(c.env.Kind)
+	if !c.remote || size.mean < link.LongThreshold || c.req.Method == http.MethodHead {
 		return nil
 	}
 	var left time.Duration
@@ -53,11 +53,11 @@
 	return nil
 }
 
-// meanResponseSize returns the mean response size of a kind, in bytes; 0 if unknown.
-func (b *Backend) meanResponseSize(kind string) int64 {
+// responseSize returns the response size of a kind; zero if unknown.
+func (b *Backend) responseSize(kind string) transferSize {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return int64(b.responseSizes.Mean(kind))
+	return transferSize{mean: int64(b.responseSizes.Mean(kind)), long: int64(b.responseSizes.Long(kind))}
 }
 
 // waitWithLink returns the expected wait of a kind: that for a slot, or that for the link
@@ -66,7 +66,7 @@
 	if b.cfg.Links == nil {
 		return forSlot + b.expectedSendWait(kind)
 	}
-	if b.meanResponseSize(kind) < link.LongThreshold {
+	if b.responseSize(kind).mean < link.LongThreshold {
 		return forSlot
 	}
 	return max(forSlot, b.cfg.Links.send.wait(b.runTimeQuantile(kind, overload.SafeRunQuantile)))
@@ -91,7 +91,7 @@
 		return resp.Body
 	}
 	if c.sending == nil {
-		c.sending, _ = c.b.cfg.Links.send.admit(length, 0, 0, false)
+		c.sending, _ = c.b.cfg.Links.send.admit(exactly(length), 0, 0, false)
 	}
 	c.sending.resize(length)
 	c.b.sendBuffered.Add(length)
