Callers that a rejecting service rejected are told to come back soon

Cause: a caller whose request an upstream rejects waits 150 ms, of objectives of 300 to 500 ms, and is as likely to be rejected then. While more than a tenth of the arrivals at a service are rejected, Retry-After is 20 ms. Tests of proxy pass.

--- a/internal/proxy/retry_rank.go
+++ b/internal/proxy/retry_rank.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -15,6 +17,12 @@
 	retry.Ruling
 }
 
+// rejectingRetryAfter is the advised retry delay after a rejection by a service that
+// rejects many requests. Its upstreams reject each by itself, whether they have free slots
+// or not, so a later attempt is no more likely to succeed, and an earlier one leaves more
+// of the objective.
+const rejectingRetryAfter = 20 * time.Millisecond
+
 // decideRetry decides on a further try after the response to the last one, by the rank of
 // the request if the service rejects many.
 func (ex *exchange) decideRetry(resp *http.Response, t retry.Try) retry.Reason {
@@ -27,6 +35,9 @@
 	if ruling.Ranked {
 		ex.retry = &RetryRecord{Request: req, Ruling: ruling}
 		ex.f.metrics.retriedByRank(req.Rank, ruling)
+		if t.Class == retry.Rejected {
+			resp.Header.Set(HeaderRetryAfterMs, strconv.FormatInt(rejectingRetryAfter.Milliseconds(), 10))
+		}
 	}
 	return ruling.Reason
 }
--- a/internal/proxy/retry_rank_test.go
+++ b/internal/proxy/retry_rank_test.go
@@ -20,6 +20,7 @@
 	rejects  bool
 	runTimes string // headerRunTimes of the rejections
 	last     Record
+	response http.Header // to the last request
 }
 
 func newRejectingService(t *testing.T) *rejectingService {
@@ -54,7 +55,9 @@
 	}
 	r := httptest.NewRequest(http.MethodGet, path, nil)
 	r.Header.Set("X-Key", "s3cret")
-	s.f.ServeHTTP(httptest.NewRecorder(), r)
+	w := httptest.NewRecorder()
+	s.f.ServeHTTP(w, r)
+	s.response = w.Header()
 	return s.last
 }
 
@@ -91,3 +94,20 @@
 	assert.Equal(t, rec.NotRetried, retry.ReasonRunTime)
 	assert.Equal(t, rec.Retry.TypicalRun, 2*time.Second)
 }
+
+// Guards against callers that are told to wait for a service that is as likely to reject
+// them later, and against a change of Retry-After where few requests are rejected.
+func TestCallersReturnSoonToARejectingService(t *testing.T) {
+	s := newRejectingService(t)
+	s.send(false, true)
+	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "150")
+	for range 5 {
+		s.send(false, true)
+	}
+	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "20")
+	for range 200 {
+		s.send(false, false)
+	}
+	s.send(false, true)
+	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "150")
+}
