Moves: tests for the token refund, the backend's exceptions and large services

Mutants showed that these, and that a long body is not received before its request is returned, were not covered.

--- a/internal/proxy/moves_backend_test.go
+++ b/internal/proxy/moves_backend_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/membership"
 )
 
@@ -77,3 +78,20 @@
 		})
 	}
 }
+
+// A long body that would wait too long for a slot must not cross the link before its
+// request is returned.
+func TestMovedBodyIsNotReceived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := receivingBackend(&timedUpstream{takes: 100 * time.Millisecond})
+		forward(t.Context(), b, nil, 0, Envelope{})
+		go forward(t.Context(), b, nil, 0, Envelope{})
+		synctest.Wait()
+		begin := time.Now()
+		bound := admission.WaitBound{Worthwhile: 10 * time.Millisecond}
+		_, header := forward(t.Context(), b, slowLongBody(500*time.Millisecond), longBodySize, Envelope{WaitBound: bound})
+		assert.Equal(t, header.Get(HeaderReason), string(admission.ReasonMoved))
+		assert.Equal(t, time.Since(begin), time.Duration(0))
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/proxy/moves_test.go
+++ b/internal/proxy/moves_test.go
@@ -127,6 +127,15 @@
 	f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
 	assert.Equal(t, s.seen[0].WaitBound, admission.WaitBound{})
 
+	s = &scripted{script: script{withLoad(respondOK, idleLoad)}}
+	f, _ = newMovingFrontend(t, s, "tariff", true)
+	for range 100 {
+		f.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+	}
+	for _, env := range s.seen {
+		assert.Assert(t, env.WaitBound.Worthwhile > 0, "a request that isn't moved returns its token")
+	}
+
 	const requests = 400
 	moves := 0
 	s = &scripted{script: script{func(r *http.Request) (*http.Response, error) {
--- a/internal/proxy/wait_bound_test.go
+++ b/internal/proxy/wait_bound_test.go
@@ -39,3 +39,21 @@
 	_, present := h[headerWorthwhileWait]
 	assert.Assert(t, !present, "a caller or an earlier node must not set the bound")
 }
+
+// A request that can't be sent again, or whose body would cross the link twice, must not
+// be returned whatever its sender asks for.
+func TestBackendIgnoresBound(t *testing.T) {
+	bound := admission.WaitBound{Worthwhile: time.Millisecond}
+	for _, c := range []struct {
+		name string
+		call backendCall
+		want admission.WaitBound
+	}{
+		{"usual", backendCall{env: Envelope{WaitBound: bound}}, bound},
+		{"body was received", backendCall{env: Envelope{WaitBound: bound}, receivedAt: time.Unix(1000, 0)}, admission.WaitBound{}},
+		{"streamed body", backendCall{env: Envelope{WaitBound: bound, AwaitsAdmission: true}}, admission.WaitBound{}},
+		{"key owner", backendCall{env: Envelope{WaitBound: bound}, keyed: true}, admission.WaitBound{}},
+	} {
+		assert.Equal(t, c.call.waitBound(), c.want, c.name)
+	}
+}
--- a/internal/routing/moves_test.go
+++ b/internal/routing/moves_test.go
@@ -90,3 +90,21 @@
 	with.router.Prune(with.now.Add(time.Hour), func(string) bool { return true })
 	assert.Equal(t, len(with.router.speedReportedAt), 0)
 }
+
+// In a large service, the upstreams that returned a request are among those compared for
+// its next choice.
+func TestMovedFromIsCompared(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ByExpectedTime = true
+	b := newTestbedWith(cfg, 500)
+	req := Request{Service: b.service, Kind: "k", MovedFrom: []string{"u7", "u400"}, ObjectiveDeadline: b.now.Add(time.Second)}
+	for range 50 {
+		compared := 0
+		for _, c := range b.router.sampleCandidates(nil, b.now, b.rnd, req, b.lookup) {
+			if c.Upstream.Name == "u7" || c.Upstream.Name == "u400" {
+				compared++
+			}
+		}
+		assert.Equal(t, compared, 2)
+	}
+}
