Share the sending of many reads by two tests of internal/sidecar

The tests of requests that wait for a slot at an evacuation and at a leaving upstream send their reads through fleet.sendReads. Their checks are the same; an error of the client fails them with its text. Tests of internal/sidecar pass.

--- a/internal/sidecar/evacuation_test.go
+++ b/internal/sidecar/evacuation_test.go
@@ -92,19 +92,7 @@
 		_, _ = io.WriteString(w, "ok")
 	})
 	const n = 20
-	results := make(chan string, n)
-	for range n {
-		req := f.request(0, "GET", "/read/x", "")
-		go func() {
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				results <- err.Error()
-				return
-			}
-			_ = resp.Body.Close()
-			results <- resp.Status + resp.Header.Get(proxy.HeaderReason)
-		}()
-	}
+	results := f.sendReads(0, n)
 	backend := f.sidecars[0].backend
 	for load := backend.Load(); load.InUse+load.Waiting < n; load = backend.Load() {
 		time.Sleep(time.Millisecond)
@@ -113,7 +101,7 @@
 	f.awaitEvacuated(0)
 	assert.Assert(t, backend.Load().Waiting > 0)
 	f.evacuate("a", false)
-	assert.Equal(t, <-results, "200 OK", "expected a response of the upstream that is not evacuated, as the other one blocks")
+	assert.Equal(t, <-results, readResult{status: http.StatusOK}, "expected a response of the upstream that is not evacuated, as the other one blocks")
 	assert.Equal(t, backend.Load().Waiting, 0)
 	close(release)
 }
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -323,3 +323,29 @@
 	assert.NilError(f.t, err)
 	return resp.StatusCode, resp.Header, string(body)
 }
+
+// sendReads sends n reads to sidecar i at once. The channel gets the status and the reason
+// of each response, or the error.
+func (f *fleet) sendReads(i, n int) <-chan readResult {
+	results := make(chan readResult, n)
+	for range n {
+		req := f.request(i, http.MethodGet, "/read/x", "")
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				results <- readResult{err: err}
+				return
+			}
+			_ = resp.Body.Close()
+			results <- readResult{status: resp.StatusCode, reason: resp.Header.Get(proxy.HeaderReason)}
+		}()
+	}
+	return results
+}
+
+// readResult is how a request of sendReads ended.
+type readResult struct {
+	status int
+	reason string // proxy.HeaderReason
+	err    error
+}
--- a/internal/sidecar/shutdown_queue_test.go
+++ b/internal/sidecar/shutdown_queue_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/discovery"
-	"github.com/walldrift/walldrift/internal/proxy"
 )
 
 // Requests of another node that wait for a slot at the shutdown cut are refused as not
@@ -94,20 +93,7 @@
 		<-release
 		_, _ = io.WriteString(w, "ok")
 	})
-	const n = 20
-	reasons := make(chan string, n)
-	for range n {
-		req := f.request(0, "GET", "/read/x", "")
-		go func() {
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				reasons <- err.Error()
-				return
-			}
-			_ = resp.Body.Close()
-			reasons <- resp.Header.Get(proxy.HeaderReason)
-		}()
-	}
+	results := f.sendReads(0, 20)
 	backend := f.sidecars[0].backend
 	for backend.Load().Waiting == 0 {
 		time.Sleep(time.Millisecond)
@@ -115,6 +101,8 @@
 	f.store.change(func(u *discovery.Update) {
 		u.Upstreams[0].Leaving, u.Upstreams[0].Revision = true, u.Revision
 	})
-	assert.Equal(t, <-reasons, string(admission.ReasonDraining))
+	r := <-results
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.reason, string(admission.ReasonDraining))
 	close(release)
 }
