Convert lists of admin responses by one function

Explain and QuarantinedRequests differ in the conversion of one value only. go vet and staticcheck pass; the package has no tests, those of internal/sidecar cover both.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,15 +29,23 @@
 
 // Explain returns the explanations of candidates, in their order.
 func Explain(candidates []routing.Candidate) []Explanation {
-	out := make([]Explanation, len(candidates))
-	for i, c := range candidates {
-		out[i] = Explanation{
+	return convert(candidates, func(c routing.Candidate) Explanation {
+		return Explanation{
 			Upstream:   c.Upstream.Name,
 			DataCentre: c.Instance.DataCentre,
 			Excluded:   string(c.Excluded),
 			Weight:     c.Weight,
 			Cost:       c.Cost,
 		}
+	})
+}
+
+// convert returns the results of to for each of the values, in their order; an empty slice
+// rather than nil, which JSON would show as null.
+func convert[From, To any](values []From, to func(From) To) []To {
+	out := make([]To, len(values))
+	for i, v := range values {
+		out[i] = to(v)
 	}
 	return out
 }
--- a/internal/admin/quarantine.go
+++ b/internal/admin/quarantine.go
@@ -31,9 +31,8 @@
 
 // QuarantinedRequests returns the response of PathQuarantine.
 func QuarantinedRequests(requests []quarantine.QuarantinedRequest) []QuarantinedRequest {
-	out := make([]QuarantinedRequest, len(requests))
-	for i, r := range requests {
-		out[i] = QuarantinedRequest{
+	return convert(requests, func(r quarantine.QuarantinedRequest) QuarantinedRequest {
+		return QuarantinedRequest{
 			Fingerprint: r.Request.String(),
 			Service:     r.Service,
 			Crashes:     r.Crashes,
@@ -45,6 +44,5 @@
 			Target:      r.About.Target,
 			Tenant:      r.About.Tenant,
 		}
-	}
-	return out
+	})
 }
