Waits and run times go by the slowdown that an upstream reports

Some upstreams send a fourth figure in Dialect.Load: how long work takes at present, in percent of the usual. Nothing read it, so that the service time and the run times lagged by dozens of requests behind a machine that became slower or recovered.

The backend reads the header of each response that the expected instance made. Service time and run times are kept at usual speed and scaled by the reported slowdown, which loses its effect within a second. Waits, latest starts, refusals and the load report use the scaled figures; the load report has a further part, slowdown:PERCENT:AGE. Loads that can't be read change nothing and leave one line until one can be read again. Without a fourth figure all figures are as before (TestNoSlowdownReported, TestSlowdownOfResponses).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -90,7 +90,8 @@
 	ch <- v
 }
 
-// Release frees the slot of a started request that held it for the given time.
+// Release frees the slot of a started request that held it for the given time, at usual
+// speed (UsualTime).
 func (g *Gate) Release(held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -198,7 +199,7 @@
 // Forecast is the state of a gate and what the next request of a kind can expect.
 type Forecast struct {
 	Load
-	Service time.Duration // smoothed time that a request holds a slot
+	Service time.Duration // smoothed time that a request holds a slot at present
 	Wait    time.Duration // expected time until the request gets a slot
 	Cold    time.Duration // remaining time that the upstream is cold; 0 if it is warm or has no cold rate
 }
@@ -210,7 +211,7 @@
 	now := clock.Now()
 	return Forecast{
 		Load:    g.queue.Load(),
-		Service: g.queue.ServiceTime(),
+		Service: g.queue.presentServiceTime(now),
 		Wait:    g.queue.Wait(now, kind, weight),
 		Cold:    g.queue.Cold(now),
 	}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -98,7 +98,8 @@
 	kinds         []*kindQueue // with waiting requests, or idle and kept
 	pass          float64      // pass of the kind that was served last
 	serviceTimeAt time.Time    // last update of serviceTime
-	serviceTime   float64      // smoothed, in seconds; 0 before the first sample
+	serviceTime   float64      // smoothed, at usual speed, in seconds; 0 before the first sample
+	slowdown      Slowdown
 	limit         startLimit
 }
 
@@ -136,7 +137,7 @@
 		for _, tn := range k.tenants {
 			position := 1
 			for _, t := range tn.tickets {
-				latest := q.LatestStart(t)
+				latest := q.latestStart(now, t)
 				if !latest.IsZero() && now.Add(q.limit.wait(now, position)).After(latest) {
 					late = append(late, t)
 					continue
@@ -170,7 +171,8 @@
 // Load returns the present state of the queue.
 func (q *Queue) Load() Load { return Load{InUse: q.inUse, Slots: q.cfg.Slots, Waiting: q.waiting} }
 
-// ServiceTime returns the smoothed time that a request holds a slot; 0 if unknown.
+// ServiceTime returns the smoothed time that a request holds a slot while the upstream has
+// its usual speed; 0 if unknown.
 func (q *Queue) ServiceTime() time.Duration {
 	return time.Duration(q.serviceTime * float64(time.Second))
 }
@@ -214,8 +216,8 @@
 	return ReasonTooLate
 }
 
-// Release frees the slot of a request that held it for the given time. It returns the
-// requests to start now and those to refuse as too late.
+// Release frees the slot of a request that held it for the given time, at usual speed
+// (UsualTime). It returns the requests to start now and those to refuse as too late.
 func (q *Queue) Release(now time.Time, held time.Duration) (start, late []*Ticket) {
 	q.inUse--
 	q.observeServiceTime(now, held)
@@ -249,13 +251,22 @@
 }
 
 // LatestStart returns the time after which a waiting request is refused: when it can no
-// longer finish before its deadline, by the measured service time, or when Latest has
-// passed. Zero means never.
-func (q *Queue) LatestStart(t *Ticket) time.Time {
+// longer finish before its deadline, by the measured service time at usual speed, or when
+// Latest has passed. Zero means never.
+func (q *Queue) LatestStart(t *Ticket) time.Time { return t.latestStart(q.ServiceTime()) }
+
+// latestStart is LatestStart at the present speed of the upstream.
+func (q *Queue) latestStart(now time.Time, t *Ticket) time.Time {
+	return t.latestStart(q.presentServiceTime(now))
+}
+
+// latestStart returns the latest start of a request that will hold a slot for the given
+// time.
+func (t *Ticket) latestStart(service time.Duration) time.Time {
 	if t.Deadline.IsZero() {
 		return t.Latest
 	}
-	latest := t.Deadline.Add(-q.ServiceTime())
+	latest := t.Deadline.Add(-service)
 	if !t.Latest.IsZero() && t.Latest.Before(latest) {
 		return t.Latest
 	}
@@ -288,7 +299,7 @@
 	if q.cfg.Slots <= 0 {
 		return maxRetryAfter
 	}
-	seconds := float64(n) * q.serviceTime / float64(q.cfg.Slots)
+	seconds := float64(n) * q.serviceTime * q.slowdown.Factor(now) / float64(q.cfg.Slots)
 	return max(time.Duration(seconds*float64(time.Second)), q.limit.wait(now, n))
 }
 
@@ -298,7 +309,7 @@
 const limitTimerSlack = 10 * time.Millisecond
 
 func (q *Queue) tooLate(now time.Time, t *Ticket) bool {
-	latest := q.LatestStart(t)
+	latest := q.latestStart(now, t)
 	if latest.IsZero() {
 		return false
 	}
@@ -312,7 +323,7 @@
 
 // expired reports whether a request is past its latest start.
 func (q *Queue) expired(now time.Time, t *Ticket) bool {
-	latest := q.LatestStart(t)
+	latest := q.latestStart(now, t)
 	return !latest.IsZero() && now.After(latest)
 }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -42,6 +42,10 @@
 	// OnInvalidLimit is called with a limit that a response advertises and that is no
 	// number of at least 0; it has no effect. Default nil: not called.
 	OnInvalidLimit func(text string)
+	// OnInvalidLoad is called with the first load of an upstream that can't be read, and
+	// again after one could be read in between; it has no effect. The text is empty if the
+	// slowdown is missing that earlier responses had. Default nil: not called.
+	OnInvalidLoad func(text string)
 	// OnLeaving is called when an instance of the upstream first says that it leaves.
 	// Default nil: not called.
 	OnLeaving func(instance string)
@@ -94,6 +98,7 @@
 	sendLimiter      *transferLimiter                // nil if long responses are not limited
 	sendBuffered     atomic.Int64                    // bytes of responses that wait to be sent
 	lifetime         atomic.Pointer[processLifetime] // of the upstream's current process
+	invalidLoad      atomic.Bool                     // the last load of the upstream could not be read
 	detector         *crashDetector
 
 	mu            sync.Mutex // guards the fields below
@@ -156,6 +161,9 @@
 	if cfg.OnInvalidLimit == nil {
 		b.cfg.OnInvalidLimit = func(string) {}
 	}
+	if cfg.OnInvalidLoad == nil {
+		b.cfg.OnInvalidLoad = func(string) {}
+	}
 	if cfg.OnLimit == nil {
 		b.cfg.OnLimit = func(admission.AdvertisedLimit) {}
 	}
@@ -327,6 +335,7 @@
 		report = append(report, "/"+loadLeaving...)
 	}
 	report = b.appendLimit(report, env)
+	report = b.appendSlowdown(report)
 	if forecast.Cold > 0 {
 		report = strconv.AppendInt(append(report, "/"+loadColdPrefix...), forecast.Cold.Milliseconds()+1, 10)
 	}
@@ -337,11 +346,11 @@
 }
 
 // runTimeQuantile returns the time within which the given share of the requests of a
-// kind run; 0 if unknown.
+// kind run at the present speed of the upstream; 0 if unknown.
 func (b *Backend) runTimeQuantile(kind string, share float64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.runTimes.Quantile(kind, share)
+	return b.gate.Slowdown().Scale(clock.Now(), b.runTimes.Quantile(kind, share))
 }
 
 // maxWait returns how long a request may wait for a slot; false if its wait is not
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -21,7 +21,9 @@
 	key       ledger.Key
 	keyed     bool
 	startedAt time.Time // when the slot was acquired
-	sentAt    time.Time // when the request was sent to the upstream
+	// slowdownAtStart is the factor by which work took longer then.
+	slowdownAtStart float64
+	sentAt          time.Time // when the request was sent to the upstream
 	// limitReport is what the response advertises; zero before it arrived.
 	limitReport limitReport
 	released    bool // the slot was released
@@ -106,6 +108,7 @@
 		return admissionProblem(v)
 	}
 	c.startedAt = clock.Now()
+	c.slowdownAtStart = b.gate.Slowdown().Factor(c.startedAt)
 	// The process may have been paused between the grant of the slot and now, and the
 	// sender may have disconnected meanwhile.
 	if !c.startedAt.Before(c.start.Add(c.env.Timeout)) || http1.CallerDisconnected(ctx) {
@@ -154,7 +157,8 @@
 		c.b.cfg.Quarantine.Answered(c.env.Fingerprint, c.env.Service)
 		c.observeUnlimited()
 	}
-	held := clock.Since(c.startedAt)
+	now := clock.Now()
+	held := admission.UsualTime(now.Sub(c.startedAt), c.slowdownAtStart, c.b.gate.Slowdown().Factor(now))
 	c.b.mu.Lock()
 	c.b.limits.Done()
 	if complete {
--- a/internal/proxy/dialect.go
+++ b/internal/proxy/dialect.go
@@ -32,7 +32,8 @@
 	Customer string
 	// NotExecuted in an upstream's response says that the request did not run.
 	NotExecuted string
-	// Load in an upstream's response is "running,waiting,slots".
+	// Load in an upstream's response is "running,waiting,slots". A fourth figure, if there is
+	// one, is how long work takes at present, in percent of the usual.
 	Load string
 	// RateLimit in an upstream's response is the number of requests per second, a decimal
 	// number of at least 0, that it takes from all nodes together. A response without it
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -57,6 +57,7 @@
 	stripOwn(resp.Header)
 	stripHop(resp.Header)
 	c.observeLimit(resp)
+	c.observeLoad(resp)
 	c.observeLeaving(resp)
 	if problem := c.responseProblem(resp); problem != nil {
 		discardResponse(resp)
--- a/internal/proxy/restart.go
+++ b/internal/proxy/restart.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
@@ -30,6 +31,7 @@
 	b.deniedTarget.Store(nil)
 	b.leavingInstance.Store(nil)
 	b.forgetLimit("")
+	b.gate.SetSlowdown(admission.Slowdown{})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runTimes, b.responseSizes = overload.NewRunTimes(), overload.NewResponseSizes()
@@ -42,6 +44,7 @@
 func (b *Backend) UpstreamReplaced(instance string) {
 	b.detector.recordCrash()
 	b.forgetLimit(instance)
+	b.gate.SetSlowdown(admission.Slowdown{})
 	if !b.isLeaving(instance) {
 		b.leavingInstance.Store(nil)
 	}
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -168,9 +168,10 @@
 // format is "in use/slots/waiting/service time/expected wait", times in microseconds,
 // followed by "/draining" if the node accepts no more requests, "/leaving" if the
 // upstream has said that it leaves, "/cold:" with the
-// milliseconds for which the upstream stays cold, and "/limit:" with the requests per
-// second that it takes, or "-" if the limit that the sender knows has ended. Unknown
-// further parts are ignored.
+// milliseconds for which the upstream stays cold, "/limit:" with the requests per
+// second that it takes, or "-" if the limit that the sender knows has ended, and
+// "/slowdown:" with the percentage and the age of the slowdown that the upstream has
+// reported. Unknown further parts are ignored.
 func readLoadReport(h http.Header) *routing.LoadReport {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var numbers [5]int
@@ -209,6 +210,9 @@
 				report.Limit = &limit
 			}
 		}
+		if text, ok := strings.CutPrefix(extra, loadSlowdownPrefix); ok {
+			report.Slowdown = parseSlowdown(clock.Now(), text)
+		}
 	}
 	return report
 }
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -95,6 +95,9 @@
 	Cold time.Duration
 	// Limit is the limit that the upstream advertises; nil if nothing new is known of it.
 	Limit *admission.AdvertisedLimit
+	// Slowdown is the slowdown that the upstream has reported; Service and Runs are scaled
+	// by it.
+	Slowdown admission.Slowdown
 }
 
 // RunTimes holds quantiles of the run times of one request kind at an upstream; 0 if
--- a/internal/sidecar/advertised.go
+++ b/internal/sidecar/advertised.go
@@ -12,7 +12,7 @@
 	}
 }
 
-// maxLoggedLimit bounds the part of an invalid limit that a log line shows, in bytes.
+// maxLoggedLimit bounds the part of an invalid limit or load that a log line shows, in bytes.
 const maxLoggedLimit = 32
 
 // invalidLimit logs and counts a limit of the own upstream that has no meaning.
@@ -23,6 +23,14 @@
 	}
 }
 
+// invalidLoad logs and counts a load of the own upstream that has no meaning.
+func (s *Sidecar) invalidLoad(text string) {
+	s.metrics.Scope.Counter("upstream_loads_invalid").Inc(1)
+	if suppressed, ok := s.limitLines.allow(); ok {
+		s.log.Warn("load of the own upstream can't be read", "load", text[:min(len(text), maxLoggedLimit)], "suppressed", suppressed)
+	}
+}
+
 // leavingAnnounced logs and counts that the own upstream says in its responses that it
 // leaves.
 func (s *Sidecar) leavingAnnounced(instance string) {
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -113,6 +113,7 @@
 		OnConnect:           func(ok bool) { s.guard.onConnect(ok) },
 		OnLimit:             s.limitAdvertised,
 		OnInvalidLimit:      s.invalidLimit,
+		OnInvalidLoad:       s.invalidLoad,
 		OnLeaving:           s.leavingAnnounced,
 		RefusesConnections:  func() bool { return connectionRefused(s.cfg.Upstream.String()) },
 		OnCrash:             s.upstreamCrashed,
