Nodes pass recent loads of uneven upstreams on with responses

A node sends an upstream about one request a second, so its load reports are older than the periods in which a machine is slow.

Responses between nodes carry up to four recent loads of other upstreams of the service in Walldrift-Peer-Loads, at most 256 bytes and 0.5 s old. A node accepts one that is about a listed process, newer than what it knows and no older than a second, and uses it like an own report; exclusions, failures and cold or draining states go by own requests only. It is forgotten after a second. All of it applies only to services whose upstreams report slowdowns.

For these, the reported load approaches the mean of the service with its age, the wait for a slot counts double, and three upstreams drawn at random are compared, as in large services, since nodes with the same reports choose the same upstream otherwise. Without slowdowns choices are as before (TestNoPeerLoadsWithoutSlowdowns).

--- a/internal/admission/slowdown.go
+++ b/internal/admission/slowdown.go
@@ -64,6 +64,9 @@
 	return q.removeHopeless(now)
 }
 
+// Slowdown returns the slowdown that the upstream has reported.
+func (q *Queue) Slowdown() Slowdown { return q.slowdown }
+
 // presentServiceTime returns ServiceTime at the present speed of the upstream.
 func (q *Queue) presentServiceTime(now time.Time) time.Duration {
 	return q.slowdown.Scale(now, q.ServiceTime())
@@ -84,5 +87,5 @@
 func (g *Gate) Slowdown() Slowdown {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.slowdown
+	return g.queue.Slowdown()
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -56,6 +56,9 @@
 	// OnCrash is called when the upstream crashes with requests in flight, and again
 	// when more requests turn out to have been affected. Default nil: not called.
 	OnCrash func(Crash)
+	// PeerLoads returns the peer load reports that a response of the named upstream to
+	// another node carries, or an empty string. Default nil: responses carry none.
+	PeerLoads func(service, upstream string) string
 	// Quarantine refuses requests that crash upstreams. Default: no request is refused.
 	Quarantine Quarantine
 	// ResponseBufferLimit: see FrontendConfig.ResponseBufferLimit.
@@ -296,6 +299,9 @@
 		b.inflight.Add(-1)
 		resp = b.refuse(req, env, problem)
 	}
+	if remote {
+		b.setPeerLoads(resp.Header, env)
+	}
 	resp.Header.Set(headerHeld, strconv.FormatInt(clock.Since(call.start).Microseconds(), 10))
 	return resp
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -51,6 +51,8 @@
 	version          version.ID
 	// noWait makes the next try ask for a slot without waiting for one.
 	noWait bool
+	// chosenBy is the load report by which the upstream was chosen; see TryRecord.Load.
+	chosenBy string
 	// shutdown is the request's record during a shutdown of this node; nil if the node
 	// did not shut down when the request arrived.
 	shutdown *ShutdownRecord
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -32,6 +32,8 @@
 	reasons  *labelled[tally.Counter]
 	cuts     *labelled[tally.Counter]
 	refusals *labelled[tally.Counter]
+	// peerLoads counts the received peer load reports by what became of them.
+	peerLoads *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -55,10 +57,11 @@
 		tenants: newLabelled(func(l string) tally.Histogram {
 			return tagged("tenant", l).Histogram("tenant_request_seconds", latencyBuckets)
 		}),
-		classes:  newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
-		reasons:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
-		refusals: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
-		cuts:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
+		classes:   newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
+		reasons:   newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
+		refusals:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
+		cuts:      newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
+		peerLoads: newLabelled(func(l string) tally.Counter { return tagged("result", l).Counter("peer_loads") }),
 	}
 }
 
@@ -148,3 +151,11 @@
 func (m *Metrics) shutdownRequest(stage string, outcome ShutdownOutcome) {
 	m.scope.Tagged(map[string]string{"stage": stage, "fate": string(outcome)}).Counter("leaving_requests").Inc(1)
 }
+
+// peerLoadsReceived counts the peer load reports of one response: those that were accepted,
+// those that told nothing new, and those that can't be read.
+func (m *Metrics) peerLoadsReceived(accepted, ignored, malformed int) {
+	m.peerLoads.get("accepted").Inc(int64(accepted))
+	m.peerLoads.get("ignored").Inc(int64(ignored))
+	m.peerLoads.get("malformed").Inc(int64(malformed))
+}
--- a/internal/proxy/objective.go
+++ b/internal/proxy/objective.go
@@ -44,6 +44,7 @@
 
 // applyCandidate sets the request's objective state and weight for the chosen upstream.
 func (ex *exchange) applyCandidate(c routing.Candidate) {
+	ex.chosenBy = formatReport(c.Report)
 	ex.env.KindWeight = ex.route.KindWeight * overload.Weight(ex.priority, ex.route.Objective, c.Late)
 	if !ex.objectiveDeadline.IsZero() {
 		ex.env.Objective = &ObjectiveState{Left: c.TimeLeft, Late: c.Late}
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -47,7 +47,10 @@
 	Class    retry.Class
 	Status   int
 	Reason   string
-	// Load is the admitting node's load report, which starts with in use/slots/waiting.
+	// Load is the admitting node's load report, which starts with in use/slots/waiting. If
+	// the upstream was chosen by a report of its load, "/chosen:own:" or "/chosen:peer:"
+	// with the age of that in milliseconds follows, for services whose upstreams report
+	// slowdowns.
 	Load string
 }
 
@@ -70,7 +73,7 @@
 		Class:    class,
 		Status:   resp.StatusCode,
 		Reason:   resp.Header.Get(HeaderReason),
-		Load:     resp.Header.Get(headerLoad),
+		Load:     resp.Header.Get(headerLoad) + ex.chosenBy,
 	})
 }
 
--- a/internal/proxy/slowdown.go
+++ b/internal/proxy/slowdown.go
@@ -85,8 +85,12 @@
 	return appendSlowdown(append(report, "/"+loadSlowdownPrefix...), clock.Now(), s, ':')
 }
 
-// appendSlowdown appends the percentage and the age in milliseconds of a slowdown.
+// appendSlowdown appends the percentage and the age in milliseconds of a slowdown; zeros if
+// there is none.
 func appendSlowdown(to []byte, now time.Time, s admission.Slowdown, separator byte) []byte {
+	if !s.Reported() {
+		return append(to, '0', separator, '0')
+	}
 	to = strconv.AppendInt(to, int64(max(s.Percent, 1)), 10)
 	return strconv.AppendInt(append(to, separator), max(now.Sub(s.At), 0).Milliseconds(), 10)
 }
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -38,6 +38,7 @@
 	load := readLoadReport(resp.Header)
 	ex.f.recordLeaving(target, load)
 	networkTime := readNetworkTime(resp.Header, clock.Since(sent))
+	ex.f.acceptPeerLoads(ex.service.Name, networkTime, resp.Header)
 	if class != retry.Answered {
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
 		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), OverLimit: resp.Header.Get(HeaderReason) == string(admission.ReasonAdvertisedLimit), Load: load, Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -35,6 +35,8 @@
 	// Trial reports whether the last load report of the upstream is too old or missing,
 	// so that it is due for a request that brings a new one.
 	Trial bool
+	// Report is the load report behind Cost.
+	Report ReportUsed
 }
 
 // Request holds the properties of a request that the choice depends on.
@@ -49,6 +51,8 @@
 	// CallerRetry reports whether the request was refused before and the caller has sent
 	// it again.
 	CallerRetry bool
+
+	uneven *unevenService // of Service; nil if its upstreams report no slowdowns
 }
 
 // Exclusion is the reason why an upstream gets no requests now; empty if it may get them.
@@ -85,16 +89,18 @@
 	}
 	c.Instance = m.Instance
 	s := r.stateOf(now, m)
+	s.forgetOldPeerLoad(now)
 	c.Weight = u.Weight * s.slowStartFactor(r.cfg, now) * r.localityFactor(m.Instance)
 	slots := float64(max(u.Concurrency, s.load.Slots, 1))
-	c.Cost = (s.estimatedRequests(r.cfg, now) + 1) / slots
+	c.Cost = (r.expectedRequests(now, s, req.uneven, slots) + 1) / slots
 	if r.cfg.ByExpectedTime {
 		c.applyObjective(now, s, req, slots)
 		c.Wait = s.expectedWait(now, overload.QueueKind(req.Kind, c.Late))
 		wait := max(c.Wait.Seconds(), s.limit.expectedSeconds(now, r.cfg.LoadReportLifetime))
-		c.Cost = r.expectedSeconds(s, c.Cost, slots, wait, m.Instance) + s.expectedNetworkTime(now)
+		c.Cost = r.expectedSeconds(now, s, req, c.Cost, slots, wait, m.Instance) + s.expectedNetworkTime(now)
 		c.Trial = s.dueForTrial(now)
 	}
+	c.Report = s.reportUsed(now, req.uneven)
 	c.Excluded = r.exclusion(now, u, m, s, req)
 }
 
@@ -108,20 +114,17 @@
 	runs := s.recentRunTimes(now, req.Kind)
 	c.TimeLeft = req.ObjectiveDeadline.Sub(now) - time.Duration(s.expectedNetworkTime(now)*float64(time.Second))
 	c.Late = overload.Late(req.CallerRetry, c.TimeLeft, runs.Typical)
-	slotEvery := time.Duration(float64(s.load.Service) / slots)
+	slotEvery := time.Duration(float64(s.slowdown.Scale(now, s.load.Service)) / slots)
 	c.MaxWait = max(overload.MaxWait(c.TimeLeft, runs.Safe, slotEvery, c.Late), time.Millisecond)
 }
 
 // expectedSeconds estimates how long a request takes at an upstream: its service time,
 // which grows as the slots fill up, the wait for a slot, and the retries after failures.
 // utilisation is the number of requests per slot, wait the expected wait in seconds.
-func (r *Router) expectedSeconds(s *upstreamState, utilisation, slots, wait float64, in membership.Instance) float64 {
-	service := s.load.Service.Seconds()
-	if service == 0 {
-		service = r.typicalServiceTime(in.Service)
-	}
+func (r *Router) expectedSeconds(now time.Time, s *upstreamState, req Request, utilisation, slots, wait float64, in membership.Instance) float64 {
+	service := r.serviceTime(now, s, in)
 	busy := min(utilisation, 1)
-	queued := max(service*max(0, utilisation*slots-slots)/slots, wait)
+	queued := req.uneven.queueCost() * max(service*max(0, utilisation*slots-slots)/slots, wait)
 	seconds := service*(1+busy*busy) + queued
 	if in.DataCentre != r.self.DataCentre {
 		// The extra cost shrinks as slots fill up, so that only the expected wait decides
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -33,6 +33,7 @@
 // It returns false if no upstream may be used; Wait of the candidate is then the time
 // until a cold upstream may get a request, 0 if none is cold.
 func (r *Router) Pick(now time.Time, rnd *rand.Rand, req Request, members Members) (Candidate, bool) {
+	req.uneven = r.uneven(now, req.Service.Name)
 	r.scratch = r.sampleCandidates(r.scratch[:0], now, rnd, req, members)
 	all := r.scratch
 	total := 0.0
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -27,15 +27,18 @@
 	serviceTimes map[string]float64
 	fastest      map[string]fastUpstreams // by service, of the own data centre only
 	leaving      map[string]announcedLeaving
+	// unevenServices holds the services whose upstreams report slowdowns, by name.
+	unevenServices map[string]*unevenService
 }
 
 // NewRouter returns a router for the instance self that has observed nothing yet.
 func NewRouter(cfg Config, self membership.Instance) *Router {
-	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choices: make(map[string]*decay.Rate), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving)}
+	return &Router{cfg: cfg, self: self, upstreams: make(map[string]*upstreamState), choices: make(map[string]*decay.Rate), serviceTimes: make(map[string]float64), fastest: make(map[string]fastUpstreams), leaving: make(map[string]announcedLeaving), unevenServices: make(map[string]*unevenService)}
 }
 
 // Candidates returns every upstream of the service with its exclusion, if it has one.
 func (r *Router) Candidates(now time.Time, req Request, members Members) []Candidate {
+	req.uneven = r.uneven(now, req.Service.Name)
 	return r.appendCandidates(make([]Candidate, 0, len(req.Service.Upstreams)), now, req, members)
 }
 
@@ -57,7 +60,7 @@
 	if ok && s.generation >= m.Generation {
 		return s
 	}
-	next := &upstreamState{service: m.Service, sameDataCentre: m.DataCentre == r.self.DataCentre, generation: m.Generation, waitingSince: now, slowStartAt: r.slowStartTime(now, m, ok)}
+	next := &upstreamState{name: m.Name, service: m.Service, sameDataCentre: m.DataCentre == r.self.DataCentre, generation: m.Generation, waitingSince: now, slowStartAt: r.slowStartTime(now, m, ok)}
 	r.upstreams[m.Name] = next
 	return next
 }
@@ -91,6 +94,7 @@
 		s.waitingSince = now
 	}
 	s.inFlight++
+	s.recordStart(now)
 	s.allowance.spend()
 	s.limit.start(now)
 }
@@ -144,9 +148,12 @@
 		s.waitingSince = now
 	}
 	if o.Load != nil {
+		report := o.Load.atUsualSpeed(now)
+		o.Load = &report
 		r.observeServiceTime(s.service, o.Load.Service)
 		r.updateFastest(s, name, o)
-		s.load, s.loadAt, s.inFlightAtLoad = *o.Load, now, s.inFlight
+		s.load, s.loadAt, s.reportedAt, s.inFlightAtLoad = *o.Load, now, now, s.inFlight
+		r.observeUneven(now, s)
 		s.limit.observe(now, rnd, o.Load, o.OverLimit)
 		s.recordWait(now, overload.QueueKind(o.Kind, o.Late), o.Load.Wait)
 		s.recordRunTimes(now, o.Kind, o.Load.Runs)
@@ -163,6 +170,7 @@
 // to them are in flight.
 func (r *Router) Prune(now time.Time, keep func(name string) bool) {
 	r.pruneLeaving(now, keep)
+	r.pruneUneven(now)
 	for name, s := range r.upstreams {
 		if s.inFlight == 0 && !keep(name) {
 			delete(r.upstreams, name)
--- a/internal/routing/sample.go
+++ b/internal/routing/sample.go
@@ -36,6 +36,9 @@
 // longer than the rest of the request handling.
 func (r *Router) sampleCandidates(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members) []Candidate {
 	perSecond := r.countChoice(now, req.Service.Name)
+	if r.drawsUneven(req) {
+		return r.drawUneven(out, now, rnd, req, members)
+	}
 	if !r.cfg.ByExpectedTime || req.Pinned != "" || r.comparesAll(len(req.Service.Upstreams), perSecond) {
 		return r.appendCandidates(out, now, req, members)
 	}
--- /dev/null
+++ b/internal/routing/uneven_sample.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// drawUneven draws candidates at random from a service whose upstreams report slowdowns,
+// and appends them to out, which must be empty, until sampleSize of them are usable. An
+// upstream is drawn in proportion to its slow-start and locality factors. If a request
+// would miss its objective deadline at all of them, all upstreams are compared.
+//
+// Many nodes have the same recent reports of these upstreams. If they compared all, they
+// would choose the same upstream until a later report shows that it is full.
+func (r *Router) drawUneven(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members) []Candidate {
+	all := req.Service.Upstreams
+	usable := 0
+	for draws := 0; draws < sampleSize*drawsPerSample && usable < sampleSize; draws++ {
+		u := all[rnd.IntN(len(all))]
+		if alreadyDrawn(out, u) {
+			continue
+		}
+		out = append(out, Candidate{Upstream: u})
+		c := &out[len(out)-1]
+		r.evaluate(c, now, req, members)
+		switch {
+		case !c.usable():
+		case rnd.Float64()*u.Weight < c.Weight:
+			usable++
+		default:
+			out = out[:len(out)-1]
+		}
+	}
+	r.applyPanicThreshold(out)
+	if !anyInTime(out) {
+		return r.appendCandidates(out[:0], now, req, members)
+	}
+	return out
+}
+
+// drawsUneven reports whether the candidates of a choice are drawn by drawUneven.
+func (r *Router) drawsUneven(req Request) bool {
+	n := len(req.Service.Upstreams)
+	return req.uneven != nil && r.cfg.ByExpectedTime && req.Pinned == "" && n > sampleSize && n <= maxCompareAll
+}
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -109,15 +109,23 @@
 
 // upstreamState is what this node has observed of one upstream.
 type upstreamState struct {
-	service            string
-	sameDataCentre     bool // in the same data centre as this node
-	generation         uint64
-	slowStartAt        time.Time
-	inFlight           int
-	waitingSince       time.Time // last response or, if later, when requests began to be in flight
+	name           string
+	service        string
+	sameDataCentre bool // in the same data centre as this node
+	generation     uint64
+	slowStartAt    time.Time
+	inFlight       int
+	waitingSince   time.Time // last response or, if later, when requests began to be in flight
+	// load is the last load report, at usual speed. InUse, Slots, Waiting and Service are
+	// those of a peer load report if that is newer.
 	load               LoadReport
-	loadAt             time.Time
-	inFlightAtLoad     int // own requests in flight when the load report arrived
+	loadAt             time.Time // when the last own load report arrived
+	own                ownFigures
+	reportedAt         time.Time // when the load of the last own or peer load report was reported
+	inFlightAtLoad     int       // own requests in flight that the load includes
+	slowdown           admission.Slowdown
+	starts             [maxStarts]time.Time // of the last own requests
+	nextStart          int
 	waits              map[string]waitReport
 	runTimes           map[string]runTimesReport
 	failureRate        float64
@@ -164,10 +172,10 @@
 // report, which give way to this node's own requests in flight as the report ages.
 func (s *upstreamState) estimatedRequests(cfg Config, now time.Time) float64 {
 	own := float64(s.inFlight)
-	if s.loadAt.IsZero() {
+	if s.reportedAt.IsZero() {
 		return own
 	}
-	trust := decay.Factor(now.Sub(s.loadAt), cfg.LoadReportLifetime)
+	trust := decay.Factor(now.Sub(s.reportedAt), cfg.LoadReportLifetime)
 	reported := float64(s.load.InUse + s.load.Waiting + s.inFlight - s.inFlightAtLoad)
 	return max(own, trust*reported+(1-trust)*own)
 }
@@ -202,7 +210,7 @@
 	return wait
 }
 
-// runTimesReport holds the reported run times of one request kind.
+// runTimesReport holds the reported run times of one request kind, at usual speed.
 type runTimesReport struct {
 	RunTimes
 	at time.Time
@@ -230,7 +238,7 @@
 	if !ok || now.Sub(known.at) > runTimesTTL {
 		return RunTimes{}
 	}
-	return known.RunTimes
+	return RunTimes{Typical: s.slowdown.Scale(now, known.Typical), Safe: s.slowdown.Scale(now, known.Safe)}
 }
 
 // trialInterval is the number of service times after which an upstream that gets no
@@ -241,7 +249,7 @@
 // dueForTrial reports whether the last load report is so old that the upstream should get
 // a trial request.
 func (s *upstreamState) dueForTrial(now time.Time) bool {
-	return s.inFlight == 0 && (s.loadAt.IsZero() || now.Sub(s.loadAt) > trialInterval*s.load.Service)
+	return s.inFlight == 0 && (s.reportedAt.IsZero() || now.Sub(s.reportedAt) > trialInterval*s.load.Service)
 }
 
 // slowStartFactor returns the share of its weight that an instance gets, 0 to 1: less
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -117,6 +117,7 @@
 		OnLeaving:           s.leavingAnnounced,
 		RefusesConnections:  func() bool { return connectionRefused(s.cfg.Upstream.String()) },
 		OnCrash:             s.upstreamCrashed,
+		PeerLoads:           func(service, upstream string) string { return s.frontend.PeerLoads(service, upstream) },
 		Quarantine:          s.quarantined,
 		ResponseBufferLimit: responseBufferLimit,
 		MaxReceives:         maxReceives,
