--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -58,6 +58,8 @@
 	moves     int
 	movedFrom []string
 	reports   ReportAges
+	// chosenBy is the load report by which the upstream was chosen; see TryRecord.Load.
+	chosenBy string
 	// shutdown is the request's record during a shutdown of this node; nil if the node
 	// did not shut down when the request arrived.
 	shutdown *ShutdownRecord
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -36,6 +36,8 @@
 	linkRefusals *labelled[tally.Counter]
 	// ranked counts further tries at services that reject many requests, by rank.
 	ranked *labelled[tally.Counter]
+	// peerLoads counts the received peer load reports by what became of them.
+	peerLoads *labelled[tally.Counter]
 }
 
 // kindMetrics are the metrics of one kind of request.
@@ -65,6 +67,7 @@
 		linkRefusals: newLabelled(func(l string) tally.Counter { return tagged("cause", l).Counter("link_refusals") }),
 		cuts:         newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
 		ranked:       newLabelled(func(l string) tally.Counter { return tagged("rank", l).Counter("ranked_retries") }),
+		peerLoads:    newLabelled(func(l string) tally.Counter { return tagged("result", l).Counter("peer_loads") }),
 	}
 }
 
@@ -154,3 +157,11 @@
 func (m *Metrics) shutdownRequest(stage string, outcome ShutdownOutcome) {
 	m.scope.Tagged(map[string]string{"stage": stage, "fate": string(outcome)}).Counter("leaving_requests").Inc(1)
 }
+
+// peerLoadsReceived counts the peer load reports of one response: those that were accepted,
+// those that told nothing new, and those that can't be read.
+func (m *Metrics) peerLoadsReceived(accepted, ignored, malformed int) {
+	m.peerLoads.get("accepted").Inc(int64(accepted))
+	m.peerLoads.get("ignored").Inc(int64(ignored))
+	m.peerLoads.get("malformed").Inc(int64(malformed))
+}
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -175,11 +175,10 @@
 // readLoadReport parses the load report of an admitting node; nil if there is none. Its
 // format is "in use/slots/waiting/service time/expected wait", times in microseconds,
 // followed by "/draining" if the node accepts no more requests, "/leaving" if the
-// upstream has said that it leaves, "/cold:" with the
-// milliseconds for which the upstream stays cold, and "/limit:" with the requests per
-// second that it takes, or "-" if the limit that the sender knows has ended, and "/speed:"
-// with how long work takes at the upstream now, in percent of the usual. Unknown further
-// parts are ignored.
+// upstream has said that it leaves, "/cold:" with the milliseconds for which the upstream
+// stays cold, "/limit:" with the requests per second that it takes, or "-" if the limit
+// that the sender knows has ended, and "/slowdown:" with the percentage and the age of the
+// slowdown that the upstream has reported. Unknown further parts are ignored.
 func readLoadReport(h http.Header) *routing.LoadReport {
 	parts := strings.Split(h.Get(headerLoad), "/")
 	var numbers [5]int
@@ -213,16 +212,14 @@
 				report.Cold = time.Duration(v) * time.Millisecond
 			}
 		}
-		if percent, ok := strings.CutPrefix(extra, loadSpeedPrefix); ok {
-			if v, err := strconv.ParseInt(percent, 10, 32); err == nil && v > 0 {
-				report.Speed = int(v)
-			}
-		}
 		if rate, ok := strings.CutPrefix(extra, loadLimitPrefix); ok {
 			if limit, ok := parseLimit(rate); ok || rate == loadNoLimit {
 				report.Limit = &limit
 			}
 		}
+		if text, ok := strings.CutPrefix(extra, loadSlowdownPrefix); ok {
+			report.Slowdown = parseSlowdown(clock.Now(), text)
+		}
 	}
 	return report
 }
@@ -234,5 +231,4 @@
 	loadColdPrefix  = "cold:"
 	loadLimitPrefix = "limit:"
 	loadNoLimit     = "-"
-	loadSpeedPrefix = "speed:"
 )
--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -6,34 +6,11 @@
 	"github.com/walldrift/walldrift/internal/admission"
 )
 
-// speedReportLifetime is how long requests to a service may be moved after an upstream of
-// the service last reported its speed. A node that sends one request a second to a
-// service gets several reports in this time, so that moving doesn't stop and start with
-// single responses.
-const speedReportLifetime = 10 * time.Second
-
 // movesRequests reports whether requests that wait at an upstream of the service may be
-// moved to another one: only if its upstreams report their speed, as moving is needed
-// only where the speeds differ.
+// moved to another one: only if its upstreams report slowdowns, as moving is needed only
+// where the speeds differ.
 func (r *Router) movesRequests(now time.Time, service string) bool {
-	at, ok := r.speedReportedAt[service]
-	return ok && now.Sub(at) <= speedReportLifetime
-}
-
-// observeSpeedReport records that an upstream of the service has reported its speed.
-func (r *Router) observeSpeedReport(now time.Time, service string, load *LoadReport) {
-	if load.Speed > 0 {
-		r.speedReportedAt[service] = now
-	}
-}
-
-// pruneSpeedReports drops the services whose upstreams no longer report their speed.
-func (r *Router) pruneSpeedReports(now time.Time) {
-	for service := range r.speedReportedAt {
-		if !r.movesRequests(now, service) {
-			delete(r.speedReportedAt, service)
-		}
-	}
+	return r.uneven(now, service) != nil
 }
 
 // setSecond sets the cost and the report age of the second choice: the best candidate
@@ -82,6 +59,6 @@
 		return admission.WaitBound{}
 	}
 	roundTrip := max(c.RoundTrip, minMoveTime)
-	gain := min(max(c.SecondCost-(c.Cost-c.QueuedCost), 0), maxWorthwhileWait.Seconds())
+	gain := min(max(c.SecondCost-(c.Cost-c.QueuedCost), 0)/c.WaitCost, maxWorthwhileWait.Seconds())
 	return admission.WaitBound{Worthwhile: time.Duration(gain*float64(time.Second)) + roundTrip, RoundTrip: roundTrip}
 }
