Split the registry of upstreams and its tests' fleet

entry.go has one entry and what supersedes it, visible_upstreams.go which entries are visible and which have changed, registry.go what the store sends; test_node_test.go has one node of the test fleet. Tests of internal/discovery pass.

--- a/internal/discovery/registry.go
+++ b/internal/discovery/registry.go
@@ -1,9 +1,7 @@
 package discovery
 
 import (
-	"cmp"
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -34,46 +32,6 @@
 	tombstonesSince uint64
 }
 
-type entry struct {
-	Upstream
-	firstSeen  time.Time // when this process was first seen
-	receivedAt time.Time // when this version of the entry was received
-	// missingSince is the revision at which the entry vanished; zero if it is published.
-	// A missing entry is kept until expires or, if that is zero, until the removal is
-	// confirmed.
-	missingSince uint64
-	expires      time.Time
-	sequence     uint64 // of the last change
-}
-
-// supersededBy reports whether a version from a source that knows the store up to the
-// given revision replaces the entry: a later process, a later version, or the same
-// version that has gone missing or, if the source knows of the removal, is published
-// again.
-func (e entry) supersededBy(up Upstream, revision uint64) bool {
-	switch {
-	case e.StartedAtMs != 0 && up.StartedAtMs > e.StartedAtMs:
-		return true
-	case up.Revision != e.Revision:
-		// A version from before the removal was removed with it.
-		return up.Revision > max(e.Revision, e.missingSince)
-	case e.missingSince == 0:
-		return up.ExpiresIn > 0
-	}
-	return up.ExpiresIn == 0 && revision >= e.missingSince
-}
-
-// knownUpstream returns the published state of an entry. Its cold time counts from when
-// the entry was received. That is later than when it was published, so it errs towards
-// cold.
-func (e entry) knownUpstream() KnownUpstream {
-	k := KnownUpstream{Upstream: e.Upstream, FirstSeen: e.firstSeen}
-	if e.ColdFor > 0 {
-		k.ColdFrom, k.ColdUntil = e.receivedAt, e.receivedAt.Add(e.ColdFor)
-	}
-	return k
-}
-
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
@@ -196,123 +154,3 @@
 	r.revision = max(r.revision, u.Revision)
 	return changed
 }
-
-// KnownUpstream is an upstream with the time when its process was first seen.
-type KnownUpstream struct {
-	Upstream
-	FirstSeen time.Time
-	// ColdFrom and ColdUntil are the times between which it is published as cold; both
-	// zero if it is not.
-	ColdFrom, ColdUntil time.Time
-}
-
-// set adds or replaces an entry.
-func (r *Registry) set(e entry) {
-	old, ok := r.entries[e.ID]
-	if ok && old.Address != e.Address {
-		r.drop(e.ID)
-		ok = false
-	}
-	if !ok {
-		r.idsByAddress[e.Address] = append(r.idsByAddress[e.Address], e.ID)
-	}
-	r.entries[e.ID] = e
-	r.markDirty(e.Address)
-}
-
-// drop deletes an entry.
-func (r *Registry) drop(id string) {
-	old, ok := r.entries[id]
-	if !ok {
-		return
-	}
-	r.markDirty(old.Address)
-	delete(r.entries, id)
-	rest := slices.DeleteFunc(r.idsByAddress[old.Address], func(other string) bool { return other == id })
-	if r.idsByAddress[old.Address] = rest; len(rest) == 0 {
-		delete(r.idsByAddress, old.Address)
-	}
-}
-
-// dirtySet has entries that may have changed, and the addresses at which another entry
-// may be visible now.
-type dirtySet struct {
-	ids       map[string]bool
-	addresses map[netip.AddrPort]bool
-}
-
-func newDirtySet() dirtySet {
-	return dirtySet{ids: make(map[string]bool), addresses: make(map[netip.AddrPort]bool)}
-}
-
-// markDirty marks an address and all entries at it: a change of one decides which of them
-// is visible.
-func (r *Registry) markDirty(address netip.AddrPort) {
-	r.dirty.addresses[address] = true
-	for _, id := range r.idsByAddress[address] {
-		r.dirty.ids[id] = true
-	}
-}
-
-// takeDirty returns what may have changed since it was last called.
-func (r *Registry) takeDirty() dirtySet {
-	out := r.dirty
-	r.dirty = newDirtySet()
-	return out
-}
-
-// visibleAt returns the upstream of UpstreamsOf at an address; false if there is none.
-func (r *Registry) visibleAt(services map[string]bool, address netip.AddrPort) (KnownUpstream, bool) {
-	for _, id := range r.idsByAddress[address] {
-		if k, ok := r.visibleUpstream(services, id); ok {
-			return k, true
-		}
-	}
-	return KnownUpstream{}, false
-}
-
-// Upstreams returns the known upstreams, sorted by ID. Of two at one address only the one
-// published later is included: an address serves one process at a time, and the entry of
-// a process that ended without leaving stays for some seconds.
-func (r *Registry) Upstreams() []KnownUpstream { return r.UpstreamsOf(nil) }
-
-// UpstreamsOf is Upstreams for the services that the table names; nil for any. An entry
-// of another service does not hide an entry of these at the same address, since its
-// process may not be running there.
-func (r *Registry) UpstreamsOf(services map[string]bool) []KnownUpstream {
-	out := make([]KnownUpstream, 0, len(r.entries))
-	for id := range r.entries {
-		if k, ok := r.visibleUpstream(services, id); ok {
-			out = append(out, k)
-		}
-	}
-	slices.SortFunc(out, func(a, b KnownUpstream) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// visibleUpstream returns the upstream of UpstreamsOf with the given ID; false if it is
-// not included.
-func (r *Registry) visibleUpstream(services map[string]bool, id string) (KnownUpstream, bool) {
-	e, ok := r.entries[id]
-	if !ok {
-		return KnownUpstream{}, false
-	}
-	if e.Address.IsValid() {
-		for _, other := range r.idsByAddress[e.Address] {
-			if other != id && r.entries[other].winsAddress(e, services) {
-				return KnownUpstream{}, false
-			}
-		}
-	}
-	return e.knownUpstream(), true
-}
-
-// winsAddress reports whether e rather than other is visible at their common address.
-func (e entry) winsAddress(other entry, services map[string]bool) bool {
-	named := services == nil || services[e.Service]
-	otherNamed := services == nil || services[other.Service]
-	if named != otherNamed {
-		return named
-	}
-	return e.Revision > other.Revision || e.Revision == other.Revision && e.ID > other.ID
-}
