Cold upstreams are shared by the nodes that there are, not by published entries

After a power failure the entries of the ended processes are published beside those of their successors for some seconds. Nodes are counted by address now.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -98,7 +98,7 @@
 	if k.ColdFor > 0 {
 		m.ColdSince = k.FirstSeen
 	}
-	m.ColdRate = f.coldRatePerNode(k.Service, len(f.registry.entries))
+	m.ColdRate = f.coldRatePerNode(k.Service, f.registry.nodes())
 	m.Evacuated = evacuated[k.DataCentre]
 	if k.Leaving {
 		m.State, m.Status = membership.ListedLeaving, membership.Leaving
--- a/internal/discovery/visible_upstreams.go
+++ b/internal/discovery/visible_upstreams.go
@@ -34,6 +34,10 @@
 	}
 }
 
+// nodes returns the number of nodes: one is beside each address, also while the entry of
+// an ended process at that address is still published beside that of its successor.
+func (r *Registry) nodes() int { return len(r.idsByAddress) }
+
 // dirtySet has entries that may have changed, and the addresses at which another entry
 // may be visible now.
 type dirtySet struct {
