More uneven upstreams are compared while slots are free

A choice compared three upstreams of a service whose upstreams report slowdowns at any load. Far below capacity nodes that choose the same upstream do no harm, and comparing more finds a faster one.

The number is now 3 divided by the share of the slots in use, 3 to 6: the upstream that looks best to every node then gets no more than its slots and its queue hold.

--- a/internal/routing/peer_load_test.go
+++ b/internal/routing/peer_load_test.go
@@ -180,3 +180,10 @@
 		b.accept(loads...)
 	}), 0.0)
 }
+
+// More upstreams are compared while the service has free slots, within bounds.
+func TestSampleOfUnevenService(t *testing.T) {
+	for inUse, want := range map[float64]int{0: 2 * sampleSize, 0.35: 2 * sampleSize, 0.6: 5, 0.8: sampleSize, 1: sampleSize, 1.5: sampleSize} {
+		assert.Equal(t, (&unevenService{inUse: inUse}).sample(), want, "%v in use", inUse)
+	}
+}
--- a/internal/routing/uneven_sample.go
+++ b/internal/routing/uneven_sample.go
@@ -6,7 +6,7 @@
 )
 
 // drawUneven draws candidates at random from a service whose upstreams report slowdowns,
-// and appends them to out, which must be empty, until sampleSize of them are usable. An
+// and appends them to out, which must be empty, until enough of them are usable. An
 // upstream is drawn in proportion to its slow-start and locality factors. If a request
 // would miss its objective deadline at all of them, all upstreams are compared.
 //
@@ -14,8 +14,8 @@
 // would choose the same upstream until a later report shows that it is full.
 func (r *Router) drawUneven(out []Candidate, now time.Time, rnd *rand.Rand, req Request, members Members) []Candidate {
 	all := req.Service.Upstreams
-	usable := 0
-	for draws := 0; draws < sampleSize*drawsPerSample && usable < sampleSize; draws++ {
+	usable, wanted := 0, req.uneven.sample()
+	for draws := 0; draws < wanted*drawsPerSample && usable < wanted; draws++ {
 		u := all[rnd.IntN(len(all))]
 		if alreadyDrawn(out, u) {
 			continue
@@ -43,3 +43,17 @@
 	n := len(req.Service.Upstreams)
 	return req.uneven != nil && r.cfg.ByExpectedTime && req.Pinned == "" && n > sampleSize && n <= maxCompareAll
 }
+
+// maxUnevenSample bounds the number of upstreams that are compared, so that a choice takes
+// at most a few microseconds.
+const maxUnevenSample = 2 * sampleSize
+
+// sample returns the number of usable upstreams to compare. An upstream that looks best to
+// every node gets as many times the mean load. With all slots in use that is sampleSize,
+// which its slots and its queue can hold; with fewer in use, more are compared.
+func (u *unevenService) sample() int {
+	if u.inUse*maxUnevenSample <= sampleSize {
+		return maxUnevenSample
+	}
+	return max(int(sampleSize/u.inUse), sampleSize)
+}
