--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -57,11 +57,13 @@
 		tenants: newLabelled(func(l string) tally.Histogram {
 			return tagged("tenant", l).Histogram("tenant_request_seconds", latencyBuckets)
 		}),
-		classes:   newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
-		reasons:   newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
-		refusals:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
-		cuts:      newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
-		peerLoads: newLabelled(func(l string) tally.Counter { return tagged("result", l).Counter("peer_loads") }),
+		classes:  newLabelled(func(l string) tally.Counter { return tagged("class", l).Counter("tries_ended") }),
+		reasons:  newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("not_retried") }),
+		refusals: newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("upstream_refusals") }),
+		cuts:     newLabelled(func(l string) tally.Counter { return tagged("reason", l).Counter("answers_cut") }),
+		peerLoads: newLabelled(func(l string) tally.Counter {
+			return tagged("result", l).Counter("peer_loads")
+		}),
 	}
 }
 
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -109,23 +109,15 @@
 
 // upstreamState is what this node has observed of one upstream.
 type upstreamState struct {
-	name           string
-	service        string
-	sameDataCentre bool // in the same data centre as this node
-	generation     uint64
-	slowStartAt    time.Time
-	inFlight       int
-	waitingSince   time.Time // last response or, if later, when requests began to be in flight
-	// load is the last load report, at usual speed. InUse, Slots, Waiting and Service are
-	// those of a peer load report if that is newer.
+	service            string
+	sameDataCentre     bool // in the same data centre as this node
+	generation         uint64
+	slowStartAt        time.Time
+	inFlight           int
+	waitingSince       time.Time // last response or, if later, when requests began to be in flight
 	load               LoadReport
-	loadAt             time.Time // when the last own load report arrived
-	own                ownFigures
-	reportedAt         time.Time // when the load of the last own or peer load report was reported
-	inFlightAtLoad     int       // own requests in flight that the load includes
-	slowdown           admission.Slowdown
-	starts             [maxStarts]time.Time // of the last own requests
-	nextStart          int
+	loadAt             time.Time
+	inFlightAtLoad     int // own requests in flight that the load includes
 	waits              map[string]waitReport
 	runTimes           map[string]runTimesReport
 	failureRate        float64
@@ -138,6 +130,15 @@
 	networkTimeAt      time.Time
 	allowance          allowance
 	limit              limitState
+
+	name string
+	// load holds durations at usual speed, and the figures of a peer load report instead of
+	// own if that is newer. reportedAt is when these were reported.
+	own        ownFigures
+	reportedAt time.Time
+	slowdown   admission.Slowdown
+	starts     [maxStarts]time.Time // of the last own requests
+	nextStart  int
 }
 
 // Smoothing of the network time. A connection that fills up is noticed within two or
