The slowdown of a load report is taken at its arrival

A load report comes with the head of a response and is recorded at its end. The slowdown that scales its durations had faded by then if the response took long, so that they were taken for those of usual speed.

The report keeps the time of its arrival. go test of routing and proxy: ok.

--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -211,7 +211,8 @@
 			}
 		}
 		if text, ok := strings.CutPrefix(extra, loadSlowdownPrefix); ok {
-			report.Slowdown = parseSlowdown(clock.Now(), text)
+			report.ReadAt = clock.Now()
+			report.Slowdown = parseSlowdown(report.ReadAt, text)
 		}
 	}
 	return report
--- a/internal/routing/peer_load.go
+++ b/internal/routing/peer_load.go
@@ -233,6 +233,9 @@
 	if !l.Slowdown.Reported() {
 		return l
 	}
+	if !l.ReadAt.IsZero() {
+		now = l.ReadAt
+	}
 	factor := l.Slowdown.Factor(now)
 	l.Service = admission.UsualTime(l.Service, factor, factor)
 	l.Runs.Typical = admission.UsualTime(l.Runs.Typical, factor, factor)
--- a/internal/routing/peer_load_test.go
+++ b/internal/routing/peer_load_test.go
@@ -92,6 +92,16 @@
 	assert.Assert(t, s.reportedAt.IsZero() && s.load.Slots == 0, "the report is forgotten")
 }
 
+// The slowdown of a report that came long before the end of its response is that of its
+// arrival.
+func TestSlowdownAtArrivalOfReport(t *testing.T) {
+	at := epoch
+	l := LoadReport{Service: 250 * time.Millisecond, Runs: RunTimes{Safe: 500 * time.Millisecond}, Slowdown: admission.Slowdown{Percent: 250, At: at}, ReadAt: at}
+	usual := l.atUsualSpeed(at.Add(time.Second))
+	assert.Equal(t, usual.Service, 100*time.Millisecond)
+	assert.Equal(t, usual.Runs.Safe, 200*time.Millisecond)
+}
+
 // A peer load report does not bring back an upstream that the node's own requests have
 // shown to fail or to drain.
 func TestPeerLoadEndsNoExclusion(t *testing.T) {
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -98,6 +98,9 @@
 	// Slowdown is the slowdown that the upstream has reported; Service and Runs are scaled
 	// by it.
 	Slowdown admission.Slowdown
+	// ReadAt is when the report arrived, before the rest of its response; zero if that
+	// arrived with it.
+	ReadAt time.Time
 }
 
 // RunTimes holds quantiles of the run times of one request kind at an upstream; 0 if
