--- a/internal/routing/moves_load_test.go
+++ b/internal/routing/moves_load_test.go
@@ -15,9 +15,9 @@
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
-// unevenFleet is a service with free slots, of which one upstream at a time, in turn,
+// movingFleet is a service with free slots, of which one upstream at a time, in turn,
 // is slow for 600 ms.
-type unevenFleet struct {
+type movingFleet struct {
 	*testbed
 	moves   bool // the upstreams report their speed
 	mu      sync.Mutex
@@ -30,45 +30,45 @@
 }
 
 const (
-	unevenUpstreams = 6
-	unevenSlots     = 8
-	unevenNodes     = 20
-	unevenRunMean   = 25 * ms
-	unevenRunSpread = 0.5  // standard deviation of the logarithm
-	unevenLoad      = 0.75 // of the slots, while no upstream is slow
-	unevenObjective = 100 * ms
-	unevenOneWay    = ms / 2
+	movingUpstreams = 6
+	movingSlots     = 8
+	movingNodes     = 20
+	movingRunMean   = 25 * ms
+	movingRunSpread = 0.5  // standard deviation of the logarithm
+	movingLoad      = 0.75 // of the slots, while no upstream is slow
+	movingObjective = 100 * ms
+	movingOneWay    = ms / 2
 	slowness        = 2.5
 	slowFor         = 600 * ms
 	slowEvery       = time.Second
 )
 
-func newUnevenService(moves bool) *unevenFleet {
+func newMovingFleet(moves bool) *movingFleet {
 	cfg := DefaultConfig()
 	cfg.ByExpectedTime = true
-	s := &unevenFleet{testbed: newTestbedWith(cfg, unevenUpstreams), moves: moves, begin: time.Now()}
+	s := &movingFleet{testbed: newTestbedWith(cfg, movingUpstreams), moves: moves, begin: time.Now()}
 	for _, u := range s.service.Upstreams {
-		u.Concurrency = unevenSlots
+		u.Concurrency = movingSlots
 		m := s.members[u.Name]
 		m.Service = s.service.Name
 		s.members[u.Name] = m
-		s.gates = append(s.gates, admission.NewGate(admission.Config{Slots: unevenSlots, QueueLimit: 2 * unevenSlots}))
+		s.gates = append(s.gates, admission.NewGate(admission.Config{Slots: movingSlots, QueueLimit: 2 * movingSlots}))
 	}
-	for range unevenNodes {
+	for range movingNodes {
 		s.routers = append(s.routers, NewRouter(cfg, s.router.self))
 	}
 	return s
 }
 
-func (s *unevenFleet) slow(upstream int) bool {
+func (s *movingFleet) slow(upstream int) bool {
 	at := time.Since(s.begin)
-	return int(at/slowEvery)%unevenUpstreams == upstream && at%slowEvery < slowFor
+	return int(at/slowEvery)%movingUpstreams == upstream && at%slowEvery < slowFor
 }
 
 // send sends one request from a node until it is answered or refused.
-func (s *unevenFleet) send(node int) {
+func (s *movingFleet) send(node int) {
 	start := time.Now()
-	req := Request{Service: s.service, Kind: "k", ObjectiveDeadline: start.Add(unevenObjective)}
+	req := Request{Service: s.service, Kind: "k", ObjectiveDeadline: start.Add(movingObjective)}
 	atSlow := false
 	for {
 		s.mu.Lock()
@@ -83,7 +83,7 @@
 			atSlow = true
 			s.atSlow++
 		}
-		run := time.Duration(float64(unevenRunMean) * math.Exp(unevenRunSpread*s.rnd.NormFloat64()-unevenRunSpread*unevenRunSpread/2))
+		run := time.Duration(float64(movingRunMean) * math.Exp(movingRunSpread*s.rnd.NormFloat64()-movingRunSpread*movingRunSpread/2))
 		s.mu.Unlock()
 		reason := s.runAt(node, upstream, c, len(req.MovedFrom) < 2, run)
 		switch {
@@ -97,7 +97,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.moved += len(req.MovedFrom)
-		if atSlow && reason == admission.ReasonNone && time.Since(start) <= unevenObjective {
+		if atSlow && reason == admission.ReasonNone && time.Since(start) <= movingObjective {
 			s.inTime++
 		}
 		return
@@ -105,10 +105,10 @@
 }
 
 // runAt runs a request at an upstream and returns why it was refused, if it was.
-func (s *unevenFleet) runAt(node, upstream int, c Candidate, movable bool, run time.Duration) admission.Reason {
-	time.Sleep(unevenOneWay)
+func (s *movingFleet) runAt(node, upstream int, c Candidate, movable bool, run time.Duration) admission.Reason {
+	time.Sleep(movingOneWay)
 	g := s.gates[upstream]
-	ticket := &admission.Ticket{Kind: "k", Weight: 1, Latest: time.Now().Add(overload.MaxWait(c.TimeLeft, 2*unevenRunMean, g.SlotInterval(), false))}
+	ticket := &admission.Ticket{Kind: "k", Weight: 1, Latest: time.Now().Add(overload.MaxWait(c.TimeLeft, 2*movingRunMean, g.SlotInterval(), false))}
 	if movable {
 		ticket.Bound = WorthwhileWait(c)
 	}
@@ -125,10 +125,10 @@
 	if s.moves {
 		report.Slowdown = admission.Slowdown{Percent: 100, At: time.Now()}
 	}
-	time.Sleep(unevenOneWay)
+	time.Sleep(movingOneWay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.routers[node].End(time.Now(), s.rnd, c.Upstream.Name, Outcome{Load: report, Kind: "k", NetworkTime: 2 * unevenOneWay})
+	s.routers[node].End(time.Now(), s.rnd, c.Upstream.Name, Outcome{Load: report, Kind: "k", NetworkTime: 2 * movingOneWay})
 	return v.Reason
 }
 
@@ -139,13 +139,13 @@
 	missed := make(map[bool]float64)
 	for _, moves := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			s := newUnevenService(moves)
+			s := newMovingFleet(moves)
 			var requests sync.WaitGroup
 			offered := 0
 			for ; time.Since(s.begin) < 30*time.Second; offered++ {
 				s.mu.Lock()
-				gap := s.rnd.ExpFloat64() * float64(unevenRunMean) / (unevenUpstreams * unevenSlots * unevenLoad)
-				node := s.rnd.IntN(unevenNodes)
+				gap := s.rnd.ExpFloat64() * float64(movingRunMean) / (movingUpstreams * movingSlots * movingLoad)
+				node := s.rnd.IntN(movingNodes)
 				s.mu.Unlock()
 				time.Sleep(time.Duration(gap))
 				requests.Go(func() { s.send(node) })
