A node that got no head of a cut response may report that itself

Trace: status 502, reason connection-lost, 118 bytes: the connection was reset before the head had been read, so the node answers that the outcome is unknown, which promises nothing and looks like no response of the upstream. The check took any readable response for a whole one. Every other status and outcome still fails it.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -210,7 +210,10 @@
 	for _, path := range []string{"/look/length", "/look/chunked"} {
 		for _, n := range []string{"look-1", "pay-1", "pay-2"} {
 			r := send(t, f, n, "GET", path, nil, nil)
-			assert.Assert(t, r.err != nil, "%s through %s looks complete: status %d, reason %q, %d bytes", path, n, r.status, r.header.Get(proxy.HeaderReason), len(r.body))
+			// The connection may be reset before the head has been read. The node then has
+			// nothing to forward and reports the failure itself.
+			reported := r.status == http.StatusBadGateway && r.header.Get(proxy.HeaderOutcome) == string(proxy.OutcomeUnknown)
+			assert.Assert(t, r.err != nil || reported, "%s through %s looks complete: status %d, reason %q, %d bytes", path, n, r.status, r.header.Get(proxy.HeaderReason), len(r.body))
 		}
 	}
 }
