Stalled sources free the link, and empty writes show nothing

A transfer that had been granted a chunk counted among the three in progress until its source delivered, so three upstreams that stopped amid a streamed response stopped all long responses until their deadlines. It now counts as stalled after the same time as a reader that does not read. A chunk for which the source delivered nothing counted as a write that the link carried in time.

internal/link: TestStalledSourcesFreeTheLink and TestEmptyWriteShowsNothing fail before and pass now; all tests of the package pass.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -83,6 +83,40 @@
 	assert.Equal(t, l.Rate(start.Add(stallTime)), l.rate.nominal)
 }
 
+// Sources that deliver nothing must not stop the link either: a transfer that has been
+// granted a chunk and does not write it holds its place only until it is stalled.
+func TestStalledSourcesFreeTheLink(t *testing.T) {
+	l := New(16)
+	for range maxActive {
+		l.Await(l.Begin("a", l.Commit(testSize)))
+	}
+	other := l.Begin("b", l.Commit(testSize))
+	l.Await(other)
+	for range maxActive {
+		got, _ := l.Next(start)
+		assert.Assert(t, got != nil && got != other)
+	}
+	got, again := l.Next(start)
+	assert.Assert(t, got == nil)
+	assert.Equal(t, again, stallTime)
+	got, _ = l.Next(start.Add(stallTime))
+	assert.Assert(t, got == other)
+}
+
+// A source that fails delivers no bytes. The write that is left out must not count as one
+// that the link carried in time: it would hide that the link is slow.
+func TestEmptyWriteShowsNothing(t *testing.T) {
+	l := New(16)
+	tr := l.Begin("a", l.Commit(testSize))
+	tr.written = kernelBuffer
+	l.Await(tr)
+	got, _ := l.Next(start)
+	assert.Assert(t, got == tr)
+	l.WriteStarted(start, tr, 0)
+	l.WriteEnded(start, tr)
+	assert.Assert(t, l.rate.quickAt.IsZero())
+}
+
 // Also readers at many machines, which look like a slow link, stop it only for a while.
 func TestStalledPeersFreeTheLink(t *testing.T) {
 	l := New(16)
--- a/internal/link/transfer.go
+++ b/internal/link/transfer.go
@@ -9,11 +9,11 @@
 	// maxActive is the number of long transfers that are in progress at once. One fills the
 	// link, the others use it while that one waits for its source or its reader.
 	maxActive = 3
-	// stallTime is how long a write may block until its transfer no longer counts against
-	// maxActive: then its reader does not read, and others may use the link.
+	// stallTime is how long a transfer may wait for its source or its reader until it no
+	// longer counts against maxActive, so that others may use the link.
 	stallTime = 10 * chunkTime
-	// slowStallTime replaces stallTime while the link counts as slow. Further transfers would
-	// only fill their send buffers, in front of the short messages.
+	// slowStallTime replaces stallTime for readers while the link counts as slow. Further
+	// transfers would only fill their send buffers, in front of the short messages.
 	slowStallTime = slowWindow
 	// kernelBuffer is the number of bytes, in a connection's send buffer, that a write
 	// succeeds with although none of them is sent. It is an upper bound.
@@ -37,6 +37,7 @@
 	state        state
 	started      bool  // got a chunk
 	granted      int64 // bytes of the chunk that was granted last
+	grantedAt    time.Time
 	written      int64
 	writeStarted time.Time
 	sentBefore   int64     // Link.sent when the write started
@@ -91,7 +92,7 @@
 		}
 		l.tokens -= chunk
 		l.grantedAt = now
-		t.state, t.started, t.granted = granted, true, int64(chunk)
+		t.state, t.started, t.granted, t.grantedAt = granted, true, int64(chunk), now
 		return t, 0
 	}
 	return nil, earlier(again, untilStalled)
@@ -121,30 +122,38 @@
 }
 
 // active returns the number of transfers in progress that are not stalled, and the time
-// until the next of them may become stalled; 0 if none is writing.
+// until the next of them may become stalled; 0 if none can.
 func (l *Link) active(now time.Time) (n int, untilStalled time.Duration) {
-	stall := stallTime
-	if l.rate.isSlow(now) {
-		stall = slowStallTime
-	}
 	for _, t := range l.transfers {
 		if !t.started {
 			continue
 		}
-		if t.state == writing {
-			left := t.writeStarted.Add(stall).Sub(now)
+		if at, ok := l.stallsAt(now, t); ok {
+			left := at.Sub(now)
 			if left <= 0 {
 				continue
 			}
-			if untilStalled == 0 || left < untilStalled {
-				untilStalled = left
-			}
+			untilStalled = earlier(untilStalled, left)
 		}
 		n++
 	}
 	return n, untilStalled
 }
 
+// stallsAt returns when a transfer that waits for its source or its reader counts as
+// stalled; false if it waits for neither.
+func (l *Link) stallsAt(now time.Time, t *Transfer) (time.Time, bool) {
+	switch {
+	case t.state == granted:
+		return t.grantedAt.Add(stallTime), true
+	case t.state == writing && l.rate.isSlow(now):
+		return t.writeStarted.Add(slowStallTime), true
+	case t.state == writing:
+		return t.writeStarted.Add(stallTime), true
+	}
+	return time.Time{}, false
+}
+
 // WriteStarted records that n bytes of the granted chunk are being written; the rest of
 // the chunk is returned.
 func (l *Link) WriteStarted(now time.Time, t *Transfer, n int64) {
@@ -178,9 +187,7 @@
 			l.observeOverdue(now, t)
 			left = confirmTime
 		}
-		if again == 0 || left < again {
-			again = left
-		}
+		again = earlier(again, left)
 	}
 	return again
 }
@@ -200,7 +207,7 @@
 // observeEnd records a write that the link has carried in time.
 func (l *Link) observeEnd(now time.Time, t *Transfer) {
 	allowed := seconds(float64(t.granted)/l.Rate(now)) + quickMargin
-	if t.written >= kernelBuffer && now.Sub(t.writeStarted) <= allowed {
+	if t.granted > 0 && t.written >= kernelBuffer && now.Sub(t.writeStarted) <= allowed {
 		l.rate.quick(now)
 	}
 }
