A refusal for awaited responses refunds its move token

choose withdraws a token of the move budget with the wait bound, and only the end of a try refunded it. A request that was then refused because its response would not arrive in time made no try, so each such refusal kept a token: with a full receiving link all requests soon queued without a bound, although none had moved.

internal/proxy: TestRefusalForAwaitedResponsesRefundsItsMove fails before and passes now; all tests of the package pass.

--- a/internal/proxy/awaited.go
+++ b/internal/proxy/awaited.go
@@ -78,6 +78,7 @@
 	}
 	commitment, d := ex.f.cfg.Links.receive.admit(size, run, left, bounded)
 	if commitment == nil {
+		ex.dropWaitBound()
 		p := ex.f.metrics.linkProblem(linkCauseAwaited, d)
 		ex.linkDecision = p.link
 		return p
--- a/internal/proxy/awaited_test.go
+++ b/internal/proxy/awaited_test.go
@@ -116,6 +116,23 @@
 	})
 }
 
+// A refused request is not sent, so it must not keep the token of the move that it could
+// have made: later requests would have to queue although none has moved.
+func TestRefusalForAwaitedResponsesRefundsItsMove(t *testing.T) {
+	f, _ := newMovingFrontend(t, &scripted{script: script{withLoad(respondOK, idleLoad)}}, "tariff", true)
+	f.cfg.Links = NewLinks(narrowMbps, f.metrics)
+	f.cfg.Links.receive.link.Commit(1 << 20)
+	route := f.holder.Current().Route(http.MethodGet, "/tariff/x")
+	route.Objective = 150 * time.Millisecond
+	f.awaited.sizes.Observe(route.Name, longResponseSize)
+	for range 2 * int(movePolicy.Reserve) {
+		assert.Equal(t, get(f, "/tariff/x").Header().Get(HeaderReason), string(admission.ReasonLink))
+	}
+	for i := range int(movePolicy.Reserve) {
+		assert.Assert(t, f.withdrawMoveToken(), "%d tokens are left", i)
+	}
+}
+
 // A commitment for a response that does not arrive must not stay.
 func TestAwaitedCommitmentIsReleased(t *testing.T) {
 	for name, up := range map[string]func(*http.Request) (*http.Response, error){
--- a/internal/proxy/moves.go
+++ b/internal/proxy/moves.go
@@ -41,6 +41,14 @@
 	ex.env.WaitBound, ex.reports = bound, ReportAges{Chosen: c.ReportAge, Second: c.SecondAge}
 }
 
+// dropWaitBound refunds the token of a bound whose try is not made.
+func (ex *exchange) dropWaitBound() {
+	if ex.env.WaitBound.Worthwhile > 0 {
+		ex.env.WaitBound = admission.WaitBound{}
+		ex.f.refundMoveToken()
+	}
+}
+
 // movesOn reports whether the upstream of the last try has returned the request, so that
 // it goes to the next choice. That is not a try: the request has not run, and the
 // upstream may be chosen again.
