Frontends count the refusals that they receive against their link

Backends count each response that they send, but frontends counted only responses of upstreams. Under many refusals a frontend admitted responses to a receiving link that had no room for them.

internal/proxy: TestRefusalsOfOtherNodesAreCounted fails before and passes now; all tests of the package pass.

--- a/internal/proxy/awaited.go
+++ b/internal/proxy/awaited.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// countRefusal counts the response by which another node refuses a request.
+func (f *Frontend) countRefusal(target membership.Instance, resp *http.Response) {
+	if f.overLink(target) {
+		f.cfg.Links.receive.short(headBytes + min(max(resp.ContentLength, 0), link.LongThreshold))
+	}
+}
+
 // receiveResponse counts the response of an upstream as it arrives.
 func (ex *exchange) receiveResponse(target membership.Instance, resp *http.Response) {
 	if !ex.f.overLink(target) || ex.req.Method == http.MethodHead {
--- a/internal/proxy/awaited_test.go
+++ b/internal/proxy/awaited_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+// Refusals take as much of the receiving link as any short message. If they were not
+// counted, responses would be admitted that arrive late behind them.
+func TestRefusalsOfOtherNodesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := linkedFrontend(t, narrowMbps, roundTripper(refuse(admission.ReasonBusy)))
+		const refusals = 40 // with their heads, more than the link keeps for a burst
+		for range refusals {
+			get(f, "/call/x")
+			get(f, "/local/x")
+		}
+		backlog := f.cfg.Links.receive.link.Backlog(time.Now())
+		assert.Assert(t, backlog > 0 && backlog < 15*time.Millisecond, "%v; those of the own machine would make it 20 ms", backlog)
+	})
+}
+
 // A commitment for a response that does not arrive must not stay.
 func TestAwaitedCommitmentIsReleased(t *testing.T) {
 	for name, up := range map[string]func(*http.Request) (*http.Response, error){
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -43,6 +43,7 @@
 	networkTime := readNetworkTime(resp.Header, clock.Since(sent))
 	ex.f.acceptPeerLoads(ex.service.Name, networkTime, resp.Header)
 	if class != retry.Answered {
+		ex.f.countRefusal(target, resp)
 		failed := class == retry.NeverDispatched || class == retry.Rejected || class == retry.Ambiguous
 		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: failed, WrongInstance: reportsWrongInstance(resp.Header), OverLimit: resp.Header.Get(HeaderReason) == string(admission.ReasonAdvertisedLimit), Load: load, Kind: ex.kind, Late: ex.env.late(), NetworkTime: networkTime})
 		return resp, class
