Comments and names of links, slowdowns and wait bounds

Bytes that have passed a link are called transferred in both directions. The comment on loads that can't be read and that on the wait for long bodies say what the code does. The lock of a backend is not held while that of its gate is taken. Tests say which failure they guard against.

--- a/internal/admission/wait_bound.go
+++ b/internal/admission/wait_bound.go
@@ -48,7 +48,7 @@
 
 // firstMovable returns a waiting request that TakeMovable should return, nil if there is
 // none, and whether any waiting request has a bound.
-func (q *Queue) firstMovable(now time.Time) (t *Ticket, bounded bool) {
+func (q *Queue) firstMovable(now time.Time) (movable *Ticket, bounded bool) {
 	for _, k := range q.kinds {
 		for turn, tn := range k.tenants {
 			for i, t := range tn.tickets {
--- a/internal/admission/wait_bound_test.go
+++ b/internal/admission/wait_bound_test.go
@@ -146,7 +146,7 @@
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * ms)
 			},
-			"": func(t *rapid.T) { // queues[0] decides without TakeMovable, as before
+			"": func(t *rapid.T) { // queues[0] decides without TakeMovable
 				assert.Equal(t, len(queues[1].TakeMovable(now))+len(queues[2].TakeMovable(now)), 0)
 			},
 		})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -16,8 +16,9 @@
 	// maxBurst is the time for which unused capacity is kept. It makes up for timers that
 	// fire late, and bounds what the kernel queues.
 	maxBurst = 3 * chunkTime
-	// maxDebt is the time of the link by which short messages may exceed it at most. What
-	// exceeds it was not carried either.
+	// maxDebt bounds, as time of the link, how far short messages may overdraw the tokens.
+	// The link has not carried what exceeds it either, so long transfers need not make up
+	// for that.
 	maxDebt = 250 * time.Millisecond
 	// minChunk is the least chunk, in bytes: the payload of one full packet.
 	minChunk = 1448
@@ -27,7 +28,8 @@
 	// leastLongShare is the share of the rate that is assumed to be available to long
 	// transfers, however many short messages there are: a chunk in each longestPause.
 	leastLongShare = 0.1
-	longestPause   = time.Duration(float64(chunkTime) / leastLongShare)
+	// longestPause is the longest time between two chunks, which leaves leastLongShare.
+	longestPause = time.Duration(float64(chunkTime) / leastLongShare)
 	// negligibleBacklog is the backlog that pacing itself leaves in the kernel's queue. It
 	// does not count as a wait.
 	negligibleBacklog = 2 * chunkTime
@@ -101,8 +103,8 @@
 	c.left = n
 }
 
-// Sent takes n bytes that the link has carried off the commitment.
-func (c *Commitment) Sent(n int64) { c.Resize(c.left - n) }
+// Transferred subtracts n bytes that have passed the link.
+func (c *Commitment) Transferred(n int64) { c.Resize(c.left - n) }
 
 // Release ends the commitment. Releasing it again does nothing.
 func (c *Commitment) Release() { c.Resize(0) }
@@ -124,15 +126,14 @@
 	return min(max(backlog-ready, 0), l.longestDrain(now))
 }
 
-// longestDrain returns the time after which the backlog has certainly drained if the link
-// is as fast as it usually is from now on: a link that counts as slow is slow for seconds
-// only, so its present rate says little about later.
+// longestDrain returns the time after which the backlog is expected to have drained at the
+// latest. A link that counts as slow is expected to have its nominal rate again after
+// restoreTime: it is slow for seconds only, so its present rate says little about later.
 func (l *Link) longestDrain(now time.Time) time.Duration {
-	drain := seconds(float64(l.committed) / l.rate.nominal)
 	if l.rate.isSlow(now) {
-		return drain + restoreTime
+		return seconds(float64(l.committed)/l.rate.nominal) + restoreTime
 	}
-	return max(drain, l.Backlog(now))
+	return l.Backlog(now)
 }
 
 // Decision says whether a transfer fits, with the inputs.
@@ -150,9 +151,8 @@
 // complete within left: it is complete at max(ready, backlog) + size/rate, and the last
 // chunk has passed the kernel's queue a moment later.
 //
-// A transfer that would be late without any backlog does not fit only if the backlog
-// delays it further: it is not the link that makes it late, and a later attempt would not
-// be better.
+// A transfer that would be late even without a backlog fits unless the backlog delays it
+// further. Without that delay a later attempt would be just as late.
 func (l *Link) Decide(now time.Time, size int64, ready, left time.Duration) Decision {
 	l.observeBlocked(now)
 	d := Decision{Backlog: l.Backlog(now), Left: left, Rate: l.available(now)}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -42,7 +42,7 @@
 	a, b := l.Commit(testSize), l.Commit(testSize)
 	assert.Equal(t, l.Backlog(start), 100*time.Millisecond)
 	a.Resize(testSize / 2)
-	a.Sent(testSize)
+	a.Transferred(testSize)
 	a.Release()
 	assert.Equal(t, l.Backlog(start), 50*time.Millisecond)
 	b.Release()
--- a/internal/link/replay_test.go
+++ b/internal/link/replay_test.go
@@ -179,8 +179,8 @@
 	return r.inTimeBytes / available
 }
 
-// Load pattern: downloads for half as much again as the link carries. Without admission
-// all of them are late; with unpaced writes short responses wait behind them.
+// Downloads for half as much again as the link carries: without admission nearly all of
+// them are late, and without pacing short responses wait behind them.
 func TestReplayOverloadedLink(t *testing.T) {
 	r := newReplay(t, true)
 	r.run(replayDuration)
--- a/internal/link/transfer.go
+++ b/internal/link/transfer.go
@@ -172,7 +172,7 @@
 	l.observeEnd(now, t)
 	t.state = idle
 	t.written += t.granted
-	t.commitment.Sent(t.granted)
+	t.commitment.Transferred(t.granted)
 }
 
 // observeBlocked records the writes in progress that take longer than the rate allows. It
--- a/internal/proxy/awaited.go
+++ b/internal/proxy/awaited.go
@@ -125,7 +125,7 @@
 	resp.Body = &arrivingBody{ReadCloser: resp.Body, commitment: ex.awaiting}
 }
 
-// arrivingBody takes the bytes that have arrived off a commitment.
+// arrivingBody subtracts the bytes that arrive from a commitment.
 type arrivingBody struct {
 	io.ReadCloser
 	commitment *linkCommitment
@@ -134,7 +134,7 @@
 func (b *arrivingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.commitment.done(int64(n))
+		b.commitment.transferred(int64(n))
 	}
 	return n, err
 }
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -42,9 +42,10 @@
 	// OnInvalidLimit is called with a limit that a response advertises and that is no
 	// number of at least 0; it has no effect. Default nil: not called.
 	OnInvalidLimit func(text string)
-	// OnInvalidLoad is called with the first load of an upstream that can't be read, and
-	// again after one could be read in between; it has no effect. The text is empty if the
-	// slowdown is missing that earlier responses had. Default nil: not called.
+	// OnInvalidLoad is called with the first load of an upstream that can't be read, or that
+	// lacks the slowdown that earlier ones had, and again after a slowdown could be read in
+	// between. Such a load has no effect; the text is empty if the response had none.
+	// Default nil: not called.
 	OnInvalidLoad func(text string)
 	// OnLeaving is called when an instance of the upstream first says that it leaves.
 	// Default nil: not called.
@@ -363,8 +364,9 @@
 // kind run at the present speed of the upstream; 0 if unknown.
 func (b *Backend) runTimeQuantile(kind string, share float64) time.Duration {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.gate.Slowdown().Scale(clock.Now(), b.runTimes.Quantile(kind, share))
+	usual := b.runTimes.Quantile(kind, share)
+	b.mu.Unlock()
+	return b.gate.Slowdown().Scale(clock.Now(), usual)
 }
 
 // maxWait returns how long a request may wait for a slot; false if its wait is not
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -21,7 +21,7 @@
 	key       ledger.Key
 	keyed     bool
 	startedAt time.Time // when the slot was acquired
-	// slowdownAtStart is the factor by which work took longer then.
+	// slowdownAtStart is admission.Slowdown.Factor when the slot was acquired.
 	slowdownAtStart float64
 	sentAt          time.Time // when the request was sent to the upstream
 	// limitReport is what the response advertises; zero before it arrived.
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -74,7 +74,7 @@
 	return l
 }
 
-// report updates the gauges. The lock must be held.
+// report updates the gauges. The lock must be held once m is shared.
 func (m *machineLink) report(now time.Time) {
 	m.backlog.Update(m.link.Backlog(now).Seconds())
 	m.rate.Update(m.link.Rate(now) * 8 / 1e6)
@@ -105,8 +105,8 @@
 // exactly returns the size of a transfer whose length is known.
 func exactly(length int64) transferSize { return transferSize{mean: length, long: length} }
 
-// admit commits the mean size if a long transfer can be sent within left, or if left is
-// not bounded. Otherwise it returns a nil commitment.
+// admit commits the mean size if a long transfer can be complete within left, or if left
+// is not bounded. Otherwise it returns a nil commitment.
 func (m *machineLink) admit(size transferSize, ready, left time.Duration, bounded bool) (*linkCommitment, link.Decision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -137,10 +137,10 @@
 	}
 }
 
-// done takes n bytes that were transferred off the commitment.
-func (c *linkCommitment) done(n int64) {
+// transferred subtracts n bytes that have passed the link.
+func (c *linkCommitment) transferred(n int64) {
 	if c != nil {
-		c.m.update(func(time.Time) { c.c.Sent(n) })
+		c.m.update(func(time.Time) { c.c.Transferred(n) })
 	}
 }
 
--- a/internal/proxy/receive_link.go
+++ b/internal/proxy/receive_link.go
@@ -28,8 +28,9 @@
 	return commitment, nil
 }
 
-// waitWithBody returns the expected wait of a request with a long body: that for a slot
-// and for the bodies received at once, or that for the link if it is longer.
+// waitWithBody returns the expected wait of a request with a long body. While the link has
+// a backlog, the bodies received at once wait for it too, so the longest of the waits
+// counts. Otherwise a body is received before the wait for a slot, and both count.
 func (b *Backend) waitWithBody(forSlot time.Duration) time.Duration {
 	limited := b.receiveLimiter.expectedWait()
 	if b.cfg.Links == nil {
--- a/internal/proxy/slowdown.go
+++ b/internal/proxy/slowdown.go
@@ -21,7 +21,7 @@
 	// maxLoadLength bounds the load in an upstream's response, in bytes: four figures of 15
 	// digits.
 	maxLoadLength = 64
-	// loadFigures is the number of figures that the load in each upstream's response has.
+	// loadFigures is the number of figures that every load has. A slowdown is a further one.
 	loadFigures = 3
 )
 
@@ -67,7 +67,7 @@
 	return percent, ok, ok
 }
 
-// parseSlowdownPercent reads a percentage above 0 and of at most maxSlowdownPercent.
+// parseSlowdownPercent reads a percentage from 1 to maxSlowdownPercent.
 func parseSlowdownPercent(text string) (float64, bool) {
 	percent, err := strconv.ParseFloat(text, 64)
 	if err != nil || !(percent >= 1 && percent <= maxSlowdownPercent) {
--- a/internal/proxy/slowdown_test.go
+++ b/internal/proxy/slowdown_test.go
@@ -15,6 +15,8 @@
 	"github.com/walldrift/walldrift/internal/telemetry"
 )
 
+// A load with figures out of range must not set a slowdown: NaN or a huge percentage would
+// spoil all waits of the upstream.
 func TestParseUpstreamLoad(t *testing.T) {
 	for _, c := range []struct {
 		text         string
@@ -87,6 +89,7 @@
 	assert.Assert(t, !strings.Contains(send("3,0,8"), loadSlowdownPrefix))
 }
 
+// A load report whose slowdown can't be read still counts, without the slowdown.
 func TestReadSlowdown(t *testing.T) {
 	for text, percent := range map[string]float64{"slowdown:250:40": 250, "slowdown:250": 0, "slowdown:x:1": 0, "slowdown:250:-1": 0, "other": 0} {
 		report := readLoadReport(http.Header{headerLoad: {"1/8/0/100000/0/" + text}})
