Split the pacing of a response, and one threshold of long responses

The responses that wait for the send limiter and those that are paced are the same ones, so both go by link.LongThreshold.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -8,12 +8,13 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/link"
 	"github.com/walldrift/walldrift/internal/overload"
 )
 
 // sendThreshold is the response length, in bytes, from which a response waits for the
-// send limiter. Shorter ones fit into a few packets.
-const sendThreshold = 8 << 10
+// send limiter.
+const sendThreshold = link.LongThreshold
 
 // responseBufferLimit returns the longest response that is buffered now, in bytes.
 func (b *Backend) responseBufferLimit() int64 {
--- a/internal/proxy/send_link.go
+++ b/internal/proxy/send_link.go
@@ -83,13 +83,18 @@
 	if !c.remote {
 		return resp.Body
 	}
-	if length < link.LongThreshold {
-		c.sending.release()
-		if length < 0 {
-			return &countedBody{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
-		}
-		return resp.Body
+	if length >= link.LongThreshold {
+		return c.pacedBody(resp.Body, length)
+	}
+	c.sending.release()
+	if length < 0 {
+		return &countedBody{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
 	}
+	return resp.Body
+}
+
+// pacedBody returns the body of a long response, whose length becomes the commitment.
+func (c *backendCall) pacedBody(body io.ReadCloser, length int64) *pacedSend {
 	if c.sending == nil {
 		c.sending, _ = c.b.cfg.Links.send.admit(exactly(length), 0, 0, false)
 	}
@@ -97,7 +102,7 @@
 	c.b.sendBuffered.Add(length)
 	ctx, cancel := clock.WithDeadline(c.req.Context(), c.start.Add(c.env.Timeout))
 	return &pacedSend{
-		ReadCloser: resp.Body, c: c, ctx: ctx, cancel: cancel, length: length, left: length,
+		ReadCloser: body, c: c, ctx: ctx, cancel: cancel, length: length, left: length,
 		transfer: c.b.cfg.Links.send.begin(peerOf(c.req), c.sending),
 	}
 }
