Return the move token of a request that is refused before it is sent

A request gets its wait bound, and with it a token of the move budget, when its upstream is chosen. If the response could not cross this machine's link in time, it is refused after that and before the try, and the token was not returned: some forty refusals because of the link ended all moves of the node.

serve drops the bound on that path. The ages in the log are those of the reports that the costs go by, which may be peer load reports.

TestRefusalBeforeSendingReturnsMoveToken fails before and passes now; the tests of internal/proxy pass.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -103,6 +103,7 @@
 			problem = ex.awaitResponse(target)
 		}
 		if problem != nil {
+			ex.dropWaitBound()
 			ex.finishWithoutUpstream(w, last, problem)
 			return
 		}
--- a/internal/proxy/moves.go
+++ b/internal/proxy/moves.go
@@ -28,7 +28,7 @@
 }
 
 // boundWait sets how long the request should wait at the chosen upstream. The bound holds
-// a token of the move budget until the try has ended. Without a token the request queues.
+// a token of the move budget until the try has ended or is not made. Without a token the request queues.
 func (ex *exchange) boundWait(c routing.Candidate) {
 	bound := routing.WorthwhileWait(c)
 	if bound.Worthwhile == 0 || !ex.movable() {
@@ -38,7 +38,16 @@
 		ex.f.metrics.moveWithheld()
 		return
 	}
-	ex.env.WaitBound, ex.reports = bound, ReportAges{Chosen: c.ReportAge, Second: c.SecondAge}
+	ex.env.WaitBound, ex.reports = bound, ReportAges{Chosen: c.Report.Age, Second: c.SecondAge}
+}
+
+// dropWaitBound removes the bound of a request that was not moved, and returns its token.
+func (ex *exchange) dropWaitBound() {
+	if ex.env.WaitBound.Worthwhile == 0 {
+		return
+	}
+	ex.env.WaitBound = admission.WaitBound{}
+	ex.f.refundMoveToken()
 }
 
 // movesOn reports whether the upstream of the last try has returned the request, so that
@@ -48,11 +57,11 @@
 	if ex.env.WaitBound.Worthwhile == 0 {
 		return false
 	}
-	ex.env.WaitBound = admission.WaitBound{}
 	if class != retry.Limited || resp.Header.Get(HeaderReason) != string(admission.ReasonMoved) || ex.retriesStopped(ctx) {
-		ex.f.refundMoveToken()
+		ex.dropWaitBound()
 		return false
 	}
+	ex.env.WaitBound = admission.WaitBound{}
 	last := len(ex.tried) - 1
 	ex.movedFrom = append(ex.movedFrom, ex.tried[last])
 	ex.tried = ex.tried[:last]
--- a/internal/proxy/moves_test.go
+++ b/internal/proxy/moves_test.go
@@ -182,3 +182,22 @@
 		assert.Equal(t, c.ex.movable(), c.want, c.name)
 	}
 }
+
+// Guards against a full link that uses up the move budget: a request that is refused after
+// its bound was set, but before it is sent, returns its token.
+func TestRefusalBeforeSendingReturnsMoveToken(t *testing.T) {
+	f, _ := newMovingFrontend(t, &scripted{script: script{respondOK}}, "tariff", true)
+	f.cfg.Links = NewLinks(narrowMbps, f.metrics)
+	route := f.holder.Current().Match("", http.MethodGet, "/tariff/x")
+	route.Objective = 100 * time.Millisecond
+	f.awaited.observe(route.Name, &http.Response{ContentLength: longResponseSize})
+	f.cfg.Links.receive.admit(exactly(100*longResponseSize), 0, 0, false)
+	for range 100 {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+		assert.Equal(t, w.Header().Get(HeaderReason), string(admission.ReasonLink))
+	}
+	for range int(movePolicy.Reserve) {
+		assert.Assert(t, f.withdrawMoveToken())
+	}
+}
