Count the age of a load report from its arrival

A report with a slowdown is read with the head of a response, but was recorded with the time at which the body ended. After a long body it was passed on to other nodes as new, hid newer peer load reports, and counted requests started since as included. The age of the slowdown in a peer load report lacked the time on the way, so after a frozen node's response it stayed in effect up to a second too long.

Both count from their true times now. Candidate.ReportAge, which was the age of the last own report even where a peer load report decided, gives way to Candidate.Report.

TestAgeOfReportThatPrecedesItsResponse and TestSlowdownOfPeerLoadAgesInTransit fail before and pass now; the tests of internal/routing and internal/proxy pass.

--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -28,9 +28,8 @@
 	// SecondCost is the cost of the second choice, scaled to Weight; see WorthwhileWait.
 	// It is 0 if there is no second choice or if requests to the service aren't moved.
 	SecondCost float64
-	// ReportAge is the age of the upstream's load report, SecondAge that of the second
-	// choice; 0 if there is none.
-	ReportAge, SecondAge time.Duration
+	// SecondAge is the age of the load report behind SecondCost; 0 if there is none.
+	SecondAge time.Duration
 	// RoundTrip is the expected network time to the upstream and back; only with
 	// Config.ByExpectedTime.
 	RoundTrip time.Duration
@@ -120,7 +119,6 @@
 		c.WaitCost = req.uneven.queueCost()
 		c.RoundTrip = time.Duration(networkTime * float64(time.Second))
 		c.Trial = s.dueForTrial(now)
-		c.ReportAge = s.reportAge(now)
 	}
 	c.Report = s.reportUsed(now, req.uneven)
 	c.Excluded = r.exclusion(now, u, m, s, req)
--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -29,18 +29,10 @@
 		}
 	}
 	if at >= 0 {
-		c.SecondCost, c.SecondAge = max(least*c.Weight*(1+costNoise), c.Cost), cs[at].ReportAge
+		c.SecondCost, c.SecondAge = max(least*c.Weight*(1+costNoise), c.Cost), cs[at].Report.Age
 	}
 }
 
-// reportAge returns the age of the last load report; 0 if there is none.
-func (s *upstreamState) reportAge(now time.Time) time.Duration {
-	if s.loadAt.IsZero() {
-		return 0
-	}
-	return now.Sub(s.loadAt)
-}
-
 const (
 	// minMoveTime is the least time that moving a request takes: on a fast network the
 	// nodes' own work on a refusal and on a further request decides.
--- a/internal/routing/moves_test.go
+++ b/internal/routing/moves_test.go
@@ -44,14 +44,16 @@
 		chosen Candidate
 		all    []Candidate
 		want   float64
+		age    time.Duration
 	}{
-		{"alone", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}}, 0},
-		{"best of two others", Candidate{Upstream: b, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 3, Weight: 1}, {Upstream: b, Cost: 1, Weight: 1}, {Upstream: c, Cost: 2, Weight: 1}}, 2 * (1 + costNoise)},
-		{"other of less weight", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}, {Upstream: b, Cost: 2, Weight: 0.5}}, 4 * (1 + costNoise)},
-		{"chosen as a trial", Candidate{Upstream: a, Cost: 3, Weight: 1}, []Candidate{{Upstream: b, Cost: 2, Weight: 1}, {Upstream: a, Cost: 3, Weight: 1}}, 3},
+		{"alone", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}}, 0, 0},
+		{"best of two others", Candidate{Upstream: b, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 3, Weight: 1}, {Upstream: b, Cost: 1, Weight: 1}, {Upstream: c, Cost: 2, Weight: 1, Report: ReportUsed{Age: 3 * ms}}}, 2 * (1 + costNoise), 3 * ms},
+		{"other of less weight", Candidate{Upstream: a, Cost: 1, Weight: 1}, []Candidate{{Upstream: a, Cost: 1, Weight: 1}, {Upstream: b, Cost: 2, Weight: 0.5}}, 4 * (1 + costNoise), 0},
+		{"chosen as a trial", Candidate{Upstream: a, Cost: 3, Weight: 1}, []Candidate{{Upstream: b, Cost: 2, Weight: 1}, {Upstream: a, Cost: 3, Weight: 1}}, 3, 0},
 	} {
 		test.chosen.setSecond(test.all)
 		assert.Equal(t, test.chosen.SecondCost, test.want, test.name)
+		assert.Equal(t, test.chosen.SecondAge, test.age, test.name)
 	}
 }
 
--- a/internal/routing/peer_load.go
+++ b/internal/routing/peer_load.go
@@ -106,10 +106,9 @@
 // upstream only: exclusions and the failure rate go by the node's own requests.
 func (r *Router) AcceptPeerLoads(now time.Time, service string, inTransit time.Duration, loads []PeerLoad, members Members) (accepted int) {
 	for i := range loads[:min(len(loads), MaxPeerLoads)] {
-		l := &loads[i]
-		at := now.Add(-l.Age - inTransit)
+		l := loads[i].atArrival(inTransit)
 		m, listed := members(l.Upstream)
-		if l.Age < 0 || now.Sub(at) > peerLoadLifetime || !listed || m.Service != service || m.Generation != l.Generation {
+		if loads[i].Age < 0 || l.Age > peerLoadLifetime || !listed || m.Service != service || m.Generation != l.Generation {
 			continue
 		}
 		r.observeSlowdown(now, service, l.Slowdown)
@@ -118,26 +117,36 @@
 			continue
 		}
 		s := r.stateOf(now, m)
+		at := now.Add(-l.Age)
 		if s.generation != l.Generation || !at.After(s.reportedAt) {
 			continue
 		}
-		s.applyPeerLoad(now, at, l)
+		s.applyPeerLoad(at, &l)
 		uneven.observe(s)
 		accepted++
 	}
 	return accepted
 }
 
+// atArrival returns a peer load report whose ages include the time that it was on its way.
+func (l PeerLoad) atArrival(inTransit time.Duration) PeerLoad {
+	l.Age += inTransit
+	if l.Slowdown.Reported() {
+		l.Slowdown.At = l.Slowdown.At.Add(-inTransit)
+	}
+	return l
+}
+
 // applyPeerLoad adopts a peer load report that was made at the given time. The node's own
 // requests since then are not part of it.
-func (s *upstreamState) applyPeerLoad(now, at time.Time, l *PeerLoad) {
+func (s *upstreamState) applyPeerLoad(at time.Time, l *PeerLoad) {
 	s.load.InUse, s.load.Slots, s.load.Waiting = l.InUse, l.Slots, l.Waiting
 	if l.Service > 0 {
 		s.load.Service = l.Service
 	}
 	s.observeSlowdown(l.Slowdown)
 	s.reportedAt = at
-	s.inFlightAtLoad = s.inFlight - min(s.startsSince(at), s.inFlight)
+	s.inFlightAtLoad = s.inFlightAt(at)
 }
 
 // forgetOldPeerLoad restores the figures of the last own report once a peer load report is
@@ -220,6 +229,11 @@
 	return n
 }
 
+// inFlightAt returns how many of the own requests in flight had started by the given time.
+func (s *upstreamState) inFlightAt(at time.Time) int {
+	return s.inFlight - min(s.startsSince(at), s.inFlight)
+}
+
 // observeSlowdown keeps the latest slowdown.
 func (s *upstreamState) observeSlowdown(reported admission.Slowdown) {
 	if reported.At.After(s.slowdown.At) {
@@ -227,16 +241,21 @@
 	}
 }
 
+// arrivedAt returns when a report arrived whose response has ended now.
+func (l LoadReport) arrivedAt(now time.Time) time.Time {
+	if l.ReadAt.IsZero() {
+		return now
+	}
+	return l.ReadAt
+}
+
 // atUsualSpeed returns a load report with the durations that it would have if the upstream
 // had its usual speed.
 func (l LoadReport) atUsualSpeed(now time.Time) LoadReport {
 	if !l.Slowdown.Reported() {
 		return l
 	}
-	if !l.ReadAt.IsZero() {
-		now = l.ReadAt
-	}
-	factor := l.Slowdown.Factor(now)
+	factor := l.Slowdown.Factor(l.arrivedAt(now))
 	l.Service = admission.UsualTime(l.Service, factor, factor)
 	l.Runs.Typical = admission.UsualTime(l.Runs.Typical, factor, factor)
 	l.Runs.Safe = admission.UsualTime(l.Runs.Safe, factor, factor)
--- a/internal/routing/peer_load_test.go
+++ b/internal/routing/peer_load_test.go
@@ -102,6 +102,32 @@
 	assert.Equal(t, usual.Runs.Safe, 200*time.Millisecond)
 }
 
+// A report that came long before the end of its response keeps its true age: it is not
+// passed on as new, does not hide a newer one, and lacks the requests started since.
+func TestAgeOfReportThatPrecedesItsResponse(t *testing.T) {
+	b := newUnevenTestbed(3)
+	l := LoadReport{InUse: 1, Slots: 4, Slowdown: admission.Slowdown{Percent: 100, At: b.now}, ReadAt: b.now}
+	b.now = b.now.Add(maxPassedOnAge + 1)
+	b.router.stateOf(b.now, b.members["u1"])
+	b.router.Start(b.now.Add(-time.Millisecond), b.members["u1"].Instance)
+	b.report(1, l)
+	s := b.router.upstreams["u1"]
+	assert.Equal(t, len(b.router.PeerLoads(b.now, b.rnd, nil, "s", "")), 0)
+	assert.Equal(t, s.inFlight-s.inFlightAtLoad, 1)
+	assert.Equal(t, b.accept(b.peerLoad(1, 100*time.Millisecond)), 1)
+	assert.Assert(t, s.reportUsed(b.now, b.router.uneven(b.now, "s")).Peer)
+}
+
+// The slowdown in a peer load report has aged on its way as the report has: it must not
+// take effect for longer than its lifetime after a node that is frozen has sent it.
+func TestSlowdownOfPeerLoadAgesInTransit(t *testing.T) {
+	b := newUnevenTestbed(3)
+	b.now = b.now.Add(time.Second)
+	sent := b.now.Add(-800 * time.Millisecond)
+	assert.Equal(t, b.router.AcceptPeerLoads(b.now, "s", 800*time.Millisecond, []PeerLoad{b.peerLoad(1, 0)}, b.lookup), 1)
+	assert.Assert(t, b.router.upstreams["u1"].slowdown.At.Equal(sent))
+}
+
 // A peer load report does not bring back an upstream that the node's own requests have
 // shown to fail or to drain.
 func TestPeerLoadEndsNoExclusion(t *testing.T) {
