Explain the counts of the retry ranks; Ruling is a Decision

The counts of recent events say what they count, and the replay's share of served requests is called that.

--- a/internal/proxy/retry_rank.go
+++ b/internal/proxy/retry_rank.go
@@ -14,7 +14,7 @@
 // is from the response to the last try.
 type RetryRecord struct {
 	retry.Request
-	retry.Ruling
+	retry.Decision
 }
 
 // rejectingRetryAfter is the advised retry delay after a rejection by a service that
@@ -31,19 +31,19 @@
 		Left:       clock.Until(ex.deadline),
 		TypicalRun: readRunTimes(resp.Header).Typical,
 	}
-	ruling := ex.f.decideRetry(ex.service.Name, req, t)
-	if ruling.Ranked {
-		ex.retry = &RetryRecord{Request: req, Ruling: ruling}
-		ex.f.metrics.retriedByRank(req.Rank, ruling)
+	d := ex.f.decideRetry(ex.service.Name, req, t)
+	if d.Ranked {
+		ex.retry = &RetryRecord{Request: req, Decision: d}
+		ex.f.metrics.retriedByRank(req.Rank, d)
 		if t.Class == retry.Rejected {
 			resp.Header.Set(HeaderRetryAfterMs, strconv.FormatInt(rejectingRetryAfter.Milliseconds(), 10))
 		}
 	}
-	return ruling.Reason
+	return d.Reason
 }
 
 // retriedByRank counts a further try at a service that rejects requests.
-func (m *Metrics) retriedByRank(rank retry.Rank, r retry.Ruling) {
+func (m *Metrics) retriedByRank(rank retry.Rank, r retry.Decision) {
 	if r.Reason == retry.Allowed {
 		m.ranked.get(rank.String()).Inc(1)
 	}
--- a/internal/proxy/router_state.go
+++ b/internal/proxy/router_state.go
@@ -124,7 +124,7 @@
 	f.refusedRequests.Add(clock.Now(), route, id, firstAttempt, expiry)
 }
 
-func (f *Frontend) decideRetry(service string, req retry.Request, t retry.Try) retry.Ruling {
+func (f *Frontend) decideRetry(service string, req retry.Request, t retry.Try) retry.Decision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.budget(service).Decide(clock.Now(), req, t)
--- a/internal/retry/ranked.go
+++ b/internal/retry/ranked.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// RankedBudget is the Budget of one service, of which the ranks above a rank come first
-// while the upstreams of the service reject many requests. If they reject half of them,
-// the budget is too small for all further tries, and without ranks it is used up by
-// whichever requests come first.
+// RankedBudget is the Budget of one service. While the upstreams of the service reject many
+// requests, tries are kept in it for the requests whose failure costs most: if half of the
+// requests are rejected, the budget is too small for all further tries, and without ranks
+// it is used up by whichever requests come first.
 //
 // The sum of the further tries is bounded as by Budget. While the service is not
 // rejecting, decisions are those of Budget. It is not safe for concurrent use.
@@ -41,9 +41,9 @@
 	Left, TypicalRun time.Duration
 }
 
-// Ruling is a decision on a further try with its inputs, which are observations of this
+// Decision is a decision on a further try with its inputs, which are observations of this
 // node that lose weight over recentTime.
-type Ruling struct {
+type Decision struct {
 	Reason Reason
 	// Ranked reports whether the service was rejecting, so that the rank counted.
 	Ranked bool
@@ -56,10 +56,10 @@
 }
 
 // Decide is like Budget.Decide for the try of a request.
-func (b *RankedBudget) Decide(now time.Time, req Request, t Try) Ruling {
+func (b *RankedBudget) Decide(now time.Time, req Request, t Try) Decision {
 	b.recent.advance(now)
 	share := b.recent.rejectedShare()
-	r := Ruling{Ranked: share > rejectingShare, RejectedShare: share, Tokens: b.budget.tokens}
+	r := Decision{Ranked: share > rejectingShare, RejectedShare: share, Tokens: b.budget.tokens}
 	var free bool
 	r.Reason, free = b.budget.check(t)
 	if r.Reason == Allowed && r.Ranked && req.Left < req.TypicalRun {
@@ -74,7 +74,7 @@
 
 // withdraw takes a retry from the budget for a request of the rank whose try ended with
 // the class, and records in r what was held for the ranks above.
-func (b *RankedBudget) withdraw(r *Ruling, rank Rank, c Class) Reason {
+func (b *RankedBudget) withdraw(r *Decision, rank Rank, c Class) Reason {
 	if c == Rejected {
 		b.recent.askedByRank[rank]++
 	}
@@ -101,8 +101,9 @@
 	return max(min(askedAbove, b.budget.policy.Reserve-1), 0)
 }
 
-// shareUsed reports whether the rank has recently used what its ranks above leave of the
-// retries earned. This orders the ranks among which a full budget would not distinguish.
+// shareUsed reports whether the rank has recently used what the ranks above it leave of the
+// retries earned. This orders the lower ranks where those above ask for more than a full
+// budget, so that held is the same for all of them.
 func (b *RankedBudget) shareUsed(rank Rank, askedAbove float64) bool {
 	earned := b.budget.policy.Ratio * b.recent.first
 	return askedAbove+b.recent.grantedByRank[rank] >= earned
--- a/internal/retry/ranked_test.go
+++ b/internal/retry/ranked_test.go
@@ -35,9 +35,9 @@
 	failed, missed [len(replayRanks)]int // rejected at the first try; and in the end
 }
 
-// masked returns the share of the rejected requests of a rank that were served by a
+// served returns the share of the rejected requests of a rank that were served by a
 // further try.
-func (r replayResult) masked(i int) float64 { return 1 - float64(r.missed[i])/float64(r.failed[i]) }
+func (r replayResult) served(i int) float64 { return 1 - float64(r.missed[i])/float64(r.failed[i]) }
 
 // replayRejections sends the load, with the rank that rankOf gives for each.
 func replayRejections(rankOf func(i int) Rank) replayResult {
@@ -77,7 +77,7 @@
 			r.count(i, n, class)
 		}
 		try := Try{Class: class, Arrived: n, Number: n, Retries: 1, Remaining: time.Second, Replayable: true}
-		if ruling := b.Decide(now, Request{Rank: rank}, try); ruling.Reason != Allowed {
+		if b.Decide(now, Request{Rank: rank}, try).Reason != Allowed {
 			if class == Rejected {
 				r.missed[i]++
 			}
@@ -102,14 +102,14 @@
 func TestHigherRanksAreTriedFirst(t *testing.T) {
 	equal := replayRejections(func(int) Rank { return 0 })
 	ranked := replayRejections(func(i int) Rank { return replayRanks[i] })
-	t.Logf("masked by rank: equal %.2f %.2f %.2f, ranked %.2f %.2f %.2f; tries %d and %d of %d", equal.masked(0), equal.masked(1), equal.masked(2),
-		ranked.masked(0), ranked.masked(1), ranked.masked(2), equal.tries, ranked.tries, ranked.first)
+	t.Logf("served by rank: equal %.2f %.2f %.2f, ranked %.2f %.2f %.2f; tries %d and %d of %d", equal.served(0), equal.served(1), equal.served(2),
+		ranked.served(0), ranked.served(1), ranked.served(2), equal.tries, ranked.tries, ranked.first)
 	// A further try is rejected as often as the first one, so at most half can be served.
 	// Requests that are rejected before the share is noticed may use up the reserve, which
 	// leaves the highest rank short for two or three of the eight seconds.
-	assert.Assert(t, ranked.masked(0) > 0.75*(1-replayRejected))
-	assert.Assert(t, ranked.masked(0) > 2*equal.masked(0))
-	assert.Assert(t, ranked.masked(1) > ranked.masked(2))
+	assert.Assert(t, ranked.served(0) > 0.75*(1-replayRejected))
+	assert.Assert(t, ranked.served(0) > 2*equal.served(0))
+	assert.Assert(t, ranked.served(1) > ranked.served(2))
 	assert.Assert(t, float64(ranked.tries) > 0.85*float64(equal.tries))
 	p := replayPolicy()
 	assert.Assert(t, float64(ranked.tries) <= p.Ratio*float64(ranked.first)+p.Reserve*replayNodes)
@@ -220,6 +220,8 @@
 	}
 }
 
+// Guards against a priority, also one out of range, that outweighs whether the refusal is
+// final, and against priorities in the reverse order.
 func TestRanks(t *testing.T) {
 	assert.Assert(t, RankOf(true, 100) < RankOf(false, -1))
 	assert.Assert(t, RankOf(false, 0) < RankOf(false, 1))
--- a/internal/retry/recent.go
+++ b/internal/retry/recent.go
@@ -22,12 +22,16 @@
 
 // recent counts the recent events at one service. All counts lose weight with recentTime.
 type recent struct {
-	at                         time.Time
-	first, arrivals, rejected  float64
+	at       time.Time // until which weight has been taken off the counts
+	first    float64   // first tries
+	arrivals float64   // tries that may have reached an upstream
+	rejected float64   // arrivals that the upstream rejected
+	// askedByRank counts the further tries that requests of a rank could have made after
+	// a rejection if the budget permitted; grantedByRank those drawn from the budget.
 	askedByRank, grantedByRank [ranks]float64
 }
 
-// advance takes the weight that the counts have lost since the last event.
+// advance takes off the weight that the counts have lost since the last event.
 func (r *recent) advance(now time.Time) {
 	if !now.After(r.at) {
 		return
