--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -95,7 +95,7 @@
 	// zero value if it knows none.
 	KnownLimit admission.AdvertisedLimit
 	// WaitBound is how long a wait at the target is worthwhile; the zero value if the
-	// request isn't moved.
+	// request must not be returned while it waits.
 	WaitBound admission.WaitBound
 }
 
--- a/internal/proxy/moves_test.go
+++ b/internal/proxy/moves_test.go
@@ -19,7 +19,7 @@
 
 type script = []func(*http.Request) (*http.Response, error)
 
-// withLoad adds the load report of an upstream that reports its speed.
+// withLoad adds a load report to the responses.
 func withLoad(respond func(*http.Request) (*http.Response, error), load string) func(*http.Request) (*http.Response, error) {
 	return func(r *http.Request) (*http.Response, error) {
 		resp, err := respond(r)
@@ -119,7 +119,8 @@
 	assert.Assert(t, s.seen[1].WaitBound.Worthwhile > 8*time.Millisecond, "%v", s.seen[1].WaitBound)
 }
 
-// Without speed reports nothing is bounded, and moves beyond the budget are not made.
+// Guards against moves where no upstream reports a slowdown, against requests that keep
+// their token although they weren't moved, and against moves beyond the budget.
 func TestMovesAreBounded(t *testing.T) {
 	moved := withLoad(refuse(admission.ReasonMoved), fullLoad)
 	s := &scripted{script: script{moved, respondOK}}
--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -7,8 +7,8 @@
 )
 
 // movesRequests reports whether requests that wait at an upstream of the service may be
-// moved to another one: only if its upstreams report slowdowns, as moving is needed only
-// where the speeds differ.
+// moved to another one: only while its upstreams report slowdowns, as moving is needed
+// only where their speeds change.
 func (r *Router) movesRequests(now time.Time, service string) bool {
 	return r.uneven(now, service) != nil
 }
@@ -16,8 +16,8 @@
 // setSecond sets the cost and the report age of the second choice: the best candidate
 // other than c, which was chosen. The cost is scaled to the weight of c, so that the two
 // compare as in a choice, and raised by costNoise, as choices treat costs that differ by
-// less as equal. It is at least the cost of c, which a trial may have preferred to a better
-// one.
+// less as equal. It is at least the cost of c: one that was chosen as a trial may cost more
+// than others.
 func (c *Candidate) setSecond(cs []Candidate) {
 	at, least := -1, 0.0
 	for i := range cs {
--- a/internal/routing/moves_load_test.go
+++ b/internal/routing/moves_load_test.go
@@ -19,7 +19,7 @@
 // is slow for 600 ms.
 type movingFleet struct {
 	*testbed
-	moves   bool // the upstreams report their speed
+	moves   bool // the upstreams report slowdowns, so that requests are moved
 	mu      sync.Mutex
 	routers []*Router
 	gates   []*admission.Gate
--- a/internal/routing/peer_load.go
+++ b/internal/routing/peer_load.go
@@ -37,7 +37,8 @@
 	maxRecentLoads = 32
 )
 
-// unevenService is what a node knows of a service whose upstreams report slowdowns.
+// unevenService is what a node knows of an uneven service: one whose upstreams report
+// slowdowns.
 type unevenService struct {
 	lastSeen time.Time // when a load report or a peer load report last showed a slowdown
 	inUse    float64   // smoothed share of the slots in use in reports
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -135,13 +135,14 @@
 	limit              limitState
 
 	name string
-	// load holds durations at usual speed, and the figures of a peer load report instead of
-	// own if that is newer. reportedAt is when these were reported.
+	// load holds durations at usual speed. Its figures are those of a peer load report
+	// instead of own if that is newer; reportedAt is when they were reported, loadAt when
+	// own were.
 	own        ownFigures
 	reportedAt time.Time
-	slowdown   admission.Slowdown
-	starts     [maxStarts]time.Time // of the last own requests
-	nextStart  int
+	slowdown   admission.Slowdown   // as last reported by anyone
+	starts     [maxStarts]time.Time // of the last own requests, in a ring
+	nextStart  int                  // number of own requests so far
 }
 
 // Smoothing of the network time. A connection that fills up is noticed within two or
--- a/internal/sidecar/advertised.go
+++ b/internal/sidecar/advertised.go
@@ -12,22 +12,23 @@
 	}
 }
 
-// maxLoggedLimit bounds the part of an invalid limit or load that a log line shows, in bytes.
-const maxLoggedLimit = 32
+// maxLoggedValue bounds the part of an invalid limit or load that a log line shows, in
+// bytes.
+const maxLoggedValue = 32
 
 // invalidLimit logs and counts a limit of the own upstream that has no meaning.
 func (s *Sidecar) invalidLimit(text string) {
 	s.metrics.Scope.Counter("upstream_limits_invalid").Inc(1)
 	if suppressed, ok := s.limitLines.allow(); ok {
-		s.log.Warn("limit of the own upstream is no number", "limit", text[:min(len(text), maxLoggedLimit)], "suppressed", suppressed)
+		s.log.Warn("limit of the own upstream is no number", "limit", text[:min(len(text), maxLoggedValue)], "suppressed", suppressed)
 	}
 }
 
-// invalidLoad logs and counts a load of the own upstream that has no meaning.
+// invalidLoad logs and counts a load of the own upstream that can't be read.
 func (s *Sidecar) invalidLoad(text string) {
 	s.metrics.Scope.Counter("upstream_loads_invalid").Inc(1)
 	if suppressed, ok := s.limitLines.allow(); ok {
-		s.log.Warn("load of the own upstream can't be read", "load", text[:min(len(text), maxLoggedLimit)], "suppressed", suppressed)
+		s.log.Warn("load of the own upstream can't be read", "load", text[:min(len(text), maxLoggedValue)], "suppressed", suppressed)
 	}
 }
 
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -61,8 +61,8 @@
 	// to a window of 64 KB, which takes 50 ms on a link of 10 Mbit/s.
 	maxReceives = 4
 	// peerWriteBuffer is the greatest http1.Config.WriteBuffer for connections of other
-	// nodes, in bytes. Three long responses at once queue 51 ms on a link of 15 Mbit/s. On such
-	// links the limit reduced the forwarded requests that ended without a response from
+	// nodes, in bytes. Three long responses at once queue 51 ms on a link of 15 Mbit/s. On
+	// such links the limit reduced the forwarded requests that ended without a response from
 	// 2,583 to 1,421 a day in a fleet of 61 machines.
 	peerWriteBuffer = 32 << 10
 	// minPeerWriteBuffer is the least http1.Config.WriteBuffer for connections of other
