Keep load reports that have overtaken a long response

A load report that came with the head of a long response was recorded when the body ended, in place of an own or a peer load report that had arrived meanwhile. It is ignored now if an own one is newer; if a peer load report is newer, its figures stay and the rest of the own report is taken. Without a slowdown reports have the time of their record, so nothing changes there.

TestNewerReportOvertakesLongResponse fails before and passes now; the tests of internal/routing and internal/proxy pass.

--- a/internal/routing/peer_load.go
+++ b/internal/routing/peer_load.go
@@ -156,16 +156,39 @@
 	if !s.reportedAt.After(s.loadAt) || now.Sub(s.reportedAt) <= peerLoadLifetime {
 		return
 	}
-	s.load.InUse, s.load.Slots, s.load.Waiting, s.load.Service = s.own.InUse, s.own.Slots, s.own.Waiting, s.own.Service
+	s.load.setFigures(s.own)
 	s.reportedAt, s.inFlightAtLoad = s.loadAt, s.inFlight
 }
 
-// ownFigures are those of the last own report that a peer load report replaces.
-type ownFigures struct {
+// loadFigures are those of an own report that a peer load report replaces.
+type loadFigures struct {
 	InUse, Slots, Waiting int
 	Service               time.Duration
 }
 
+func (l *LoadReport) figures() loadFigures {
+	return loadFigures{InUse: l.InUse, Slots: l.Slots, Waiting: l.Waiting, Service: l.Service}
+}
+
+func (l *LoadReport) setFigures(f loadFigures) {
+	l.InUse, l.Slots, l.Waiting, l.Service = f.InUse, f.Slots, f.Waiting, f.Service
+}
+
+// adoptReport records an own report that arrived at the given time, unless a newer one has
+// arrived since. The figures of a newer peer load report stay.
+func (s *upstreamState) adoptReport(l LoadReport, arrived time.Time) {
+	if s.loadAt.After(arrived) {
+		return
+	}
+	newer := s.load.figures()
+	s.load, s.loadAt, s.own = l, arrived, l.figures()
+	if s.reportedAt.After(arrived) {
+		s.load.setFigures(newer)
+		return
+	}
+	s.reportedAt, s.inFlightAtLoad = arrived, s.inFlightAt(arrived)
+}
+
 // PeerLoads appends to out the loads of upstreams of a service that a response to another
 // node may carry, except that of the named upstream, whose own load report the response
 // has. Recent ones are preferred, with some randomness, so that they spread through
@@ -309,7 +332,6 @@
 // observeUneven takes an own load report that was just recorded into account if upstreams
 // of its service report slowdowns.
 func (r *Router) observeUneven(now time.Time, s *upstreamState) {
-	s.own = ownFigures{InUse: s.load.InUse, Slots: s.load.Slots, Waiting: s.load.Waiting, Service: s.load.Service}
 	s.observeSlowdown(s.load.Slowdown)
 	r.observeSlowdown(now, s.service, s.load.Slowdown)
 	if u := r.uneven(now, s.service); u != nil {
--- a/internal/routing/peer_load_test.go
+++ b/internal/routing/peer_load_test.go
@@ -118,6 +118,23 @@
 	assert.Assert(t, s.reportUsed(b.now, b.router.uneven(b.now, "s")).Peer)
 }
 
+// Guards against a long response whose load report, when it ends, replaces those that have
+// overtaken it.
+func TestNewerReportOvertakesLongResponse(t *testing.T) {
+	b := newUnevenTestbed(3)
+	old := LoadReport{InUse: 1, Slots: 4, Draining: true, Slowdown: admission.Slowdown{Percent: 100, At: b.now}, ReadAt: b.now}
+	b.now = b.now.Add(500 * time.Millisecond)
+	assert.Equal(t, b.accept(b.peerLoad(1, 100*time.Millisecond)), 1)
+	b.report(1, old)
+	s := b.router.upstreams["u1"]
+	assert.Equal(t, s.load.InUse, 3, "the peer load report is newer")
+	assert.Assert(t, s.load.Draining, "a peer load report does not say that an upstream drains")
+	b.report(2, LoadReport{InUse: 2, Slots: 4})
+	b.report(2, old)
+	assert.Equal(t, b.router.upstreams["u2"].load.InUse, 2, "the own report is newer")
+	assert.Assert(t, !b.router.upstreams["u2"].load.Draining)
+}
+
 // The slowdown in a peer load report has aged on its way as the report has: it must not
 // take effect for longer than its lifetime after a node that is frozen has sent it.
 func TestSlowdownOfPeerLoadAgesInTransit(t *testing.T) {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -152,8 +152,7 @@
 		o.Load = &report
 		r.observeServiceTime(s.service, o.Load.Service)
 		r.updateFastest(s, name, o)
-		arrived := o.Load.arrivedAt(now)
-		s.load, s.loadAt, s.reportedAt, s.inFlightAtLoad = *o.Load, arrived, arrived, s.inFlightAt(arrived)
+		s.adoptReport(report, report.arrivedAt(now))
 		r.observeUneven(now, s)
 		s.limit.observe(now, rnd, o.Load, o.OverLimit)
 		s.recordWait(now, overload.QueueKind(o.Kind, o.Late), o.Load.Wait)
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -138,7 +138,7 @@
 	// load holds durations at usual speed. Its figures are those of a peer load report
 	// instead of own if that is newer; reportedAt is when they were reported, loadAt when
 	// own were.
-	own        ownFigures
+	own        loadFigures
 	reportedAt time.Time
 	slowdown   admission.Slowdown   // as last reported by anyone
 	starts     [maxStarts]time.Time // of the last own requests, in a ring
