--- a/internal/discovery/entry.go
+++ b/internal/discovery/entry.go
@@ -4,6 +4,7 @@
 	"time"
 )
 
+// entry is what the registry knows of one upstream process.
 type entry struct {
 	Upstream
 	firstSeen  time.Time // when this process was first seen
--- a/internal/peer/authority.go
+++ b/internal/peer/authority.go
@@ -63,7 +63,7 @@
 // Issue generates a key and a certificate for the named instance.
 func (a *Authority) Issue(name string) (*Identity, error) { return a.issue(name) }
 
-// issue is Issue with any number of DNS names.
+// issue is Issue with one or more DNS names, of which the first is the instance name.
 func (a *Authority) issue(names ...string) (*Identity, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
--- a/internal/settings/free_keys_test.go
+++ b/internal/settings/free_keys_test.go
@@ -42,6 +42,8 @@
 	}
 }
 
+// Guards against overrides of a section with free keys that are lost, or of which an
+// earlier one wins.
 func TestLaterOverridesOfRegionsTakePrecedence(t *testing.T) {
 	s, err := ParseSidecar("sidecar.ini", []byte(validSidecarFile+"[regions]\nmerkato = x\n"),
 		Overrides{"regions.merkato": "y", "regions.piassa": "addis"}, Overrides{"regions.merkato": "addis"})
