--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -103,6 +103,7 @@
 			problem = ex.awaitResponse(target)
 		}
 		if problem != nil {
+			ex.dropWaitBound()
 			ex.finishWithoutUpstream(w, last, problem)
 			return
 		}
@@ -120,7 +121,7 @@
 		ex.mayHaveRun = ex.mayHaveRun || class == retry.Ambiguous
 		if class.MayHaveReachedUpstream() {
 			ex.upstreamTries++
-			ex.f.observeArrival(ex.service.Name, class)
+			ex.observeArrival(class, resp)
 		}
 		if class == retry.Answered {
 			ex.finish(w, resp)
--- a/internal/proxy/moves_test.go
+++ b/internal/proxy/moves_test.go
@@ -19,7 +19,7 @@
 
 type script = []func(*http.Request) (*http.Response, error)
 
-// withLoad adds the load report of an upstream that reports its speed.
+// withLoad adds a load report to the responses.
 func withLoad(respond func(*http.Request) (*http.Response, error), load string) func(*http.Request) (*http.Response, error) {
 	return func(r *http.Request) (*http.Response, error) {
 		resp, err := respond(r)
@@ -119,7 +119,8 @@
 	assert.Assert(t, s.seen[1].WaitBound.Worthwhile > 8*time.Millisecond, "%v", s.seen[1].WaitBound)
 }
 
-// Without speed reports nothing is bounded, and moves beyond the budget are not made.
+// Guards against moves where no upstream reports a slowdown, against requests that keep
+// their token although they weren't moved, and against moves beyond the budget.
 func TestMovesAreBounded(t *testing.T) {
 	moved := withLoad(refuse(admission.ReasonMoved), fullLoad)
 	s := &scripted{script: script{moved, respondOK}}
@@ -182,3 +183,22 @@
 		assert.Equal(t, c.ex.movable(), c.want, c.name)
 	}
 }
+
+// Guards against a full link that uses up the move budget: a request that is refused after
+// its bound was set, but before it is sent, returns its token.
+func TestRefusalBeforeSendingReturnsMoveToken(t *testing.T) {
+	f, _ := newMovingFrontend(t, &scripted{script: script{respondOK}}, "tariff", true)
+	f.cfg.Links = NewLinks(narrowMbps, f.metrics)
+	route := f.holder.Current().Match("", http.MethodGet, "/tariff/x")
+	route.Objective = 100 * time.Millisecond
+	f.awaited.observe(route.Name, &http.Response{ContentLength: longResponseSize})
+	f.cfg.Links.receive.admit(exactly(100*longResponseSize), 0, 0, false)
+	for range 100 {
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/tariff/x", nil))
+		assert.Equal(t, w.Header().Get(HeaderReason), string(admission.ReasonLink))
+	}
+	for range int(movePolicy.Reserve) {
+		assert.Assert(t, f.withdrawMoveToken())
+	}
+}
--- a/internal/proxy/retry_rank_test.go
+++ b/internal/proxy/retry_rank_test.go
@@ -111,3 +111,17 @@
 	s.send(false, true)
 	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "150")
 }
+
+// Guards against a service that counts as rejecting because an address answers for another
+// instance, as after a restart.
+func TestOtherInstanceIsNoRejection(t *testing.T) {
+	for reason, retryAfter := range map[string]string{reasonWrongInstance: "150", reasonRejected: "20"} {
+		s := newRejectingService(t)
+		ex := &exchange{f: s.f, service: s.f.holder.Current().Service("s")}
+		for range 6 {
+			ex.observeArrival(retry.Rejected, &http.Response{Header: http.Header{HeaderReason: {reason}}})
+		}
+		s.send(false, true)
+		assert.Equal(t, s.response.Get(HeaderRetryAfterMs), retryAfter, reason)
+	}
+}
--- a/internal/routing/peer_load.go
+++ b/internal/routing/peer_load.go
@@ -37,7 +37,8 @@
 	maxRecentLoads = 32
 )
 
-// unevenService is what a node knows of a service whose upstreams report slowdowns.
+// unevenService is what a node knows of an uneven service: one whose upstreams report
+// slowdowns.
 type unevenService struct {
 	lastSeen time.Time // when a load report or a peer load report last showed a slowdown
 	inUse    float64   // smoothed share of the slots in use in reports
@@ -106,10 +107,9 @@
 // upstream only: exclusions and the failure rate go by the node's own requests.
 func (r *Router) AcceptPeerLoads(now time.Time, service string, inTransit time.Duration, loads []PeerLoad, members Members) (accepted int) {
 	for i := range loads[:min(len(loads), MaxPeerLoads)] {
-		l := &loads[i]
-		at := now.Add(-l.Age - inTransit)
+		l := loads[i].atArrival(inTransit)
 		m, listed := members(l.Upstream)
-		if l.Age < 0 || now.Sub(at) > peerLoadLifetime || !listed || m.Service != service || m.Generation != l.Generation {
+		if loads[i].Age < 0 || l.Age > peerLoadLifetime || !listed || m.Service != service || m.Generation != l.Generation {
 			continue
 		}
 		r.observeSlowdown(now, service, l.Slowdown)
@@ -118,26 +118,36 @@
 			continue
 		}
 		s := r.stateOf(now, m)
+		at := now.Add(-l.Age)
 		if s.generation != l.Generation || !at.After(s.reportedAt) {
 			continue
 		}
-		s.applyPeerLoad(now, at, l)
+		s.applyPeerLoad(at, &l)
 		uneven.observe(s)
 		accepted++
 	}
 	return accepted
 }
 
+// atArrival returns a peer load report whose ages include the time that it was on its way.
+func (l PeerLoad) atArrival(inTransit time.Duration) PeerLoad {
+	l.Age += inTransit
+	if l.Slowdown.Reported() {
+		l.Slowdown.At = l.Slowdown.At.Add(-inTransit)
+	}
+	return l
+}
+
 // applyPeerLoad adopts a peer load report that was made at the given time. The node's own
 // requests since then are not part of it.
-func (s *upstreamState) applyPeerLoad(now, at time.Time, l *PeerLoad) {
+func (s *upstreamState) applyPeerLoad(at time.Time, l *PeerLoad) {
 	s.load.InUse, s.load.Slots, s.load.Waiting = l.InUse, l.Slots, l.Waiting
 	if l.Service > 0 {
 		s.load.Service = l.Service
 	}
 	s.observeSlowdown(l.Slowdown)
 	s.reportedAt = at
-	s.inFlightAtLoad = s.inFlight - min(s.startsSince(at), s.inFlight)
+	s.inFlightAtLoad = s.inFlightAt(at)
 }
 
 // forgetOldPeerLoad restores the figures of the last own report once a peer load report is
@@ -146,16 +156,39 @@
 	if !s.reportedAt.After(s.loadAt) || now.Sub(s.reportedAt) <= peerLoadLifetime {
 		return
 	}
-	s.load.InUse, s.load.Slots, s.load.Waiting, s.load.Service = s.own.InUse, s.own.Slots, s.own.Waiting, s.own.Service
+	s.load.setFigures(s.own)
 	s.reportedAt, s.inFlightAtLoad = s.loadAt, s.inFlight
 }
 
-// ownFigures are those of the last own report that a peer load report replaces.
-type ownFigures struct {
+// loadFigures are those of an own report that a peer load report replaces.
+type loadFigures struct {
 	InUse, Slots, Waiting int
 	Service               time.Duration
 }
 
+func (l *LoadReport) figures() loadFigures {
+	return loadFigures{InUse: l.InUse, Slots: l.Slots, Waiting: l.Waiting, Service: l.Service}
+}
+
+func (l *LoadReport) setFigures(f loadFigures) {
+	l.InUse, l.Slots, l.Waiting, l.Service = f.InUse, f.Slots, f.Waiting, f.Service
+}
+
+// adoptReport records an own report that arrived at the given time, unless a newer one has
+// arrived since. The figures of a newer peer load report stay.
+func (s *upstreamState) adoptReport(l LoadReport, arrived time.Time) {
+	if s.loadAt.After(arrived) {
+		return
+	}
+	newer := s.load.figures()
+	s.load, s.loadAt, s.own = l, arrived, l.figures()
+	if s.reportedAt.After(arrived) {
+		s.load.setFigures(newer)
+		return
+	}
+	s.reportedAt, s.inFlightAtLoad = arrived, s.inFlightAt(arrived)
+}
+
 // PeerLoads appends to out the loads of upstreams of a service that a response to another
 // node may carry, except that of the named upstream, whose own load report the response
 // has. Recent ones are preferred, with some randomness, so that they spread through
@@ -220,6 +253,11 @@
 	return n
 }
 
+// inFlightAt returns how many of the own requests in flight had started by the given time.
+func (s *upstreamState) inFlightAt(at time.Time) int {
+	return s.inFlight - min(s.startsSince(at), s.inFlight)
+}
+
 // observeSlowdown keeps the latest slowdown.
 func (s *upstreamState) observeSlowdown(reported admission.Slowdown) {
 	if reported.At.After(s.slowdown.At) {
@@ -227,16 +265,21 @@
 	}
 }
 
+// arrivedAt returns when a report arrived whose response has ended now.
+func (l LoadReport) arrivedAt(now time.Time) time.Time {
+	if l.ReadAt.IsZero() {
+		return now
+	}
+	return l.ReadAt
+}
+
 // atUsualSpeed returns a load report with the durations that it would have if the upstream
 // had its usual speed.
 func (l LoadReport) atUsualSpeed(now time.Time) LoadReport {
 	if !l.Slowdown.Reported() {
 		return l
 	}
-	if !l.ReadAt.IsZero() {
-		now = l.ReadAt
-	}
-	factor := l.Slowdown.Factor(now)
+	factor := l.Slowdown.Factor(l.arrivedAt(now))
 	l.Service = admission.UsualTime(l.Service, factor, factor)
 	l.Runs.Typical = admission.UsualTime(l.Runs.Typical, factor, factor)
 	l.Runs.Safe = admission.UsualTime(l.Runs.Safe, factor, factor)
@@ -289,7 +332,6 @@
 // observeUneven takes an own load report that was just recorded into account if upstreams
 // of its service report slowdowns.
 func (r *Router) observeUneven(now time.Time, s *upstreamState) {
-	s.own = ownFigures{InUse: s.load.InUse, Slots: s.load.Slots, Waiting: s.load.Waiting, Service: s.load.Service}
 	s.observeSlowdown(s.load.Slowdown)
 	r.observeSlowdown(now, s.service, s.load.Slowdown)
 	if u := r.uneven(now, s.service); u != nil {
--- a/internal/routing/uneven_sample.go
+++ b/internal/routing/uneven_sample.go
@@ -8,7 +8,8 @@
 // drawUneven draws candidates at random from a service whose upstreams report slowdowns,
 // and appends them to out, which must be empty, until enough of them are usable. An
 // upstream is drawn in proportion to its slow-start and locality factors. If a request
-// would miss its objective deadline at all of them, all upstreams are compared.
+// would miss its objective deadline at all of them, all upstreams are compared. Those that
+// returned the request are always among the candidates: their reports are the latest.
 //
 // Many nodes have the same recent reports of these upstreams. If they compared all, they
 // would choose the same upstream until a later report shows that it is full.
@@ -31,6 +32,7 @@
 			out = out[:len(out)-1]
 		}
 	}
+	out = r.addNamed(out, now, req, members, req.MovedFrom)
 	r.applyPanicThreshold(out)
 	if !anyInTime(out) {
 		return r.appendCandidates(out[:0], now, req, members)
