--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
 )
 
 // LatencyConfig configures a paired comparison of calls through the fleet with direct
@@ -37,7 +38,8 @@
 }
 
 // MeasureLatency alternates slices of direct load and load through the mesh, so that
-// changes in the machine's speed affect both equally.
+// changes in the machine's speed affect both equally. It returns an error if the plan has no
+// upstream of the service.
 func MeasureLatency(ctx context.Context, cfg LatencyConfig) (*LatencyResult, error) {
 	plan, err := ReadPlan(cfg.Dir)
 	if err != nil {
@@ -52,6 +54,9 @@
 			capacity += float64(n.Slots) / n.Work.Seconds()
 		}
 	}
+	if len(direct) == 0 {
+		return nil, errors.Newf("the plan has no upstream of the service %q", cfg.Service)
+	}
 	r := &LatencyResult{Rate: cfg.LoadFraction * capacity}
 	directLatency, meshLatency := newHistogram(), newHistogram()
 	// Opens the connections first; their setup is not part of the comparison.
