Pacing is for kinds with long responses; callers return soon only where slots were free

Two changes took effect there without being called for: single long responses were paced, which a round trip of 40 ms makes slow, and callers were told to come back in 20 ms also where the upstream rejected for want of room. Both are limited to what they are for.

--- a/internal/proxy/retry_rank.go
+++ b/internal/proxy/retry_rank.go
@@ -17,10 +17,10 @@
 	retry.Decision
 }
 
-// rejectingRetryAfter is the advised retry delay after a rejection by a service that
-// rejects many requests. Its upstreams reject each by itself, whether they have free slots
-// or not, so a later attempt is no more likely to succeed, and an earlier one leaves more
-// of the objective.
+// rejectingRetryAfter is the advised retry delay after a rejection by an upstream with free
+// slots, if its service rejects many requests. They are not rejected for want of room, so a
+// later attempt is no more likely to succeed, and an earlier one leaves more of the
+// objective.
 const rejectingRetryAfter = 20 * time.Millisecond
 
 // observeArrival counts a try that may have reached an upstream. An answer of another
@@ -43,13 +43,20 @@
 	if d.Ranked {
 		ex.retry = &RetryRecord{Request: req, Decision: d}
 		ex.f.metrics.retriedByRank(req.Rank, d)
-		if t.Class == retry.Rejected {
+		if t.Class == retry.Rejected && hadFreeSlots(resp.Header) {
 			resp.Header.Set(HeaderRetryAfterMs, strconv.FormatInt(rejectingRetryAfter.Milliseconds(), 10))
 		}
 	}
 	return d.Reason
 }
 
+// hadFreeSlots reports whether, by the load report of a response, the upstream had a free
+// slot and no request waited.
+func hadFreeSlots(h http.Header) bool {
+	load := readLoadReport(h)
+	return load != nil && load.Waiting == 0 && load.InUse < load.Slots
+}
+
 // retriedByRank counts a further try at a service that rejects requests.
 func (m *Metrics) retriedByRank(rank retry.Rank, r retry.Decision) {
 	if r.Reason == retry.Allowed {
--- a/internal/proxy/retry_rank_test.go
+++ b/internal/proxy/retry_rank_test.go
@@ -19,19 +19,21 @@
 	f        *Frontend
 	rejects  bool
 	runTimes string // headerRunTimes of the rejections
+	load     string // headerLoad of the rejections
 	last     Record
 	response http.Header // to the last request
 }
 
 func newRejectingService(t *testing.T) *rejectingService {
 	t.Helper()
-	s := &rejectingService{}
+	s := &rejectingService{load: "1/4/0/20000/0"}
 	upstream := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
 		if !s.rejects {
 			return respondOK(r)
 		}
 		resp := notRun(http.StatusServiceUnavailable, retry.Rejected, reasonRejected, rejectedRetryAfter).response(r)
 		resp.Header.Set(headerRunTimes, s.runTimes)
+		resp.Header.Set(headerLoad, s.load)
 		return resp, nil
 	}}}
 	h := &snapshot.Holder{}
@@ -105,6 +107,10 @@
 		s.send(false, true)
 	}
 	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "20")
+	s.load = "4/4/2/20000/10000" // no free slot
+	s.send(false, true)
+	assert.Equal(t, s.response.Get(HeaderRetryAfterMs), "150")
+	s.load = "1/4/0/20000/0"
 	for range 200 {
 		s.send(false, false)
 	}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -38,8 +38,13 @@
 	if !c.remote || length < sendThreshold {
 		return resp.Body
 	}
+	return c.limitedBody(resp.Body, length)
+}
+
+// limitedBody returns the body of a long response that waits for the send limiter.
+func (c *backendCall) limitedBody(body io.ReadCloser, length int64) *limitedSend {
 	c.b.sendBuffered.Add(length)
-	return &limitedSend{ReadCloser: resp.Body, c: c, length: length}
+	return &limitedSend{ReadCloser: body, c: c, length: length}
 }
 
 // limitedSend is the body of a long response. It takes a slot of the send limiter when
--- a/internal/proxy/send_link.go
+++ b/internal/proxy/send_link.go
@@ -73,7 +73,8 @@
 }
 
 // pace returns the body of a response; a long one to another node is written as the link
-// has room for it.
+// has room for it, if responses of its kind are long on the mean. A long response of another
+// kind is an exception that the link is not planned for; it waits for the send limiter.
 func (c *backendCall) pace(resp *http.Response) io.ReadCloser {
 	length := resp.ContentLength
 	if c.req.Method == http.MethodHead {
@@ -83,12 +84,17 @@
 	if !c.remote {
 		return resp.Body
 	}
-	if length >= link.LongThreshold {
+	long := length >= link.LongThreshold
+	if long && c.b.responseSize(c.env.Kind).mean >= link.LongThreshold {
 		return c.pacedBody(resp.Body, length)
 	}
 	c.sending.release()
-	if length < 0 {
-		return &countedBody{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
+	counted := &countedBody{ReadCloser: resp.Body, m: c.b.cfg.Links.send}
+	switch {
+	case long && c.b.sendLimiter != nil:
+		return c.limitedBody(counted, length)
+	case long || length < 0:
+		return counted
 	}
 	return resp.Body
 }
