--- a/internal/proxy/send_link_test.go
+++ b/internal/proxy/send_link_test.go
@@ -88,6 +88,28 @@
 	})
 }
 
+// Guards against pacing where it is not called for: a long response of a kind with short
+// ones does not queue behind those of the kinds that fill the link.
+func TestOnlyKindsWithLongResponsesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := linkedBackend(narrowMbps, 20, longResponses{})
+		for range 20 {
+			sendFast(b, "/short", "mixed", nil)
+		}
+		var group sync.WaitGroup
+		for range 5 {
+			group.Go(func() { sendFast(b, "/long", "form", nil) })
+		}
+		time.Sleep(5 * time.Millisecond)
+		_, status, took := sendFast(b, "/long", "mixed", nil)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, took, 10*time.Millisecond) // the run alone
+		group.Wait()
+		assertLinkFree(t, b.cfg.Links.send)
+		assert.Equal(t, b.sendBuffered.Load(), int64(0))
+	})
+}
+
 // brokenReader reads some bytes and then fails.
 type brokenReader struct{ n int }
 
