Long responses of kinds with short ones are limited again where the link's rate is known

Since pacing is for kinds with long responses only, a long response of another kind was said to wait for the bound on concurrent ones. That bound was not there: it was created only where the rate is not known, so the branch was dead, and such responses were neither limited nor counted against the send buffers. With the bound they are served as before the links were known. The test panics on the code before.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -77,9 +77,10 @@
 	// high latency better, fewer leaves a narrow link free for short responses. Default
 	// 0: no bound.
 	MaxSends int
-	// Links is the link of the machine. With it, long responses to other nodes are paced
-	// by the link's rate instead of being limited by MaxSends, and a request whose response
-	// would be late because of the link is refused. Default nil: the rate is not known.
+	// Links is the link of the machine. With it, long responses of kinds that have them on
+	// the mean are paced by the link's rate instead of being limited by MaxSends, and a
+	// request whose response would be late because of the link is refused. Default nil: the
+	// rate is not known.
 	Links *Links
 	// SendBufferLimit is the longest response that is buffered while it waits to be
 	// sent, in bytes. SendBufferTotal bounds the sum of these: once it is reached,
@@ -181,7 +182,7 @@
 	if cfg.MaxReceives > 0 {
 		b.receiveLimiter = newTransferLimiter(cfg.MaxReceives)
 	}
-	if cfg.MaxSends > 0 && cfg.Links == nil {
+	if cfg.MaxSends > 0 {
 		b.sendLimiter = newTransferLimiter(cfg.MaxSends)
 	}
 	return b
--- a/internal/proxy/send_link_test.go
+++ b/internal/proxy/send_link_test.go
@@ -110,6 +110,35 @@
 	})
 }
 
+// Guards against long responses that are neither paced nor limited: of a kind with short
+// ones, MaxSends are sent at once.
+func TestLongResponsesOfOtherKindsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := linkedBackend(narrowMbps, 20, longResponses{})
+		for range 20 {
+			sendFast(b, "/short", "mixed", nil)
+		}
+		b.sendLimiter.acquire(t.Context(), 0)
+		b.sendLimiter.acquire(t.Context(), 0)
+		b.sendLimiter.acquire(t.Context(), 0)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			sendFast(b, "/long", "mixed", nil)
+		}()
+		time.Sleep(time.Second)
+		select {
+		case <-done:
+			t.Fatal("more than MaxSends at once")
+		default:
+		}
+		assert.Equal(t, b.sendBuffered.Load(), int64(longResponseSize))
+		b.sendLimiter.release(0)
+		<-done
+		assert.Equal(t, b.sendBuffered.Load(), int64(0))
+	})
+}
+
 // brokenReader reads some bytes and then fails.
 type brokenReader struct{ n int }
 
