One lookup of an uneven service a choice, one way to read an expected size

Pick looked the service up twice, and backend and frontend built the expected size of a response each for itself. Decisions are the same; the tests of the switch ask the lookup itself.

--- a/internal/proxy/awaited.go
+++ b/internal/proxy/awaited.go
@@ -41,7 +41,7 @@
 func (a *awaitedResponses) expect(route string) (size transferSize, run time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return transferSize{mean: int64(a.sizes.Mean(route)), long: int64(a.sizes.Long(route))}, a.runs[route]
+	return expectedSize(a.sizes, route), a.runs[route]
 }
 
 // localTargets is implemented by dispatchers that know which instances are on this
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -11,6 +11,7 @@
 
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/link"
+	"github.com/walldrift/walldrift/internal/overload"
 )
 
 // Links are the two directions of the machine's link. It carries both at its full rate at
@@ -102,6 +103,11 @@
 	long int64
 }
 
+// expectedSize returns the size of the next response of a kind; zero if unknown.
+func expectedSize(sizes *overload.ResponseSizes, kind string) transferSize {
+	return transferSize{mean: int64(sizes.Mean(kind)), long: int64(sizes.Long(kind))}
+}
+
 // exactly returns the size of a transfer whose length is known.
 func exactly(length int64) transferSize { return transferSize{mean: length, long: length} }
 
--- a/internal/proxy/send_link.go
+++ b/internal/proxy/send_link.go
@@ -57,7 +57,7 @@
 func (b *Backend) responseSize(kind string) transferSize {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return transferSize{mean: int64(b.responseSizes.Mean(kind)), long: int64(b.responseSizes.Long(kind))}
+	return expectedSize(b.responseSizes, kind)
 }
 
 // waitWithLink returns the expected wait of a kind: that for a slot, or that for the link
--- a/internal/routing/moves.go
+++ b/internal/routing/moves.go
@@ -6,13 +6,6 @@
 	"github.com/walldrift/walldrift/internal/admission"
 )
 
-// movesRequests reports whether requests that wait at an upstream of the service may be
-// moved to another one: only while its upstreams report slowdowns, as moving is needed
-// only where their speeds change.
-func (r *Router) movesRequests(now time.Time, service string) bool {
-	return r.uneven(now, service) != nil
-}
-
 // setSecond sets the cost and the report age of the second choice: the best candidate
 // other than c, which was chosen. The cost is scaled to the weight of c, so that the two
 // compare as in a choice, and raised by costNoise, as choices treat costs that differ by
--- a/internal/routing/moves_test.go
+++ b/internal/routing/moves_test.go
@@ -89,8 +89,8 @@
 	}
 	assert.Assert(t, second > 1900, "%d of 2000", second)
 	assert.Equal(t, testing.AllocsPerRun(100, func() { with.pick() }), 0.0)
-	assert.Assert(t, with.router.movesRequests(with.now, "s"))
-	assert.Assert(t, !with.router.movesRequests(with.now.Add(peerLoadLifetime+1), "s"))
+	assert.Assert(t, with.router.uneven(with.now, "s") != nil)
+	assert.Assert(t, with.router.uneven(with.now.Add(peerLoadLifetime+1), "s") == nil)
 	with.router.Prune(with.now.Add(time.Hour), func(string) bool { return true })
 	assert.Equal(t, len(with.router.unevenServices), 0)
 }
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -56,7 +56,7 @@
 	}
 	if r.cfg.ByExpectedTime {
 		chosen := leastCost(rnd, usable)
-		if r.movesRequests(now, req.Service.Name) {
+		if req.uneven != nil { // moving is needed only where the upstreams' speeds change
 			chosen.setSecond(usable)
 		}
 		return chosen, true
