--- a/review/cmd/silent-links/main.go
+++ b/review/cmd/silent-links/main.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	fronts = 3
+	fronts = 5
 	hosts  = 1
 
 	warmUp     = 12 * time.Second
@@ -33,10 +33,10 @@
 	meanLength = 90_000
 	maxLength  = 540_000
 	// perFront is the number of downloads a second of each front's clients.
-	perFront = 5
+	perFront = 3.4
 	// silences is the number of times that the open connections go silent.
-	silences   = 2
-	silenceGap = 6 * time.Second
+	silences   = 4
+	silenceGap = 4 * time.Second
 )
 
 func main() { os.Exit(run(os.Args[1], os.Getenv("TROUBLE") != "0")) }
@@ -115,7 +115,7 @@
 	close(stop)
 	group.Wait()
 	rec.Say("before: %v", &before)
-	rec.Say("in the first %v after: %v", stability+recoverS, &around)
+	rec.Say("from then until %v after the last silence: %v", stability+recoverS, &around)
 	rec.Say("later: %v", &after)
 	switch {
 	case before.served.Load()*4 < before.sent.Load():
