--- a/review/rig2/explore.go
+++ b/review/rig2/explore.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -88,6 +89,9 @@
 				h.Set("X-Method", method)
 				h.Set("X-Uri", path)
 				h.Set("X-From", m.target.service)
+				if rand.IntN(3) == 0 {
+					h.Set("X-Pad", strings.Repeat("p", rand.IntN(14_000)))
+				}
 				if w%5 == 0 && size > 0 {
 					h.Set("Expect", "100-continue")
 				}
@@ -131,6 +135,9 @@
 	for time.Now().Before(end) && f.trouble {
 		for _, p := range []*atomic.Int64{&md.early, &md.lost, &md.garble, &md.extra, &md.full, &md.unframed} {
 			p.Store(0)
+			if p == &md.early && os.Getenv("EARLY") == "0" {
+				continue
+			}
 			if rnd.IntN(3) == 0 {
 				p.Store(int64(rnd.IntN(300)))
 			}
--- a/review/rig2/raw.go
+++ b/review/rig2/raw.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// chunks returns a body in the chunked coding, in pieces of up to 40,000 bytes.
+func chunks(body []byte) string {
+	var b strings.Builder
+	for len(body) > 0 {
+		n := min(len(body), 1+rand.IntN(40_000))
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	b.WriteString("0\r\n\r\n")
+	return b.String()
+}
+
 // hit draws whether something of a frequency per mille happens.
 func hit(p *atomic.Int64) bool { return rand.Int64N(1000) < p.Load() }
 
@@ -160,6 +172,9 @@
 			}()
 			continue
 		}
+		if rand.IntN(4) == 0 {
+			whole = "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n" + chunks(body)
+		}
 		if _, err := io.WriteString(nc, whole); err != nil {
 			return
 		}
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -37,13 +37,13 @@
 	mu      sync.Mutex
 	log     []item
 	changed chan struct{}
-	// staleBy returns how old the answer to the n-th page of a serializable listing is.
-	staleBy func(page string) time.Duration
-	calls   int
+	// laggingBy is how old the replica is that answers the later pages of a serializable
+	// listing; the leader answers the first.
+	laggingBy time.Duration
 }
 
 func newStore(ip string) *store {
-	s := &store{changed: make(chan struct{}), staleBy: func(string) time.Duration { return 0 }}
+	s := &store{changed: make(chan struct{})}
 	l, err := net.Listen("tcp", ip+":0")
 	check(err)
 	s.addr = l.Addr().String()
@@ -51,6 +51,13 @@
 	return s
 }
 
+// lag makes the replica lag from now on.
+func (s *store) lag(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.laggingBy = by
+}
+
 // put writes a key, or removes it if the value is nil, and returns the time of the
 // acknowledgement.
 func (s *store) put(key string, value any) time.Time {
@@ -97,9 +104,6 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
-	s.mu.Lock()
-	s.calls++
-	s.mu.Unlock()
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/walldrift/kv-key":
@@ -132,8 +136,8 @@
 func (s *store) serveRange(w http.ResponseWriter, prefix, after string, serializable bool) {
 	s.mu.Lock()
 	asOf := time.Now()
-	if serializable {
-		asOf = asOf.Add(-s.staleBy(after))
+	if serializable && after != "" {
+		asOf = asOf.Add(-s.laggingBy)
 	}
 	items, rev := s.view(prefix, asOf)
 	s.mu.Unlock()
