--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -24,6 +25,7 @@
 	configApplyMs = 2000
 	graceS        = 6
 	recoverS      = 15
+	touchMs       = 3000 // StabilityWindowMs
 	memoryMb      = 284
 	linkMbps      = 1000.0
 )
@@ -61,8 +63,9 @@
 	retired  []*machine // machines that have left
 	runs     *runLog
 	peerPort int
-	hosts    int // addresses given to machines
-	net      int // second byte of the addresses
+	hosts    int     // addresses given to machines
+	mbps     float64 // rate of the machines' links; 0: linkMbps
+	net      int     // second byte of the addresses
 	record   *bufio.Writer
 	recordMu sync.Mutex
 	started  time.Time
@@ -143,7 +146,7 @@
 	text := string(raw)
 	for name, value := range map[string]string{
 		"Node": m.name, "Service": m.target.service, "Zone": m.target.zone, "Region": "r", "Ip": nodeIP,
-		"Limits.LinkMbps": strconv.FormatFloat(linkMbps, 'f', 1, 64),
+		"Limits.LinkMbps": strconv.FormatFloat(cmp.Or(m.f.mbps, linkMbps), 'f', 1, 64),
 		"Listen.Outbound": m.callers, "Listen.Inbound": m.peers, "Listen.Ready": m.ready,
 		"AppAddr": m.target.addr, "Platform.Address": m.f.store.addr,
 		"Bounds.DrainMs": strconv.Itoa(drainMs), "Bounds.ConfigApplyMs": strconv.Itoa(configApplyMs), "Bounds.GraceS": strconv.Itoa(graceS),
