A try that has ended reads no more of its request's body

Cause: the goroutine that sends the body of a try starts at 100 Continue and may first read after the refusal has arrived and the next try is decided. It took the bytes that the second try should send; what was left ended as if the body were complete. Ruled out: a repeated try after a read, and a body cut at the second node.

Change: a body knows the reader of the try in progress. Ending the try revokes it before the next one is decided, under the lock under which a read marks the stream as consumed. late_body_reads counts the reads that come too late.

Related paths, all through requestBody.open: other nodes by HTTP/1.1 and HTTP/3, the local backend, the retry without waiting. Moved requests are never streamed.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,15 +16,22 @@
 // defaultBufferLimit is the default of FrontendConfig.BufferLimit.
 const defaultBufferLimit = 32 << 10
 
-// requestBody is a caller's body. It can be sent again as long as no byte of a streamed
-// body has been read.
+// requestBody is a caller's body. Each try opens it, and only the try in progress may read
+// it. It can be sent again as long as no try has read from a streamed body.
 type requestBody struct {
-	buffered []byte // the complete body, if it is short
-	stream   io.Reader
-	length   int64       // negative if unknown
-	consumed atomic.Bool // bytes of the stream have been read
+	buffered   []byte // the complete body, if it is short
+	stream     io.Reader
+	length     int64  // negative if unknown
+	onLateRead func() // called for each read by a try that has ended; nil for none
+
+	mu       sync.Mutex
+	reader   *awaitingBody // of the try in progress; nil if there is none
+	consumed bool          // a try has read from the stream
 }
 
+// errTryEnded is returned by reads of a request body whose try has ended.
+var errTryEnded = errors.New("the try that reads the request body has ended")
+
 // errBodyTooLong reports a body that exceeds the table's limit.
 var errBodyTooLong = errors.New("request body is too long")
 
@@ -81,18 +87,48 @@
 // bufferedBytes returns the number of bytes buffered for further tries.
 func (b *requestBody) bufferedBytes() int64 { return int64(len(b.buffered)) }
 
-// replayable reports whether the body can be sent again.
-func (b *requestBody) replayable() bool { return b.stream == nil || !b.consumed.Load() }
+// endTry makes the reads of the try in progress fail. The goroutine that sends a body may
+// first read it long after the try's response has arrived; without this, it takes bytes
+// that the next try sends.
+func (b *requestBody) endTry() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader = nil
+}
+
+// beginRead reports whether r belongs to the try in progress, and marks the stream as
+// consumed if it does.
+func (b *requestBody) beginRead(r *awaitingBody) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reader != r {
+		return false
+	}
+	b.consumed = true
+	return true
+}
+
+// replayable reports whether the body can be sent again. That is final once the last try
+// has ended.
+func (b *requestBody) replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stream == nil || !b.consumed
+}
 
 // streamed reports whether the body is withheld until admission.
 func (b *requestBody) streamed() bool { return b.stream != nil }
 
 // open returns the body for one try. A streamed body returns no bytes before admitted
-// is closed.
+// is closed, and none once the try has ended.
 func (b *requestBody) open(ctx context.Context, admitted <-chan struct{}) io.ReadCloser {
 	switch {
 	case b.stream != nil:
-		return &awaitingBody{ctx: ctx, admitted: admitted, body: b}
+		r := &awaitingBody{ctx: ctx, admitted: admitted, body: b}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.reader = r
+		return r
 	case len(b.buffered) > 0:
 		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
@@ -116,7 +152,12 @@
 			return 0, a.ctx.Err()
 		}
 	}
-	a.body.consumed.Store(true)
+	if !a.body.beginRead(a) {
+		if a.body.onLateRead != nil {
+			a.body.onLateRead()
+		}
+		return 0, errTryEnded
+	}
 	return a.body.stream.Read(p)
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -83,6 +83,7 @@
 		ex.finish(w, ex.f.problemResponse(bodyProblem(err), ex.req))
 		return
 	}
+	ex.body.onLateRead = ex.f.metrics.lateBodyRead
 	ex.env.Fingerprint = ex.fingerprint()
 	if problem := ex.abandonedBeforeTry(ctx); problem != nil {
 		ex.finish(w, ex.f.problemResponse(problem, ex.req))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -141,6 +141,9 @@
 	m.reasons.get(string(r)).Inc(1)
 }
 
+// lateBodyRead counts a read of a request body by a try that had ended.
+func (m *Metrics) lateBodyRead() { m.scope.Counter("late_body_reads").Inc(1) }
+
 // refused counts a request that the backend refused to dispatch to its upstream.
 func (m *Metrics) refused(reason string) { m.refusals.get(reason).Inc(1) }
 
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -25,6 +25,7 @@
 	resp, class := ex.tryUpstream(ctx, target, sent)
 	if class != retry.Answered {
 		ex.awaiting.release()
+		ex.body.endTry()
 	}
 	ex.recordTry(target.Name, sent, class, resp)
 	return resp, class
