A node follows the other instances of a list with an odd one

Reported by other operators: one odd entry of another writer, and readers stop following the list.

Cause: ParseList decoded and checked the list as a whole, so a port of 99999, a number beyond its type, an unknown state or a value nested 20000 deep in one instance kept every node at the list before. No process ended.

Change: instances are decoded one by one, those that can't be used are left out with place and reason (a line, counter list_defects); what is nested deeper than a list is taken out before decoding.

TestListWithAnOddInstanceIsFollowed failed before: the revision was not in force on any node after 60 s. TestOddInstancesAreLeftOut has each kind.

Related paths by reading: the store client decodes item by item; peer updates and node messages have no other writers.

--- a/internal/distribution/engine.go
+++ b/internal/distribution/engine.go
@@ -98,6 +98,14 @@
 	return Checked{ID: id, Commit: func() { e.list = list }}, nil
 }
 
+// ListDefects returns the defects of the list in force.
+func (e *Engine) ListDefects() []membership.Defect {
+	if e.list == nil {
+		return nil
+	}
+	return e.list.Defects
+}
+
 // Held returns the version of a document in force.
 func (e *Engine) Held(d Doc) version.ID { return e.docs[d].held }
 
--- a/internal/distribution/service.go
+++ b/internal/distribution/service.go
@@ -146,6 +146,17 @@
 	s.execute(s.engine.RequestDigests(now))
 }
 
+// maxDefectLines bounds the lines on the defects of one version of the list.
+const maxDefectLines = 8
+
+// logDefects logs the instances that a new version of the list was put in force without.
+func (s *Service) logDefects(defects []membership.Defect) {
+	s.metrics.Counter("list_defects").Inc(int64(len(defects)))
+	for _, d := range defects[:min(len(defects), maxDefectLines)] {
+		s.log.Warn("instance left out of the list", "index", d.Index, "err", firstLine(d.Err), "of", len(defects))
+	}
+}
+
 // execute executes the engine's actions.
 func (s *Service) execute(actions Actions) {
 	for _, send := range actions.Messages {
@@ -159,6 +170,9 @@
 		s.metrics.Tagged(map[string]string{"document": doc.String()}).Counter("advances").Inc(1)
 		st := s.engine.Status(time.Now())
 		s.log.Info("version in force", "document", doc, "version", s.engine.Held(doc), "from", st.From)
+		if doc == DocList {
+			s.logDefects(s.engine.ListDefects())
+		}
 	}
 	for _, result := range actions.StatusResults {
 		if ch, ok := s.statusResults[result.ID]; ok {
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +112,31 @@
 	}
 	assert.Assert(t, f.Network.Dropped() > 0)
 }
+
+// Guards against nodes that stop following the list because of one instance that another
+// program has added.
+func TestListWithAnOddInstanceIsFollowed(t *testing.T) {
+	f := startSmall(t, Config{})
+	revision := uint64(time.Now().UnixMilli()) + 1
+	odd := fmt.Sprintf(`"instances": [{"name":"x","dc":"dc-1","peer":"127.0.0.1:99999","state":"live","more":%s%s},`, strings.Repeat("[", 20000), strings.Repeat("]", 20000))
+	list := standin.List(revision, f.cfg.Placements, f.peerAddrs)
+	f.Platform.Put(platform.KeyInstances, bytes.Replace(list, []byte(`"instances": [`), []byte(odd), 1))
+	end := time.Now().Add(startTimeout)
+	for !listInForce(t, f, revision) {
+		assert.Assert(t, time.Now().Before(end), "revision %d of the list is not in force", revision)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, send(t, f, "look-1", "GET", "/look/x", nil, nil).status, http.StatusOK)
+}
+
+// listInForce reports whether all nodes have a revision of the list in force.
+func listInForce(t *testing.T, f *Fleet, revision uint64) bool {
+	nodes, err := f.Node("look-1").QueryStatus(t.Context())
+	assert.NilError(t, err)
+	for _, n := range nodes {
+		if n.List.Edition != revision {
+			return false
+		}
+	}
+	return len(nodes) == len(f.cfg.Placements)
+}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -44,34 +44,102 @@
 type List struct {
 	Revision  uint64     `json:"revision"`
 	Instances []Instance `json:"instances"`
+	// Defects are the instances that were left out, in the order of the list.
+	Defects []Defect `json:"-"`
+}
+
+// Defect is an instance of a list that cannot be used.
+type Defect struct {
+	Index int // position in the list, from 0
+	Err   error
 }
 
 // ErrList reports an invalid instance list.
 var ErrList = errors.New("unusable instance list")
 
-// ParseList decodes and validates a list. The result depends on raw only. All errors
-// wrap ErrList.
+// errInstance reports an instance that cannot be used.
+var errInstance = errors.New("unusable instance")
+
+// ParseList decodes a list and leaves out the instances that cannot be used: other
+// programs add to the list as well, and a list that is rejected as a whole would hide the
+// changes of all other instances. Of two instances of one name the first counts. The
+// result depends on raw only. All errors wrap ErrList.
 func ParseList(raw []byte) (*List, version.ID, error) {
-	var l List
-	if err := json.Unmarshal(raw, &l); err != nil {
+	var doc struct {
+		Revision  uint64            `json:"revision"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(pruneNested(raw, maxListDepth), &doc); err != nil {
 		return nil, version.ID{}, errors.CombineErrors(ErrList, err)
 	}
-	if l.Revision == 0 {
+	if doc.Revision == 0 {
 		return nil, version.ID{}, errors.Wrap(ErrList, "no revision")
 	}
-	seen := make(map[string]bool, len(l.Instances))
-	for _, in := range l.Instances {
-		switch {
-		case in.Name == "" || in.DataCentre == "":
-			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q in data centre %q", in.Name, in.DataCentre)
-		case !in.Peer.IsValid():
-			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q has no address", in.Name)
-		case in.State != ListedLive && in.State != ListedLeaving:
-			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q has state %q", in.Name, in.State)
-		case seen[in.Name]:
-			return nil, version.ID{}, errors.Wrapf(ErrList, "instance %q stands twice", in.Name)
+	l := &List{Revision: doc.Revision, Instances: make([]Instance, 0, len(doc.Instances))}
+	seen := make(map[string]bool, len(doc.Instances))
+	for i, rawInstance := range doc.Instances {
+		in, err := parseInstance(rawInstance)
+		if err == nil && seen[in.Name] {
+			err = errors.Wrapf(errInstance, "%q stands twice", in.Name)
+		}
+		if err != nil {
+			l.Defects = append(l.Defects, Defect{Index: i, Err: err})
+			continue
 		}
 		seen[in.Name] = true
+		l.Instances = append(l.Instances, in)
+	}
+	return l, version.Of(l.Revision, raw), nil
+}
+
+// parseInstance decodes and validates one instance.
+func parseInstance(raw json.RawMessage) (Instance, error) {
+	var in Instance
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return in, errors.CombineErrors(errInstance, err)
+	}
+	switch {
+	case in.Name == "" || in.DataCentre == "":
+		return in, errors.Wrapf(errInstance, "%q in data centre %q", in.Name, in.DataCentre)
+	case !in.Peer.IsValid() || in.Peer.Port() == 0:
+		return in, errors.Wrapf(errInstance, "%q has no address", in.Name)
+	case in.State != ListedLive && in.State != ListedLeaving:
+		return in, errors.Wrapf(errInstance, "%q has state %q", in.Name, in.State)
+	}
+	return in, nil
+}
+
+// maxListDepth is the number of levels that a list has: the document, the array and the
+// instances, whose fields are no objects.
+const maxListDepth = 3
+
+// pruneNested returns a JSON document in which each object and array below the given
+// number of levels is replaced by null. The decoder rejects a document as a whole if any
+// part of it is nested too deeply.
+func pruneNested(raw []byte, levels int) []byte {
+	out := make([]byte, 0, len(raw))
+	depth, inString, escaped := 0, false, false
+	for _, c := range raw {
+		opens := !inString && (c == '{' || c == '[')
+		closes := !inString && (c == '}' || c == ']')
+		switch {
+		case opens && depth == levels:
+			out = append(out, "null"...)
+		case depth > levels: // within a pruned value
+		default:
+			out = append(out, c)
+		}
+		switch {
+		case opens:
+			depth++
+		case closes:
+			depth--
+		case inString:
+			inString = c != '"' || escaped
+			escaped = c == '\\' && !escaped
+		default:
+			inString = c == '"'
+		}
 	}
-	return &l, version.Of(l.Revision, raw), nil
+	return out
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -264,6 +264,40 @@
 	assert.Equal(t, v.Status("b", now), Alive, "the list still shows the earlier process")
 }
 
+// oddInstances are instances that another program may add to a list.
+var oddInstances = []string{
+	strings.Repeat(`{"name":`, 20000) + "1" + strings.Repeat("}", 20000),
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:5","more":` + strings.Repeat("[", 400000) + strings.Repeat("]", 400000) + `,"generation":-1}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:99999"}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:-1"}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:0"}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1"}`,
+	`{"name":"x","dc":"d","state":"live","peer":7}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:5","generation":1e400}`,
+	`{"name":"x","dc":"d","state":"live","peer":"127.0.0.1:5","generation":99999999999999999999999}`,
+	`{"name":"x","dc":"d","state":"warming","peer":"127.0.0.1:5"}`,
+	`{"name":"a","dc":"d","state":"live","peer":"127.0.0.1:5"}`,
+	`{"name":"x\"[{","dc":null}`,
+	`null`, `[]`, `7`, `"{["`,
+}
+
+// Guards against nodes that stop following the list because of one instance that another
+// program has added.
+func TestOddInstancesAreLeftOut(t *testing.T) {
+	const first, last = `{"name":"a","dc":"d","peer":"127.0.0.1:1","state":"live"}`, `{"name":"b","dc":"d","peer":"127.0.0.1:2","state":"live"}`
+	for _, odd := range append(oddInstances, strings.Join(oddInstances, ",")) {
+		raw := []byte(`{"revision":1,"instances":[` + first + "," + odd + "," + last + "]}")
+		l, id, err := ParseList(raw)
+		assert.NilError(t, err, "%.80s", odd)
+		assert.Equal(t, id.Edition, uint64(1))
+		assert.Equal(t, len(l.Instances), 2, "%.80s", odd)
+		assert.Equal(t, l.Instances[0].Peer.Port(), uint16(1))
+		assert.Equal(t, l.Instances[1].Name, "b")
+		assert.Assert(t, len(l.Defects) > 0)
+		assert.Equal(t, l.Defects[0].Index, 1)
+	}
+}
+
 func FuzzParseList(f *testing.F) {
 	f.Add([]byte(`{"revision":1,"instances":[{"name":"a","dc":"d","peer":"127.0.0.1:1","state":"live"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
