A leaving sidecar decides before each try whether a request can be answered

Reported by other operators: requests taken late in a planned stop, passed on and cut at the end of the grace period, among them such as may not repeat.

Cause: whether a request is taken was decided when its head arrived. A body that arrives over seconds, or a try that is refused late, passes it on at a time for which that decision does not hold. At the node beside the upstream the wait for a slot was forecast, and not looked at again when it was over.

Change: refuseBeforeShutdown is asked before each try, refuseAfterShutdown again when the slot is there. What is refused has not run and says so.

Ruled out: stages that end early.

--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -120,11 +120,14 @@
 		c.releaseSlot(false)
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
 	}
-	if problem := c.refuseQuarantinedAtStart(); problem != nil {
+	problem := c.refuseAfterShutdown()
+	if problem == nil {
+		problem = c.refuseQuarantinedAtStart()
+	}
+	if problem != nil {
 		c.releaseSlot(false)
-		return problem
 	}
-	return nil
+	return problem
 }
 
 // refuseLate refuses a request whose response is known to come too late, before it
--- a/internal/proxy/backend_shutdown_test.go
+++ b/internal/proxy/backend_shutdown_test.go
@@ -53,3 +53,29 @@
 		time.Sleep(2 * runTime)
 	})
 }
+
+// Guards against forwarded requests that get a slot shortly before the shutdown ends, as
+// the requests ahead of them took longer than forecast, and are then cut while they run.
+func TestShutdownRefusesForwardedRequestsThatStartTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual, untilCut = 100 * time.Millisecond, time.Second
+		ran, runTime := 0, usual
+		b := receivingBackend(roundTripFunc(func(r *http.Request) (*http.Response, error) {
+			ran++
+			time.Sleep(runTime)
+			return respondOK(r)
+		}))
+		for range 10 {
+			forward(t.Context(), b, nil, 0, Envelope{})
+		}
+		ran, runTime = 0, untilCut-usual/2
+		b.SetShutdownDeadline(time.Now().Add(untilCut))
+		go forward(t.Context(), b, nil, 0, Envelope{})
+		synctest.Wait()
+		status, header := forward(t.Context(), b, nil, 0, Envelope{})
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, header.Get(HeaderReason), string(admission.ReasonDraining))
+		assert.Equal(t, ran, 1)
+		assert.Equal(t, b.Load().InUse, 0)
+	})
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -99,7 +99,7 @@
 	ex.noWait = ex.triesWithoutWait() && ex.f.withdrawNoWaitToken()
 	var last *http.Response // response of the previous try; nil for none
 	for {
-		target, problem := ex.choose()
+		target, problem := ex.chooseInTime()
 		if problem == nil {
 			problem = ex.awaitResponse(target)
 		}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/overload"
+	"github.com/walldrift/walldrift/internal/retry"
 )
 
 // ShutdownSchedule holds the times of a node's shutdown that matter for callers'
@@ -17,8 +19,8 @@
 	Deadline    time.Time // when requests that still run are cut
 }
 
-// accepts reports whether a request that arrives at now, with the given deadline, is
-// accepted. usualTime is how long requests of its kind take; 0 if unknown.
+// accepts reports whether a request that could be sent to an upstream at now, with the
+// given deadline, is accepted. usualTime is how long requests of its kind take; 0 if unknown.
 //
 // Load pattern: requests take longer than those before them while nodes shut down,
 // because of a burst, saturated links or a new table. Until AnnouncedBy, callers that
@@ -46,14 +48,20 @@
 // RefuseAll refuses all further requests as not run.
 func (f *Frontend) RefuseAll() { f.refusing.Store(true) }
 
-// accepted reports whether this node accepts the request. During a shutdown it refuses
-// a request that would be cut.
+// accepted reports whether this node accepts the request, which has just arrived.
 func (ex *exchange) accepted() bool {
-	if ex.f.refusing.Load() {
-		return false
-	}
+	return !ex.f.refusing.Load() && ex.refuseBeforeShutdown(ex.start) == nil
+}
+
+// refuseBeforeShutdown refuses a request that would be cut by the shutdown of this node if
+// it were sent to an upstream now. It decides again for each try: a body may arrive
+// slowly, and earlier tries take time.
+func (ex *exchange) refuseBeforeShutdown(now time.Time) *Problem {
 	s := ex.f.shutdown.Load()
-	return s == nil || s.accepts(ex.start, ex.deadline, ex.f.usualTime(ex.kind))
+	if s == nil || s.accepts(now, ex.deadline, ex.f.usualTime(ex.kind)) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, retry.Refused, reasonNodeLeaves, defaultRetryAfter)
 }
 
 // usualTime returns how long requests of a kind take at this node, from the first byte
@@ -126,8 +134,9 @@
 	return f.cfg.ShutdownBufferLimit, length
 }
 
-// refuseAfterShutdown refuses a request of another node, before it takes a slot, if its
-// response would usually come after this node's shutdown deadline.
+// refuseAfterShutdown refuses a request of another node, before it waits for a slot and
+// again when it has got one, if its response would usually come after this node's shutdown
+// deadline. The wait may have been longer than forecast.
 //
 // Load pattern: other nodes learn of the shutdown only with the next responses, and
 // keep sending requests during the announcement, however many requests already wait
@@ -140,8 +149,11 @@
 	if deadline == nil || !c.remote {
 		return nil
 	}
-	wait := c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight).Wait + c.b.expectedSendWait(c.env.Kind)
-	expected := wait + c.b.runTimeQuantile(c.env.Kind, overload.SafeRunQuantile)
+	forSlot := time.Duration(0)
+	if c.startedAt.IsZero() {
+		forSlot = c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight).Wait
+	}
+	expected := forSlot + c.b.expectedSendWait(c.env.Kind) + c.b.runTimeQuantile(c.env.Kind, overload.SafeRunQuantile)
 	if !clock.Now().Add(expected).After(*deadline) {
 		return nil
 	}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/retry"
 )
 
@@ -270,3 +271,51 @@
 		return 0, l.ctx.Err()
 	}
 }
+
+// Guards against requests that are passed on late in a shutdown and then cut: one whose
+// body was still arriving when the announcement ended, and one that is tried again after
+// it. Both may take longer than the time that is left then.
+func TestShutdownDecidesAgainBeforeEachTry(t *testing.T) {
+	const untilAnnounced, untilCut = 500 * time.Millisecond, time.Second
+	refuseAfterAnnouncement := func(r *http.Request) (*http.Response, error) {
+		time.Sleep(untilAnnounced * 3 / 2)
+		return refuse(admission.ReasonQueueFull)(r)
+	}
+	runUntilCut := func(r *http.Request) (*http.Response, error) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	for name, c := range map[string]struct {
+		bodyDelay time.Duration
+		tries     []func(*http.Request) (*http.Response, error)
+		sent      int
+	}{
+		"body still arriving":              {untilAnnounced * 3 / 2, []func(*http.Request) (*http.Response, error){runUntilCut}, 0},
+		"refused after the announcement":   {0, []func(*http.Request) (*http.Response, error){refuseAfterAnnouncement, runUntilCut}, 1},
+		"body arrives in the announcement": {untilAnnounced / 2, []func(*http.Request) (*http.Response, error){respondOK}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scripted{script: c.tries}
+				f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy()}, everyMember, s)
+				now := time.Now()
+				f.BeginShutdown(ShutdownSchedule{Start: now, AnnouncedBy: now.Add(untilAnnounced), Deadline: now.Add(untilCut)})
+				time.AfterFunc(untilCut, f.CancelUnanswered)
+				body := &delayedReader{t.Context(), c.bodyDelay, strings.NewReader("payment")}
+				r := httptest.NewRequest(http.MethodPost, "/payments/x", io.NopCloser(body))
+				r.ContentLength = int64(len("payment"))
+				r.Header.Set(HeaderTimeout, strconv.FormatInt((2*untilCut).Milliseconds(), 10))
+				w := httptest.NewRecorder()
+				f.ServeHTTP(w, r)
+				assert.Equal(t, len(s.seen), c.sent)
+				if len(c.tries) == 1 && c.sent == 1 {
+					assert.Equal(t, w.Code, http.StatusOK)
+					return
+				}
+				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+				assert.Equal(t, w.Header().Get(HeaderOutcome), string(OutcomeNotRun))
+				assert.Assert(t, time.Since(now) < untilCut)
+			})
+		})
+	}
+}
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -79,6 +79,14 @@
 	return reason == reasonWrongInstance || reason == string(admission.ReasonWrongTarget)
 }
 
+// chooseInTime is choose for a request that would not be cut by the shutdown of this node.
+func (ex *exchange) chooseInTime() (membership.Instance, *Problem) {
+	if problem := ex.refuseBeforeShutdown(clock.Now()); problem != nil {
+		return membership.Instance{}, problem
+	}
+	return ex.choose()
+}
+
 // choose picks the upstream of the next try: the owner of its key for a keyed
 // non-idempotent request, otherwise the router's choice.
 func (ex *exchange) choose() (membership.Instance, *Problem) {
