The client bounds the head of a response and what is skipped before it

The process beside such an upstream took 1.1 to 1.7 GB for 40 requests.

Cause: http.ReadResponse has no bound, so a line or lines without end were held in memory until the deadline. Ruled out: buffers of bodies, and connections that outlive their request.

Change: headReader bounds what is read while a head is parsed (64 KB, between nodes 80 KB); 16 informational responses and 4 MB of others' bodies are skipped; beyond that ErrUnboundedResponse, 502, reason answer-too-long. Related paths: upstream and platform clients of nodes and the store client had net/http's 10 MB, now 64 KB; the body of a probe was unbounded. HTTP/3 had a bound.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -32,6 +32,10 @@
 	// 100-continue and waits for the server's 100 Continue before it sends the body. A
 	// body of unknown size counts as larger. A negative value disables this.
 	ExpectContinueAbove int64
+	// HeadBytes is the longest head of a response that is read, in bytes. A longer one ends
+	// the round trip with ErrUnboundedResponse. More costs that memory for each request to
+	// a faulty server. Default 64 KB.
+	HeadBytes int
 	// MatchesRequest reports whether a response belongs to the request. Other responses
 	// are skipped, as an upstream may send a second response late. Nil accepts all.
 	MatchesRequest func(req *http.Request, resp *http.Response) bool
@@ -45,6 +49,7 @@
 		MaxIdle:             32,
 		UnackedTimeout:      2 * time.Second,
 		ExpectContinueAbove: -1,
+		HeadBytes:           DefaultLimits().HeaderBytes,
 	}
 }
 
@@ -54,6 +59,11 @@
 // ErrForeignResponse is returned when all responses received belong to other requests.
 var ErrForeignResponse = errors.New("only responses to other requests arrived")
 
+// ErrUnboundedResponse is returned when a server sends more than the client reads: a head
+// longer than ClientConfig.HeadBytes, too many informational responses, or too long
+// responses to other requests.
+var ErrUnboundedResponse = errors.New("response exceeds the bounds of the client")
+
 // Client is an http.RoundTripper that sends each request exactly once. It connects to
 // req.URL.Host; the request target is req.RequestURI, or that of req.URL if it is empty.
 type Client struct {
@@ -82,7 +92,8 @@
 // clientConn is one connection to a server.
 type clientConn struct {
 	nc       net.Conn
-	br       *bufio.Reader
+	br       *bufio.Reader // reads from head
+	head     *headReader
 	addr     string
 	epoch    int
 	lastUsed time.Time
@@ -129,8 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
-	br := bufio.NewReaderSize(newDeadlineReader(nc), readBufferSize)
-	return &clientConn{nc: nc, br: br, addr: addr, epoch: c.countDial()}, nil
+	head := &headReader{source: newDeadlineReader(nc), left: unlimited}
+	br := bufio.NewReaderSize(head, readBufferSize)
+	return &clientConn{nc: nc, br: br, head: head, addr: addr, epoch: c.countDial()}, nil
 }
 
 // dialPauseMargin is how far beyond its timeout a dial must end to be attributed to a
--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -14,8 +14,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxForeignResponses is the number of responses to other requests that are skipped.
-const maxForeignResponses = 4
+// Bounds of what is skipped before the response to a request.
+const (
+	// maxForeignResponses is the number of responses to other requests.
+	maxForeignResponses = 4
+	// maxForeignBytes is the length of their bodies together, in bytes.
+	maxForeignBytes = 4 << 20
+	// maxInformational is the number of informational responses.
+	maxInformational = 16
+)
 
 // clientExchange is one request on one connection.
 type clientExchange struct {
@@ -149,17 +156,26 @@
 // readResponse reads the response, skipping informational ones and those to other
 // requests.
 func (ex *clientExchange) readResponse() (*http.Response, error) {
-	for foreign := 0; foreign <= maxForeignResponses; {
-		resp, err := http.ReadResponse(ex.cc.br, ex.req)
+	foreignBytes := int64(0)
+	for foreign, informational := 0, 0; foreign <= maxForeignResponses; {
+		resp, err := ex.cc.head.readHead(ex.cc.br, ex.req, ex.client.cfg.HeadBytes)
 		if err != nil {
 			return nil, ex.withCause(err)
 		}
 		switch {
 		case resp.StatusCode < http.StatusOK:
+			informational++
+			if informational > maxInformational {
+				return nil, errors.Wrap(ErrUnboundedResponse, "informational responses")
+			}
 			ex.handleInformational(resp.StatusCode)
 		case ex.client.cfg.MatchesRequest != nil && !ex.client.cfg.MatchesRequest(ex.req, resp):
 			foreign++
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			n, err := io.CopyN(io.Discard, resp.Body, maxForeignBytes-foreignBytes+1)
+			if foreignBytes += n; foreignBytes > maxForeignBytes {
+				return nil, errors.Wrap(ErrUnboundedResponse, "responses to other requests")
+			}
+			if err != io.EOF {
 				return nil, ex.withCause(err)
 			}
 		default:
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -60,10 +60,13 @@
 // http://127.0.0.1:8500. caller identifies the calling process in the service's logs; it is
 // sent as User-Agent.
 func NewClient(base, caller string) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 90 * time.Second}
+	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{base: base, caller: caller, http: &http.Client{Transport: t}}
 }
 
+// maxHeadBytes is the longest head of a response that is read, in bytes.
+const maxHeadBytes = 64 << 10
+
 // responseAllowance is the time a call may take on top of the wait it requests.
 const responseAllowance = 5 * time.Second
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -13,6 +13,7 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -142,6 +143,8 @@
 		MaxIdleConnsPerHost: maxIdleUpstreamConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+		// The default of 10 MB holds that much for each request to a faulty upstream.
+		MaxResponseHeaderBytes: int64(http1.DefaultLimits().HeaderBytes),
 	}
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -125,6 +125,9 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
 	}
+	if errors.Is(err, http1.ErrUnboundedResponse) {
+		return unknownOutcome(http.StatusBadGateway, reasonUnboundedResponse)
+	}
 	return unknownOutcome(http.StatusBadGateway, reasonConnectionLost)
 }
 
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -77,6 +77,9 @@
 	// sendBufferLimit is the longest response, in bytes, that is buffered while it waits
 	// for the link.
 	sendBufferLimit = 1 << 20
+	// addedHeadBytes is how much longer a response's head may be on the way between nodes
+	// than that of the upstream, in bytes: the node beside the upstream adds its reports.
+	addedHeadBytes = 16 << 10
 	// queuedPerSlot is the number of requests that may wait for each slot.
 	queuedPerSlot = 2
 )
@@ -106,6 +109,7 @@
 	s.upstream = http1.NewClient(toUpstream)
 	toPeers := http1.DefaultClientConfig()
 	toPeers.ExpectContinueAbove, toPeers.DialTimeout = expectContinueAbove, dialTimeout
+	toPeers.HeadBytes += addedHeadBytes
 	s.peerClient = http1.NewClient(toPeers)
 	s.peerUpdateClient = http1.NewClient(peerUpdateClientConfig())
 	s.follower = s.newFollower()
--- a/internal/sidecar/cold_guard.go
+++ b/internal/sidecar/cold_guard.go
@@ -186,6 +186,10 @@
 	}
 }
 
+// maxProbeBody is the longest body of a response to a probe that is read, in bytes. The
+// connection of a longer one is closed.
+const maxProbeBody = 4 << 10
+
 // errNoColdReport reports a response that does not say for how long the upstream stays
 // cold.
 var errNoColdReport = errors.New("response does not report the remaining cold time")
@@ -204,7 +208,7 @@
 		return 0, errors.Wrap(err, "probe own upstream")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, resp.Body) // so that the connection can be reused
+	_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBody) // so that the connection can be reused
 	remaining, ok := g.dialect.ColdRemaining(resp.Header)
 	if !ok {
 		return 0, errors.Wrap(errNoColdReport, resp.Status)
