Request bodies count from their first bytes on

400 clients that stop just short of the end of their bodies took 144 to 267 MB of a process whose share is 92 MB.

Cause: bytes of a body were added to bufferedBodies once it was whole, after newRequestBody had read up to buffer_limit; the beginning of a body that streams was never added.

Change: arrivals charges memory as it is needed, the first 8 KB free, up to BufferTotal. Beyond it the body that has stalled longest is given up; if there is none, the one that asks is refused as not run (bodies-full). 64 bodies stream at once.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/retry"
 )
 
@@ -32,12 +33,18 @@
 // errTryEnded is returned by reads of a request body whose try has ended.
 var errTryEnded = errors.New("the try that reads the request body has ended")
 
-// errBodyTooLong reports a body that exceeds the table's limit.
-var errBodyTooLong = errors.New("request body is too long")
+// Errors of newRequestBody.
+var (
+	// errBodyTooLong reports a body that exceeds the table's limit.
+	errBodyTooLong = errors.New("request body is too long")
+	// errBodyMemory reports a body for which there is no memory, or which was given up for
+	// another one as it had stalled.
+	errBodyMemory = errors.New("no memory for the request body")
+)
 
 // newRequestBody buffers a body of up to limit bytes and streams a longer one. A body
 // longer than maxLength, unless that is 0, returns errBodyTooLong.
-func newRequestBody(r *http.Request, limit, maxLength int64) (*requestBody, error) {
+func newRequestBody(r *http.Request, limit, maxLength int64, a *arrival) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.length = 0
@@ -50,13 +57,14 @@
 		b.stream = r.Body
 		return b, nil
 	}
-	head, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	head, err := a.read(r.Body, limit, r.ContentLength)
 	switch {
 	case err != nil:
 		return nil, errors.Wrap(err, "request body")
 	case r.ContentLength >= 0 && int64(len(head)) != r.ContentLength:
 		return nil, errors.Wrap(io.ErrUnexpectedEOF, "request body")
 	case int64(len(head)) > limit:
+		a.keep()
 		b.stream = io.MultiReader(bytes.NewReader(head), r.Body)
 		return b, nil
 	}
@@ -64,12 +72,52 @@
 	return b, nil
 }
 
+// Sizes of the buffer of an arriving body, in bytes.
+const (
+	firstBodyBuffer  = 4 << 10
+	bodyBufferGrowth = 4 // ratio of two sizes
+)
+
+// read reads a body of the given length, negative if unknown, to its end, or limit+1
+// bytes of a longer one. It reserves the memory as the bytes arrive.
+func (b *arrival) read(body io.Reader, limit, length int64) ([]byte, error) {
+	most := limit + 1
+	if length >= 0 {
+		most = length + 1 // one more, so that the end is read
+	}
+	buf := make([]byte, 0, min(firstBodyBuffer, most))
+	for {
+		n, err := body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		switch {
+		case err == io.EOF:
+			return buf, nil
+		case err != nil:
+			return nil, err
+		case int64(len(buf)) == most:
+			return buf, nil
+		case n > 0:
+			b.progress(clock.Now())
+		}
+		if len(buf) < cap(buf) {
+			continue
+		}
+		size := min(int64(cap(buf))*bodyBufferGrowth, most)
+		if !b.grow(clock.Now(), size) {
+			return nil, errBodyMemory
+		}
+		buf = append(make([]byte, 0, size), buf...)
+	}
+}
+
 // bodyProblem converts an error of newRequestBody into a problem.
 func bodyProblem(err error) *Problem {
 	var ne net.Error
 	switch {
 	case errors.Is(err, errBodyTooLong):
 		return notRun(http.StatusRequestEntityTooLarge, retry.Refused, reasonBadRequest, 0)
+	case errors.Is(err, errBodyMemory):
+		return notRun(http.StatusServiceUnavailable, retry.Limited, reasonBodiesFull, defaultRetryAfter)
 	case errors.As(err, &ne) && ne.Timeout():
 		return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
 	}
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,7 +68,7 @@
 func TestReadBodyIsNotReplayable(t *testing.T) {
 	r := httptest.NewRequest(http.MethodPost, "/", io.NopCloser(strings.NewReader("long body")))
 	r.ContentLength = -1
-	b, err := newRequestBody(r, 4, 0)
+	b, err := newRequestBody(r, 4, 0, newArrivals(0).begin(time.Now(), func() {}))
 	assert.NilError(t, err)
 	admitted := make(chan struct{})
 	close(admitted)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -76,13 +76,15 @@
 		ex.finish(w, ex.f.problemResponse(problem, ex.req))
 		return
 	}
-	var err error
-	_ = http.NewResponseController(w).SetReadDeadline(clock.ToMonotonic(ex.deadline))
-	ex.body, err = newRequestBody(ex.req, ex.f.bufferLimit(), ex.f.cfg.BodyLimit())
-	if err != nil {
-		ex.finish(w, ex.f.problemResponse(bodyProblem(err), ex.req))
+	arrival, problem := ex.receiveBody(w)
+	defer arrival.end()
+	if problem != nil {
+		ex.finish(w, ex.f.problemResponse(problem, ex.req))
 		return
 	}
+	if ex.body.streamed() {
+		defer ex.f.streams.Add(-1)
+	}
 	ex.body.onLateRead = ex.f.metrics.lateBodyRead
 	ex.env.Fingerprint = ex.fingerprint()
 	if problem := ex.abandonedBeforeTry(ctx); problem != nil {
@@ -93,6 +95,9 @@
 		ex.finish(w, ex.f.problemResponse(problem, ex.req))
 		return
 	}
+	if !ex.body.streamed() {
+		arrival.end()
+	}
 	ex.f.bufferedBodies.Add(ex.body.bufferedBytes())
 	defer func() { ex.f.bufferedBodies.Add(-ex.body.bufferedBytes()) }()
 	ex.f.depositRetryTokens(ex.service.Name)
@@ -147,6 +152,35 @@
 	}
 }
 
+// receiveBody reads the request's body as far as it is buffered. The memory that it takes
+// meanwhile is that of the returned arrival. If there is no problem and the body streams,
+// it counts as one of the streams.
+func (ex *exchange) receiveBody(w http.ResponseWriter) (*arrival, *Problem) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(clock.ToMonotonic(ex.deadline))
+	arrival := ex.f.arrivals.begin(clock.Now(), func() { _ = conn.SetReadDeadline(longPast) })
+	body, err := newRequestBody(ex.req, ex.f.bufferLimit(), ex.f.cfg.BodyLimit(), arrival)
+	if err != nil && arrival.end() {
+		err = errBodyMemory
+	}
+	if err == nil && body.streamed() && ex.f.streams.Add(1) > maxStreams {
+		ex.f.streams.Add(-1)
+		err = errBodyMemory
+	}
+	if err != nil {
+		return arrival, bodyProblem(err)
+	}
+	ex.body = body
+	return arrival, nil
+}
+
+// longPast is a deadline that ends a read at once.
+var longPast = time.Unix(1, 0)
+
+// maxStreams bounds the callers' requests whose bodies stream. Each of them takes a
+// connection to the node that it waits at.
+const maxStreams = 64
+
 // fingerprint distinguishes this request from others; it is the same for all of its
 // attempts.
 func (ex *exchange) fingerprint() quarantine.Fingerprint {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -36,6 +36,8 @@
 
 	inFlight         atomic.Int64
 	bufferedBodies   atomic.Int64 // bytes of buffered request bodies
+	arrivals         *arrivals    // request bodies that are not whole yet
+	streams          atomic.Int64 // requests whose bodies stream
 	maxInFlight      int64
 	shutdown         atomic.Pointer[ShutdownSchedule] // nil unless this node shuts down
 	refusing         atomic.Bool
@@ -74,7 +76,9 @@
 	BufferLimit int64
 	// BufferTotal bounds the sum of the buffered request bodies, in bytes: once it is
 	// reached, only bodies of up to 32 KB are buffered. It limits the memory that
-	// uploads take while upstreams are slow. Default 0: no bound.
+	// uploads take while upstreams are slow. It also bounds the sum of the bodies that are
+	// still arriving: beyond it, those that have stalled are given up, and others refused.
+	// Default 0: no bound.
 	BufferTotal int64
 	// ResponseBufferLimit is the longest response, in bytes, that is read to its end
 	// before any part of it is forwarded, so that a truncated one can still be retried
@@ -162,6 +166,7 @@
 		metrics:          m,
 		ready:            ready,
 		awaited:          newAwaitedResponses(),
+		arrivals:         newArrivals(cfg.BufferTotal),
 		router:           routing.NewRouter(cfg.Routing, cfg.Self),
 		budgets:          make(map[string]*retry.RankedBudget),
 		refusedRequests:  overload.NewRefusedRequests(),
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,7 +26,9 @@
 // one repeats.
 type scripted struct {
 	script []func(*http.Request) (*http.Response, error)
-	seen   []Envelope
+
+	mu   sync.Mutex
+	seen []Envelope
 }
 
 func (s *scripted) TransportTo(context.Context, membership.Instance) (http.RoundTripper, error) {
@@ -37,8 +40,10 @@
 	if err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
 	at := min(len(s.seen), len(s.script)-1)
 	s.seen = append(s.seen, env)
+	s.mu.Unlock()
 	return s.script[at](r)
 }
 
