Arriving streams leave a quarter of an upstream's slots free

Cause: a body that streams is withheld until its request has a slot, and then takes any time; callers that send the beginning of one and then nothing held all slots until their deadlines, and reads were refused.

Change: such requests hold three quarters of the slots at most until their bodies have come; others of them wait for a place before they wait for a slot.

--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -106,6 +106,7 @@
 	deniedTarget     atomic.Pointer[string]          // last target that the upstream rejected as another instance's
 	receiveLimiter   *transferLimiter                // nil if bodies stream to the upstream
 	sendLimiter      *transferLimiter                // nil if long responses are not limited
+	streamLimiter    atomic.Pointer[transferLimiter] // of slots held by requests whose bodies stream
 	sendBuffered     atomic.Int64                    // bytes of responses that wait to be sent
 	lifetime         atomic.Pointer[processLifetime] // of the upstream's current process
 	invalidLoad      atomic.Bool                     // the last load of the upstream could not be read
@@ -164,6 +165,7 @@
 		detector:      newCrashDetector(cfg.RefusesConnections, cfg.OnCrash),
 	}
 	b.lifetime.Store(newProcessLifetime())
+	b.limitStreams(cfg.Slots)
 	if cfg.OnConnect == nil {
 		b.cfg.OnConnect = func(bool) {}
 	}
@@ -204,7 +206,7 @@
 		b.limits.Set(now, tableLimits)
 	}
 	b.mu.Unlock()
-	b.gate.SetSlots(slots)
+	b.SetSlots(slots)
 }
 
 // rowLimits collects the table's limits of an upstream and its service; false if the
@@ -232,7 +234,10 @@
 
 // SetSlots changes the number of requests that the upstream runs concurrently if the
 // table gives none.
-func (b *Backend) SetSlots(n int) { b.gate.SetSlots(n) }
+func (b *Backend) SetSlots(n int) {
+	b.gate.SetSlots(n)
+	b.limitStreams(n)
+}
 
 // SetDraining makes the backend refuse further requests, or accept them again.
 func (b *Backend) SetDraining(on bool) { b.gate.SetDraining(on) }
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -31,6 +31,8 @@
 	// receivedAt is when the body was complete, if it was received before admission.
 	receivedAt time.Time
 	sending    *linkCommitment // for the response; nil if none is needed
+	// releaseStream releases the place of a streamed body; nil if it has none.
+	releaseStream func()
 }
 
 func (c *backendCall) run() (*http.Response, *Problem) {
@@ -54,10 +56,14 @@
 		}
 	}
 	problem := c.receive(ctx)
+	if problem == nil {
+		problem = c.acquireStream(ctx)
+	}
 	if problem == nil {
 		problem = c.acquireSlot(ctx)
 	}
 	if problem != nil {
+		c.endStream()
 		c.sending.release()
 		c.finishKey(ledger.NotRun, nil)
 		return nil, problem
@@ -160,6 +166,7 @@
 		return
 	}
 	c.released = true
+	c.endStream()
 	c.b.detector.requestEnded(c)
 	if complete {
 		c.b.cfg.Quarantine.Answered(c.env.Fingerprint, c.env.Service)
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -32,13 +32,7 @@
 		return problem
 	}
 	defer commitment.release()
-	maxWait := c.env.Timeout
-	if c.env.NoWait {
-		maxWait = 0
-	} else if d, bounded := c.b.maxWait(c.env); bounded {
-		maxWait = d
-	}
-	if !c.b.receiveLimiter.acquire(ctx, maxWait) {
+	if !c.b.receiveLimiter.acquire(ctx, c.maxTransferWait()) {
 		return admissionProblem(c.b.gate.Refusal(admission.ReasonBusy))
 	}
 	start := clock.Now()
--- a/internal/proxy/receive_test.go
+++ b/internal/proxy/receive_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,7 +21,10 @@
 )
 
 // slowUpstream reads each request's body and answers after 10 ms of work.
-type slowUpstream struct{ bodies []string }
+type slowUpstream struct {
+	mu     sync.Mutex
+	bodies []string
+}
 
 func (s *slowUpstream) RoundTrip(r *http.Request) (*http.Response, error) {
 	body := ""
@@ -31,7 +35,9 @@
 		}
 		body = string(raw)
 	}
+	s.mu.Lock()
 	s.bodies = append(s.bodies, body)
+	s.mu.Unlock()
 	time.Sleep(10 * time.Millisecond)
 	return respondOK(r)
 }
