Callers' connections are bounded, and so is what the kernel holds for them

Cause: any number of connections was accepted. 400 of them took all of 300 descriptors, so that none was left for the process itself; 3000 senders left up to 257 MB unread with the kernel, which counts on the users' machines.

Change: requests.max_caller_connections, 1024, and half of the descriptors. One more ends those that have been silent for longest, idle ones without loss, others with 408; requests that were read keep theirs.

TestCrowdUploads (bound 92 MB, fixed before the change): seven of nine kinds failed before, 144 to 267 MB and 607 descriptors; all hold now, 35 to 55 MB. TestCrowdConnections: 300 of 300 descriptors before, 186 now.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,7 @@
 	cancel       context.CancelFunc
 	handlerSlots chan struct{} // bounds the requests in progress
 	handlers     sync.WaitGroup
+	smallBuffer  atomic.Bool // it has the receive buffer of a crowd
 
 	mu              sync.Mutex
 	lastExchange    *exchange // the newest request; nil once all are answered
@@ -33,6 +35,7 @@
 	closeAnnounced  bool      // Connection: close was sent or received
 	awaitingRequest bool      // waiting for the first byte of a request
 	closedIdle      bool      // closed for lack of a request
+	evicted         bool      // ended in favour of a new connection
 	aborted         bool
 	lastUsed        time.Time // time of the last request or response
 	// idleSince is when the last byte of the last response was written, for the list of
@@ -44,6 +47,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	rd := newDeadlineReader(nc)
+	rd.tracksWaits = s.cfg.MaxConns > 0
 	now := time.Now()
 	c := &conn{
 		server:       s,
@@ -145,6 +149,7 @@
 	c.handlerSlots <- struct{}{}
 	c.handlers.Go(func() { c.runHandler(ex) })
 	if !ex.body.empty {
+		c.restoreBuffer()
 		select {
 		case <-ex.body.finished:
 		case <-ex.done:
--- a/internal/http1/conn_close.go
+++ b/internal/http1/conn_close.go
@@ -61,7 +61,7 @@
 		_ = c.nc.Close()
 		return
 	}
-	c.rd.setDeadline(time.Now().Add(lingerTimeout))
+	c.rd.setDeadline(time.Now().Add(c.linger()))
 	t, ok := c.nc.(interface{ CloseWrite() error })
 	switch {
 	case c.closedIdle:
@@ -74,6 +74,16 @@
 	_ = c.nc.Close()
 }
 
+// linger returns how long the connection is still read after its write side was closed.
+func (c *conn) linger() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return evictedLinger
+	}
+	return lingerTimeout
+}
+
 // isTimeout reports whether an error is a deadline set by this process. A TCP timeout of
 // the kernel, which means that the peer is dead, is not: no data follows it.
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/http1/conn_end.go
+++ b/internal/http1/conn_end.go
@@ -22,6 +22,8 @@
 	// EndTooManyIdle means that the connection was idle longest and Config.MaxIdle was
 	// exceeded.
 	EndTooManyIdle EndCause = "too_many_idle"
+	// EndCrowded means that a request had stalled when Config.MaxConns was reached.
+	EndCrowded EndCause = "crowded"
 	// EndHeadTimeout means that a request head took longer than Limits.HeaderTimeout.
 	EndHeadTimeout EndCause = "head_timeout"
 	// EndHeadRejected means that a request head was malformed or too long.
@@ -38,7 +40,7 @@
 // EndCauses returns all close causes.
 func EndCauses() []EndCause {
 	return []EndCause{
-		EndIdle, EndAnnounced, EndDrained, EndTooManyIdle, EndHeadTimeout,
+		EndIdle, EndAnnounced, EndDrained, EndTooManyIdle, EndCrowded, EndHeadTimeout,
 		EndHeadRejected, EndCallerDisconnected, EndResponseAborted, EndServerClosed,
 	}
 }
--- a/internal/http1/deadline.go
+++ b/internal/http1/deadline.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,10 @@
 type deadlineReader struct {
 	nc  net.Conn
 	raw syscall.RawConn // nil if the connection has no file descriptor
+	// waitingSince is when the read in progress began, in nanoseconds since processStart; 0
+	// if there is none, or if tracksWaits is not set.
+	waitingSince atomic.Int64
+	tracksWaits  bool
 
 	mu        sync.Mutex
 	deadline  time.Time // zero for none or an interrupt
@@ -43,7 +48,7 @@
 func (r *deadlineReader) setDeadline(at time.Time) { r.updateDeadline(at, at) }
 
 // interrupt ends a wait at once, as if a deadline had just passed.
-func (r *deadlineReader) interrupt() { r.updateDeadline(time.Time{}, time.Unix(1, 0)) }
+func (r *deadlineReader) interrupt() { r.updateDeadline(time.Time{}, longPast) }
 
 func (r *deadlineReader) updateDeadline(at, until time.Time) {
 	r.mu.Lock()
@@ -94,7 +99,9 @@
 // Read reads until the deadline, and then the bytes that had arrived when the deadline was
 // noticed.
 func (r *deadlineReader) Read(p []byte) (int, error) {
+	r.beginWait()
 	n, err := r.nc.Read(p)
+	r.endWait()
 	if !isTimeout(err) {
 		return n, err
 	}
@@ -116,6 +123,30 @@
 	return n, nil
 }
 
+// processStart is the origin of deadlineReader.waitingSince.
+var processStart = time.Now()
+
+func (r *deadlineReader) beginWait() {
+	if r.tracksWaits {
+		r.waitingSince.Store(int64(time.Since(processStart)) + 1)
+	}
+}
+
+func (r *deadlineReader) endWait() {
+	if r.tracksWaits {
+		r.waitingSince.Store(0)
+	}
+}
+
+// waitedFor returns how long the read in progress has waited; 0 if there is none.
+func (r *deadlineReader) waitedFor() time.Duration {
+	since := r.waitingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Since(processStart) - time.Duration(since)
+}
+
 // readWithoutWait reads without blocking, whatever the deadline.
 func (r *deadlineReader) readWithoutWait(p []byte) int {
 	n, _ := r.recv(p, 0)
@@ -153,6 +184,8 @@
 	if r.raw == nil {
 		return nil
 	}
+	r.beginWait()
+	defer r.endWait()
 	err := r.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -35,6 +35,12 @@
 	// idle longest is closed. A higher value spares callers new connections, a lower one
 	// uses less memory and fewer descriptors. 0 means no bound.
 	MaxIdle int
+	// MaxConns is the number of connections from which on a new one ends the one whose
+	// caller has been silent for longest while the server waits for it. If there is none,
+	// some more are accepted and further ones closed. More serves larger crowds, fewer bounds
+	// memory and descriptors: a connection takes some 30 KB, and up to 16 KB that the kernel
+	// holds unread. 0 means no bound.
+	MaxConns int
 	// WriteBuffer is the size of a connection's send buffer, in bytes. With a small
 	// buffer a write returns only when its bytes are nearly all sent, so that the writer
 	// can measure how congested the link is. 0 keeps the system's default.
@@ -61,11 +67,14 @@
 	draining    atomic.Bool
 	acceptUntil atomic.Pointer[time.Time] // until when the backlog is accepted; nil before StopAccepting
 	closed      atomic.Bool
+	crowded     atomic.Bool  // all connections have a small receive buffer
+	refused     atomic.Int64 // connections closed for lack of room
 	idle        idleList
 
-	mu        sync.Mutex
+	mu        sync.Mutex // guards the fields below
 	conns     map[*conn]struct{}
 	listeners []net.Listener
+	nextScan  time.Time // before which endStalled does not search again
 }
 
 // NewServer returns a server without listeners; Serve adds one.
@@ -107,8 +116,13 @@
 
 // serveConn starts to serve an accepted connection.
 func (s *Server) serveConn(nc net.Conn) {
+	if !s.admitConn() {
+		_ = nc.Close()
+		return
+	}
 	s.setWriteBuffer(nc)
 	c := newConn(s, nc)
+	s.setInitialBuffer(c)
 	if s.add(c) {
 		go c.serve()
 	}
@@ -146,6 +160,9 @@
 	return len(s.conns)
 }
 
+// Refused returns the number of connections that were closed for lack of room.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // AnnounceClose sends Connection: close with the next response on each connection, which
 // is closed after that response. Idle connections stay open, and new ones are still
 // served.
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -41,10 +41,11 @@
 	WatchWait, PeerMaxStaleness time.Duration
 	NodesPerReader              int
 
-	MaxInFlight  int
-	BufferLimit  int
-	RetryRatio   float64
-	RetryReserve int
+	MaxInFlight          int
+	MaxCallerConnections int
+	BufferLimit          int
+	RetryRatio           float64
+	RetryReserve         int
 
 	ShutdownAnnounce time.Duration
 	ShutdownTimeout  time.Duration
@@ -85,6 +86,7 @@
 	countField("store", "nodes_per_reader", "sidecars", "24", "sidecars of a data centre for which one of them reads the store; more costs fewer calls, fewer spreads the news over more machines", func(s *Sidecar) *int { return &s.NodesPerReader }),
 
 	countField("requests", "max_in_flight", "requests", "4096", "callers' requests in progress; one more is refused", func(s *Sidecar) *int { return &s.MaxInFlight }),
+	countField("requests", "max_caller_connections", "connections", "1024", "connections of callers; one more ends the one that has been silent for longest, or is closed; at most half of the process's descriptors are used for them; more serves larger crowds, fewer takes less memory, some 50 KB each in a crowd", func(s *Sidecar) *int { return &s.MaxCallerConnections }),
 	countField("requests", "buffer_limit", "bytes", "524288", "longest request body kept for a further try; more can be tried again, fewer takes less memory", func(s *Sidecar) *int { return &s.BufferLimit }),
 	ratioField("requests", "retry_ratio", "retries per request", "0.15", "further tries at upstreams earned by each request; the fleet's sum must stay under what the platform allows", func(s *Sidecar) *float64 { return &s.RetryRatio }),
 	countField("requests", "retry_reserve", "retries", "3", "further tries saved up by one sidecar; times the number of sidecars it must stay under what the platform allows", func(s *Sidecar) *int { return &s.RetryReserve }),
--- a/internal/sidecar/build.go
+++ b/internal/sidecar/build.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -216,6 +217,7 @@
 		Handler:   s.frontend,
 		Limits:    s.callerLimits,
 		MaxIdle:   maxIdleCallerConns,
+		MaxConns:  maxCallerConns(s.cfg.MaxCallerConnections),
 		OnConnEnd: newConnEndRecorder(s.log, s.metrics.Scope, "callers", s.state).record,
 	})
 	s.servers.peers = http1.NewServer(http1.Config{
@@ -230,7 +232,7 @@
 		addresses = append(addresses, s.cfg.Metrics)
 	}
 	for _, addr := range addresses {
-		l, err := net.Listen("tcp", addr.String())
+		l, err := listen(addr, s.cfg.Callers)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
@@ -239,6 +241,15 @@
 	return nil
 }
 
+// listen opens a listening socket. That of the callers, who are not controlled, holds
+// little of what they send before their connections are accepted.
+func listen(addr, callers netip.AddrPort) (net.Listener, error) {
+	if addr == callers {
+		return http1.Listen(addr.String())
+	}
+	return net.Listen("tcp", addr.String())
+}
+
 // callerLimits returns the published limits, with defaults for those that are not
 // published.
 func (s *Sidecar) callerLimits() http1.Limits {
@@ -256,6 +267,17 @@
 	return l
 }
 
+// maxCallerConns returns the number of callers' connections: the configured one, and at
+// most half of the descriptors, so that the connections of the process itself have the
+// others.
+func maxCallerConns(configured int) int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur == 0 {
+		return configured
+	}
+	return int(min(uint64(configured), max(limit.Cur/2, 1)))
+}
+
 func (s *Sidecar) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(s.platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -235,6 +235,7 @@
 	m.Gauge("requests_waiting").Update(float64(load.Waiting))
 	m.Gauge("requests_in_flight").Update(float64(s.frontend.InFlight()))
 	m.Gauge("caller_connections").Update(float64(s.servers.callers.Conns()))
+	m.Gauge("caller_connections_refused").Update(float64(s.servers.callers.Refused()))
 	m.Gauge("table_edition").Update(float64(s.holder.ID().Edition))
 	followerStatus := s.follower.Status(clock.Now())
 	m.Gauge("store_reader").Update(boolGauge(followerStatus.Reader))
