A body of another node gives its place back when it stalls

Cause: the node beside the upstream read a body with no deadline, and held one of four places of the receive limiter and a commitment of its link for as long. Ruled out: pooled connections that are silent, and a link that counts as slow; both are as they were, and the case holds.

Change: each read has 3 s to make progress, none outlasts the request; then the place is given back and the request refused as not run (body-stalled).

--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -43,8 +43,9 @@
 	reasonAllBusy           = "all-busy"    // every upstream is known to have too long a queue
 	reasonNoUpstream        = "no-upstream"
 	reasonBadRequest        = "bad-request"
-	reasonBodiesFull        = "bodies-full" // bodies that are arriving take all the memory for them
-	reasonBodyCut           = "body-cut"    // the sender's connection broke in the middle of the body
+	reasonBodiesFull        = "bodies-full"  // bodies that are arriving take all the memory for them
+	reasonBodyStalled       = "body-stalled" // the sender's connection fell silent in the middle of the body
+	reasonBodyCut           = "body-cut"     // the sender's connection broke in the middle of the body
 	reasonUnreachable       = "unreachable"
 	reasonConnectionLost    = "connection-lost"
 	reasonDeadline          = "deadline"
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
@@ -37,16 +41,61 @@
 	}
 	start := clock.Now()
 	body := make([]byte, c.req.ContentLength)
-	_, err := io.ReadFull(&arrivingBody{ReadCloser: c.req.Body, commitment: commitment}, body)
+	_, err := io.ReadFull(&arrivingBody{ReadCloser: c.progressingBody(), commitment: commitment}, body)
 	c.b.receiveLimiter.release(clock.Since(start))
 	if err != nil {
-		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonBodyCut, defaultRetryAfter)
+		return notRun(http.StatusServiceUnavailable, retry.Refused, bodyCutReason(err), defaultRetryAfter)
 	}
 	c.req.Body = io.NopCloser(bytes.NewReader(body))
 	c.receivedAt = clock.Now()
 	return nil
 }
 
+// bodyStallTimeout is how long a body of another node may make no progress while it holds
+// a place. A lost packet is retransmitted after one second, and again after two more.
+const bodyStallTimeout = 3 * time.Second
+
+// bodyCutReason returns why a body was not received.
+func bodyCutReason(err error) string {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return reasonBodyStalled
+	}
+	return reasonBodyCut
+}
+
+// readDeadlineKey is the context key of the function that sets the deadline of reads of
+// the request's body.
+type readDeadlineKey struct{}
+
+// progressingBody returns the request's body, whose reads fail if it makes no progress or
+// the request's deadline passes. An open connection may fall silent without an error.
+func (c *backendCall) progressingBody() io.ReadCloser {
+	set, ok := c.req.Context().Value(readDeadlineKey{}).(func(time.Time) error)
+	if !ok {
+		return c.req.Body
+	}
+	return &progressingBody{ReadCloser: c.req.Body, setDeadline: set, deadline: c.start.Add(c.env.Timeout)}
+}
+
+// progressingBody is a body with a deadline that follows its progress.
+type progressingBody struct {
+	io.ReadCloser
+	setDeadline func(time.Time) error
+	deadline    time.Time
+}
+
+// Read implements io.Reader.
+func (b *progressingBody) Read(p []byte) (int, error) {
+	stall := clock.Now().Add(bodyStallTimeout)
+	if b.deadline.Before(stall) {
+		stall = b.deadline
+	}
+	// Without support for deadlines the end of the connection ends the read.
+	_ = b.setDeadline(clock.ToMonotonic(stall))
+	return b.ReadCloser.Read(p)
+}
+
 // slotLikely reports whether the request is expected to get a slot in time.
 func (c *backendCall) slotLikely() bool {
 	f := c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight)
--- a/internal/proxy/receive_test.go
+++ b/internal/proxy/receive_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -146,3 +147,49 @@
 		assert.Equal(t, len(up.bodies), 1)
 	})
 }
+
+// silentConn is a connection that falls silent in the middle of a body. A read ends at its
+// deadline only.
+type silentConn struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (s *silentConn) SetReadDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *silentConn) Read([]byte) (int, error) {
+	if s.deadline.IsZero() {
+		select {} // for ever
+	}
+	time.Sleep(time.Until(s.deadline))
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (s *silentConn) Close() error { return nil }
+
+// Guards against bodies of other nodes that are read without a deadline: after open
+// connections had fallen silent once amid uploads, their places in the receive limiter were
+// never free again, and no further upload of another node was served.
+func TestSilentBodyGivesItsPlaceBack(t *testing.T) {
+	for timeout, want := range map[time.Duration]time.Duration{time.Second: time.Second, time.Minute: bodyStallTimeout} {
+		synctest.Test(t, func(t *testing.T) {
+			up := &slowUpstream{}
+			b := receivingBackend(up)
+			r := httptest.NewRequest(http.MethodPost, "/x", nil)
+			conn := &silentConn{ResponseRecorder: httptest.NewRecorder()}
+			r.Body, r.ContentLength = conn, longBodySize
+			Envelope{Kind: "upload", KindWeight: 1, Timeout: timeout}.write(r.Header)
+			start := time.Now()
+			NewPeerHandler(b).ServeHTTP(conn, r)
+			assert.Equal(t, time.Since(start), want)
+			assert.Equal(t, conn.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, conn.Header().Get(HeaderReason), reasonBodyStalled)
+			status, _ := forward(t.Context(), b, slowLongBody(0), longBodySize, Envelope{})
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, len(up.bodies), 1)
+		})
+	}
+}
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -76,7 +76,9 @@
 		return
 	}
 	hook := func() { w.WriteHeader(http.StatusEarlyHints) }
-	resp := p.backend.admit(r.WithContext(context.WithValue(r.Context(), admissionHookKey{}, hook)), true)
+	ctx := context.WithValue(r.Context(), admissionHookKey{}, hook)
+	ctx = context.WithValue(ctx, readDeadlineKey{}, http.NewResponseController(w).SetReadDeadline)
+	resp := p.backend.admit(r.WithContext(ctx), true)
 	h := w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
