A response that makes no progress after its deadline ends

Cause: writes had no deadline. A handler that writes on a silent connection blocks for good, its transfer counts as overdue all the time, and two of them make the link count as slow, so that nothing is sent that could show it quick.

What is cut gives back its transfer and commitment and resets the connection.

--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -56,7 +56,7 @@
 var errResponseTooLong = errors.New("response is longer than its Content-Length")
 
 // responseWriter is the http.ResponseWriter of one exchange. It also offers what
-// http.ResponseController uses: Flush and SetReadDeadline.
+// http.ResponseController uses: Flush and the deadlines.
 type responseWriter struct {
 	ex          *exchange
 	header      http.Header
@@ -65,6 +65,7 @@
 	length      int64 // declared Content-Length; negative means chunked
 	written     int64
 	bodyAllowed bool // the response may have a body
+	hasDeadline bool // SetWriteDeadline was called
 	err         error
 }
 
@@ -169,6 +170,13 @@
 	return nil
 }
 
+// SetWriteDeadline sets the deadline of writes until the response is complete. It must not
+// be called before WriteHeader, as an earlier response may still be written.
+func (w *responseWriter) SetWriteDeadline(t time.Time) error {
+	w.hasDeadline = true
+	return w.ex.conn.nc.SetWriteDeadline(t)
+}
+
 // finish completes the response and reports whether it is complete.
 func (w *responseWriter) finish() bool {
 	if w.status == 0 && w.err == nil {
@@ -185,6 +193,9 @@
 	if w.err == nil {
 		w.err = w.bw.Flush()
 	}
+	if w.hasDeadline {
+		_ = w.ex.conn.nc.SetWriteDeadline(time.Time{}) // an error shows in the next write
+	}
 	w.bw.Reset(nil)
 	writerPool.Put(w.bw)
 	w.bw = nil
--- a/internal/proxy/envelope.go
+++ b/internal/proxy/envelope.go
@@ -216,3 +216,12 @@
 		h.Del(name)
 	}
 }
+
+// requestTimeout returns the timeout of a request of another node; 0 if it has none.
+func requestTimeout(h http.Header) time.Duration {
+	ms, err := strconv.ParseInt(h.Get(HeaderTimeout), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -300,7 +300,7 @@
 		outcome = outcomeNames[0]
 	}
 	ex.returnQuota(outcome)
-	sent, err := copyResponse(w, resp)
+	sent, err := copyResponse(&progressingWriter{ResponseWriter: w, deadline: ex.deadline, stall: callerWriteStall}, resp)
 	if err != nil {
 		outcome = outcomeNames[len(outcomeNames)-1]
 		ex.recordCut(clock.Now(), sent, err)
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/retry"
 )
@@ -75,6 +76,7 @@
 		p.claims.ServeHTTP(w, r)
 		return
 	}
+	deadline := clock.Now().Add(requestTimeout(r.Header))
 	hook := func() { w.WriteHeader(http.StatusEarlyHints) }
 	ctx := context.WithValue(r.Context(), admissionHookKey{}, hook)
 	ctx = context.WithValue(ctx, readDeadlineKey{}, http.NewResponseController(w).SetReadDeadline)
@@ -84,7 +86,7 @@
 		h[name] = values
 	}
 	w.WriteHeader(resp.StatusCode)
-	_, err := copyBody(w, resp.Body)
+	_, err := copyBody(&progressingWriter{ResponseWriter: w, deadline: deadline, stall: nodeWriteStall}, resp.Body)
 	_ = resp.Body.Close()
 	if err != nil {
 		// Resets the stream, so that the response does not look complete.
