No memory is charged for requests without a body; a caller that sends is kept

Read as a newcomer: each request took an entry of the arriving bodies, those without a body too. And a connection that was chosen to end could have sent something since; it is looked at again under its lock. By reading; the tests of proxy and http1 pass.

--- a/internal/http1/crowd.go
+++ b/internal/http1/crowd.go
@@ -155,6 +155,11 @@
 func (c *conn) stalledFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.stalledForLocked()
+}
+
+// stalledForLocked is stalledFor for a caller that holds the lock.
+func (c *conn) stalledForLocked() time.Duration {
 	if c.closing || c.aborted || c.evicted || c.lastExchange != nil && !c.lastExchange.awaitsBody() {
 		return 0
 	}
@@ -175,10 +180,14 @@
 	}
 }
 
-// endStalled ends the connection: one that is idle as any idle one, another one with
-// status 408.
+// endStalled ends the connection unless its caller has sent something meanwhile: one that
+// is idle as any idle one, another one with status 408.
 func (c *conn) endStalled() {
 	c.mu.Lock()
+	if c.stalledForLocked() < minStall {
+		c.mu.Unlock()
+		return
+	}
 	c.evicted = true
 	idle := c.awaitingRequest && c.lastExchange == nil
 	if !idle {
--- a/internal/proxy/arrivals.go
+++ b/internal/proxy/arrivals.go
@@ -25,7 +25,8 @@
 	bodies map[*arrival]struct{}
 }
 
-// arrival is a body that is arriving, or a part of one that is kept.
+// arrival is a body that is arriving, or a part of one that is kept. Nil stands for that of
+// a request without a body.
 type arrival struct {
 	in         *arrivals
 	interrupt  func() // ends the read in progress
@@ -99,6 +100,9 @@
 
 // end releases the memory. It reports whether the body was given up.
 func (b *arrival) end() bool {
+	if b == nil {
+		return false
+	}
 	b.in.mu.Lock()
 	defer b.in.mu.Unlock()
 	delete(b.in.bodies, b)
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -42,14 +42,18 @@
 	errBodyMemory = errors.New("no memory for the request body")
 )
 
+// hasBody reports whether a request of a caller has a body.
+func hasBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
 // newRequestBody buffers a body of up to limit bytes and streams a longer one. A body
-// longer than maxLength, unless that is 0, returns errBodyTooLong.
+// longer than maxLength, unless that is 0, returns errBodyTooLong. The memory is that of a.
 func newRequestBody(r *http.Request, limit, maxLength int64, a *arrival) (*requestBody, error) {
-	b := &requestBody{length: r.ContentLength}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		b.length = 0
-		return b, nil
+	if !hasBody(r) {
+		return &requestBody{}, nil
 	}
+	b := &requestBody{length: r.ContentLength}
 	if maxLength > 0 && r.ContentLength > maxLength {
 		return nil, errBodyTooLong
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -156,6 +156,10 @@
 // meanwhile is that of the returned arrival. If there is no problem and the body streams,
 // it counts as one of the streams.
 func (ex *exchange) receiveBody(w http.ResponseWriter) (*arrival, *Problem) {
+	if !hasBody(ex.req) {
+		ex.body = &requestBody{}
+		return nil, nil
+	}
 	conn := http.NewResponseController(w)
 	_ = conn.SetReadDeadline(clock.ToMonotonic(ex.deadline))
 	arrival := ex.f.arrivals.begin(clock.Now(), func() { _ = conn.SetReadDeadline(longPast) })
