A body that streams has 3 s at a time to make progress

Callers saw: while others had sent the beginning of long bodies and then nothing, reads of the same upstream were refused (503), as all its slots were held until the deadlines of those.

Cause: the read of a caller's stream had the request's deadline only, also while its request held a slot.

Change: each read of the stream by a try has 3 s, and none outlasts the request, as bodies of other nodes have it already.

TestStalledStreamEndsItsTry: one minute before, 3 s now.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -24,6 +24,7 @@
 	stream     io.Reader
 	length     int64  // negative if unknown
 	onLateRead func() // called for each read by a try that has ended; nil for none
+	beforeRead func() // called before each read of the stream by a try; nil for none
 
 	mu       sync.Mutex
 	reader   *awaitingBody // of the try in progress; nil if there is none
@@ -210,6 +211,9 @@
 		}
 		return 0, errTryEnded
 	}
+	if a.body.beforeRead != nil {
+		a.body.beforeRead()
+	}
 	return a.body.stream.Read(p)
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -85,7 +85,6 @@
 	if ex.body.streamed() {
 		defer ex.f.streams.Add(-1)
 	}
-	ex.body.onLateRead = ex.f.metrics.lateBodyRead
 	ex.env.Fingerprint = ex.fingerprint()
 	if problem := ex.abandonedBeforeTry(ctx); problem != nil {
 		ex.finish(w, ex.f.problemResponse(problem, ex.req))
@@ -175,6 +174,14 @@
 		return arrival, bodyProblem(err)
 	}
 	ex.body = body
+	body.onLateRead = ex.f.metrics.lateBodyRead
+	body.beforeRead = func() {
+		stall := clock.Now().Add(bodyStallTimeout)
+		if ex.deadline.Before(stall) {
+			stall = ex.deadline
+		}
+		_ = conn.SetReadDeadline(clock.ToMonotonic(stall))
+	}
 	return arrival, nil
 }
 
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -51,8 +51,8 @@
 	return nil
 }
 
-// bodyStallTimeout is how long a body of another node may make no progress while it holds
-// a place. A lost packet is retransmitted after one second, and again after two more.
+// bodyStallTimeout is how long a body may make no progress while it holds a place of the
+// receive limiter, or a slot of the upstream as it streams. A lost packet is retransmitted after one second, and again after two more.
 const bodyStallTimeout = 3 * time.Second
 
 // bodyCutReason returns why a body was not received.
--- a/internal/proxy/receive_test.go
+++ b/internal/proxy/receive_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/ledger"
+	"github.com/walldrift/walldrift/internal/retry"
 	"github.com/walldrift/walldrift/internal/snapshot"
 )
 
@@ -193,3 +194,25 @@
 		})
 	}
 }
+
+// Guards against slots of an upstream that are held until the deadlines of requests whose
+// callers have stopped sending.
+func TestStalledStreamEndsItsTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{script: []func(*http.Request) (*http.Response, error){func(r *http.Request) (*http.Response, error) {
+			r.Context().Value(admissionHookKey{}).(func())()
+			_, err := io.ReadAll(r.Body)
+			return nil, err
+		}}}
+		f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy()}, everyMember, s)
+		conn := &silentConn{ResponseRecorder: httptest.NewRecorder()}
+		r := httptest.NewRequest(http.MethodPost, "/payments/x", nil)
+		r.Body, r.ContentLength = conn, 1<<20
+		start, snap := time.Now(), f.holder.Current()
+		ex := f.newExchange(r, start, snap, snap.Match(r.Host, r.Method, "/payments/x"), nil)
+		ex.deadline = start.Add(time.Minute)
+		ex.serve(t.Context(), conn)
+		assert.Equal(t, time.Since(start), bodyStallTimeout)
+		assert.Equal(t, conn.Code, http.StatusBadGateway)
+	})
+}
