--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/retry"
 )
 
@@ -50,7 +51,14 @@
 		t.Run(name, func(t *testing.T) {
 			l := &lateReader{signalAdmitted: admit}
 			s := &scripted{script: []func(*http.Request) (*http.Response, error){l.rejectEarly, l.run}}
-			f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy()}, everyMember, s)
+			// The first sender also reads while the second upstream is being chosen.
+			members := func(name string) (membership.Member, bool) {
+				if l.firstBody != nil {
+					_, _ = l.firstBody.Read(make([]byte, 10))
+				}
+				return everyMember(name)
+			}
+			f := newTestFrontend(t, FrontendConfig{Retry: retry.DefaultPolicy()}, members, s)
 			body := strings.Repeat("b", 100<<10)
 			r := httptest.NewRequest(http.MethodPost, "/payments/x", io.NopCloser(strings.NewReader(body)))
 			r.ContentLength = length
