One way to reckon the deadline of a read that must make progress

It stood twice, for bodies of other nodes and for streams of callers. No change of behaviour; the tests of proxy pass.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -175,13 +175,7 @@
 	}
 	ex.body = body
 	body.onLateRead = ex.f.metrics.lateBodyRead
-	body.beforeRead = func() {
-		stall := clock.Now().Add(bodyStallTimeout)
-		if ex.deadline.Before(stall) {
-			stall = ex.deadline
-		}
-		_ = conn.SetReadDeadline(clock.ToMonotonic(stall))
-	}
+	body.beforeRead = func() { _ = conn.SetReadDeadline(progressDeadline(ex.deadline)) }
 	return arrival, nil
 }
 
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -87,15 +87,21 @@
 
 // Read implements io.Reader.
 func (b *progressingBody) Read(p []byte) (int, error) {
-	stall := clock.Now().Add(bodyStallTimeout)
-	if b.deadline.Before(stall) {
-		stall = b.deadline
-	}
 	// Without support for deadlines the end of the connection ends the read.
-	_ = b.setDeadline(clock.ToMonotonic(stall))
+	_ = b.setDeadline(progressDeadline(b.deadline))
 	return b.ReadCloser.Read(p)
 }
 
+// progressDeadline returns the deadline of a read that begins now: it must make progress,
+// and must not outlast the request.
+func progressDeadline(requestDeadline time.Time) time.Time {
+	stall := clock.Now().Add(bodyStallTimeout)
+	if requestDeadline.Before(stall) {
+		stall = requestDeadline
+	}
+	return clock.ToMonotonic(stall)
+}
+
 // slotLikely reports whether the request is expected to get a slot in time.
 func (c *backendCall) slotLikely() bool {
 	f := c.b.gate.Forecast(c.env.queueKind(), c.env.KindWeight)
