--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -190,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, l := range s.listeners {
-		if d, ok := l.(deadlineSetter); !ok || d.SetDeadline(time.Unix(1, 0)) != nil {
+		if d, ok := l.(deadlineSetter); !ok || d.SetDeadline(longPast) != nil {
 			_ = l.Close()
 		}
 	}
--- a/internal/proxy/progressing_writer.go
+++ b/internal/proxy/progressing_writer.go
@@ -35,12 +35,9 @@
 	if w.written <= unboundedWrite {
 		return w.ResponseWriter.Write(p)
 	}
-	end := clock.Now()
-	if end.Before(w.deadline) {
-		end = w.deadline
-	}
+	end := laterOf(clock.Now(), w.deadline).Add(w.stall)
 	// Without support for deadlines the end of the connection ends the write.
-	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(clock.ToMonotonic(end.Add(w.stall)))
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(clock.ToMonotonic(end))
 	return w.ResponseWriter.Write(p)
 }
 
