--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -50,6 +50,9 @@
 		}
 		return nil, ex.withCause(err)
 	}
+	if trace := httptrace.ContextClientTrace(ex.req.Context()); trace != nil && trace.WroteRequest != nil {
+		trace.WroteRequest(httptrace.WroteRequestInfo{})
+	}
 	return ex.readResponse()
 }
 
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -48,6 +48,9 @@
 	// between. Such a load has no effect; the text is empty if the response had none.
 	// Default nil: not called.
 	OnInvalidLoad func(text string)
+	// OnAbandoned is called with each request of another node that disconnected before it
+	// got the response. Default nil: not called.
+	OnAbandoned AbandonedRecorder
 	// OnLeaving is called when an instance of the upstream first says that it leaves.
 	// Default nil: not called.
 	OnLeaving func(instance string)
@@ -169,6 +172,9 @@
 	if cfg.OnConnect == nil {
 		b.cfg.OnConnect = func(bool) {}
 	}
+	if cfg.OnAbandoned == nil {
+		b.cfg.OnAbandoned = func(AbandonedRequest) {}
+	}
 	if cfg.OnLeaving == nil {
 		b.cfg.OnLeaving = func(string) {}
 	}
@@ -314,6 +320,7 @@
 	resp, problem := call.run()
 	if problem != nil {
 		b.inflight.Add(-1)
+		call.noteAbandoned(problem.Reason)
 		resp = b.refuse(req, env, problem)
 	}
 	if remote {
--- a/internal/proxy/backend_call.go
+++ b/internal/proxy/backend_call.go
@@ -23,6 +23,7 @@
 	startedAt time.Time // when the slot was acquired
 	// slowdownAtStart is admission.Slowdown.Factor when the slot was acquired.
 	slowdownAtStart float64
+	steps           *trySteps // of the call to the upstream; nil before it
 	sentAt          time.Time // when the request was sent to the upstream
 	// limitReport is what the response advertises; zero before it arrived.
 	limitReport limitReport
@@ -122,11 +123,10 @@
 	c.slowdownAtStart = b.gate.Slowdown().Factor(c.startedAt)
 	// The process may have been paused between the grant of the slot and now, and the
 	// sender may have disconnected meanwhile.
-	if !c.startedAt.Before(c.start.Add(c.env.Timeout)) || http1.CallerDisconnected(ctx) {
-		c.releaseSlot(false)
-		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
+	problem := c.refuseAbandoned(ctx)
+	if problem == nil {
+		problem = c.refuseAfterShutdown()
 	}
-	problem := c.refuseAfterShutdown()
 	if problem == nil {
 		problem = c.refuseQuarantinedAtStart()
 	}
@@ -136,6 +136,18 @@
 	return problem
 }
 
+// refuseAbandoned refuses a request that got its slot when nobody waits for its response
+// any more.
+func (c *backendCall) refuseAbandoned(ctx context.Context) *Problem {
+	switch {
+	case !c.startedAt.Before(c.start.Add(c.env.Timeout)):
+		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
+	case http1.CallerDisconnected(ctx):
+		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonCallerLeft, defaultRetryAfter)
+	}
+	return nil
+}
+
 // refuseLate refuses a request whose response is known to come too late, before it
 // takes a slot.
 func (c *backendCall) refuseLate() *Problem {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -33,6 +33,8 @@
 	unbind := c.b.bindToLifetime(cancel)
 	outer := cancel
 	cancel = func() { unbind(); outer() }
+	c.steps = newTrySteps(c.start)
+	ctx = c.steps.trace(ctx)
 	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) {
 			connected.Store(true)
@@ -146,6 +148,9 @@
 	}
 	c.sending.release()
 	c.releaseSlot(complete)
+	if !complete {
+		c.noteAbandoned("")
+	}
 	cancel()
 	if !complete {
 		c.finishKey(ledger.OutcomeUnknown, nil)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
 	"github.com/walldrift/walldrift/internal/http1"
@@ -67,6 +69,7 @@
 	// responding says that it is still arriving.
 	responseStarted bool
 	responding      atomic.Bool
+	steps           *trySteps       // of the last try; nil before the first
 	awaiting        *linkCommitment // for the response of the last try; nil if none is needed
 	linkDecision    string          // inputs of the last refusal because of the link
 }
@@ -207,8 +210,10 @@
 		return nil
 	case ex.f.unansweredCtx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonNodeLeaves, defaultRetryAfter)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
 	}
-	return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
+	return notRun(http.StatusRequestTimeout, retry.Refused, reasonCallerLeft, 0)
 }
 
 // finishWithoutUpstream answers a request for which no further upstream can be chosen:
@@ -292,6 +297,7 @@
 // finish sends the response to the caller and records the request.
 func (ex *exchange) finish(w http.ResponseWriter, resp *http.Response) {
 	outcome := resp.Header.Get(HeaderOutcome)
+	ex.noteAbandoned(resp.Header.Get(HeaderReason))
 	if outcome != "" {
 		ex.applyDialect(resp)
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -93,6 +93,9 @@
 	// Record receives the records of requests that failed, were refused, were retried
 	// or were slow; nil for none.
 	Record Recorder
+	// OnAbandoned is called with each request whose caller disconnected before it got the
+	// response. Default nil: not called.
+	OnAbandoned AbandonedRecorder
 	// CallerService returns the service beside this node, for Dialect.CallerService.
 	// Default: the service of Self.
 	CallerService func() string
@@ -124,6 +127,9 @@
 	if cfg.BufferLimit == 0 {
 		cfg.BufferLimit = defaultBufferLimit
 	}
+	if cfg.OnAbandoned == nil {
+		cfg.OnAbandoned = func(AbandonedRequest) {}
+	}
 	if cfg.CallerService == nil {
 		service := cfg.Self.Service
 		cfg.CallerService = func() string { return service }
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -49,6 +49,7 @@
 	reasonUnreachable       = "unreachable"
 	reasonConnectionLost    = "connection-lost"
 	reasonDeadline          = "deadline"
+	reasonCallerLeft        = "caller-left" // nobody waits for the response any more
 	reasonOwnerUnavailable  = "home-unavailable"
 	reasonConnectionRefused = "upstream-refused-connection"
 	reasonRejected          = "upstream-rejected"  // the upstream says that it did not run the request
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -33,7 +33,8 @@
 
 // tryUpstream makes one try at an upstream and reports the result to the router.
 func (ex *exchange) tryUpstream(ctx context.Context, target membership.Instance, sent time.Time) (*http.Response, retry.Class) {
-	resp, problem := ex.send(ctx, target)
+	ex.steps = newTrySteps(ex.start)
+	resp, problem := ex.send(ex.steps.trace(ctx), target)
 	if problem != nil {
 		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: ctx.Err() == nil})
 		return ex.f.problemResponse(problem, ex.req), problem.class
