--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -111,6 +111,11 @@
 	if trace := httptrace.ContextClientTrace(req.Context()); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: cc.nc})
 	}
+	// The dial and a pause of the process take time in which the caller may leave.
+	if err := checkAwaited(req.Context()); err != nil {
+		c.putUnused(cc)
+		return nil, err
+	}
 	ex := &clientExchange{client: c, cc: cc, req: req}
 	resp, err := ex.roundTrip()
 	if err != nil {
@@ -120,12 +125,9 @@
 	return resp, nil
 }
 
-// acquire returns a usable idle connection or a new one. It takes none for a request
-// whose context has ended.
+// acquire returns a usable idle connection or a new one. It dials none for a request that
+// nobody waits for.
 func (c *Client) acquire(ctx context.Context, addr string) (*clientConn, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
 	for {
 		cc := c.popIdle(addr)
 		if cc == nil {
@@ -142,7 +144,7 @@
 	}
 	head := &headReader{source: newDeadlineReader(nc), left: unlimited}
 	br := bufio.NewReaderSize(head, readBufferSize)
-	return &clientConn{nc: nc, br: br, head: head, addr: addr, epoch: c.countDial()}, nil
+	return &clientConn{nc: nc, br: br, head: head, addr: addr, epoch: c.countDial(), lastUsed: time.Now()}, nil
 }
 
 // dialPauseMargin is how far beyond its timeout a dial must end to be attributed to a
@@ -152,11 +154,17 @@
 // dial connects to a server. A dial whose timeout passed during a process pause says
 // nothing about the server, so it is tried once more.
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if err := checkAwaited(ctx); err != nil {
+		return nil, err
+	}
 	start := time.Now()
 	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
-	if err == nil || ctx.Err() != nil || time.Since(start) < c.cfg.DialTimeout+dialPauseMargin {
+	if err == nil || time.Since(start) < c.cfg.DialTimeout+dialPauseMargin {
 		return nc, err
 	}
+	if abandoned := checkAwaited(ctx); abandoned != nil {
+		return nil, abandoned
+	}
 	return c.dialer.DialContext(ctx, "tcp", addr)
 }
 
@@ -180,9 +188,15 @@
 	return cc
 }
 
-// putIdle keeps a connection for later requests.
+// putIdle keeps a connection whose response has ended for later requests.
 func (c *Client) putIdle(cc *clientConn) {
 	cc.lastUsed = time.Now()
+	c.putUnused(cc)
+}
+
+// putUnused keeps a connection on which nothing was sent since it was taken: the server's
+// idle timeout goes on.
+func (c *Client) putUnused(cc *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cc.epoch != c.epoch || len(c.idle[cc.addr]) >= c.cfg.MaxIdle {
--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -36,11 +36,6 @@
 }
 
 func (ex *clientExchange) roundTrip() (*http.Response, error) {
-	// Check first, as context.AfterFunc below sets the deadline concurrently with the
-	// first write.
-	if err := ex.req.Context().Err(); err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
-	}
 	_ = ex.cc.nc.SetDeadline(time.Time{})
 	nc := ex.cc.nc
 	ex.stopContextWatch = context.AfterFunc(ex.req.Context(), func() { _ = nc.SetDeadline(longPast) })
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		ctxErr := ctx.Err()
 		cancel()
-		if !connected.Load() && ctxErr == nil {
+		if !connected.Load() && ctxErr == nil && !errors.Is(err, http1.ErrAbandoned) {
 			c.b.cfg.OnConnect(false)
 			c.b.detector.recordCrash()
 		}
@@ -121,6 +121,14 @@
 // callProblem classifies an error of the call to the upstream. ctxErr is the error of
 // the request's context.
 func (c *backendCall) callProblem(ctxErr, err error, connected bool) *Problem {
+	if errors.Is(err, http1.ErrAbandoned) {
+		switch {
+		case http1.CallerDisconnected(c.req.Context()):
+			return notRun(http.StatusServiceUnavailable, retry.Refused, reasonCallerLeft, defaultRetryAfter)
+		case errors.Is(err, context.DeadlineExceeded):
+			return notRun(http.StatusServiceUnavailable, retry.Refused, reasonDeadline, defaultRetryAfter)
+		}
+	}
 	if !connected || errors.Is(err, http1.ErrNotSent) {
 		return notRun(http.StatusServiceUnavailable, retry.NeverDispatched, notSentReason(ctxErr, reasonConnectionRefused), defaultRetryAfter)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -205,12 +205,19 @@
 // caller has already disconnected. Without this check, 33 to 73 of 200 requests that
 // arrived in one packet with the close of their connection were forwarded.
 func (ex *exchange) abandonedBeforeTry(ctx context.Context) *Problem {
-	switch {
-	case !http1.CallerDisconnected(ctx):
+	if !http1.CallerDisconnected(ctx) {
 		return nil
+	}
+	return ex.abandonedProblem(ctx.Err())
+}
+
+// abandonedProblem is the problem of a request that is not sent, as its context has ended
+// with cause or its caller has disconnected.
+func (ex *exchange) abandonedProblem(cause error) *Problem {
+	switch {
 	case ex.f.unansweredCtx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, retry.Refused, reasonNodeLeaves, defaultRetryAfter)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(cause, context.DeadlineExceeded):
 		return notRun(http.StatusRequestTimeout, retry.Refused, reasonDeadline, 0)
 	}
 	return notRun(http.StatusRequestTimeout, retry.Refused, reasonCallerLeft, 0)
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -45,6 +45,12 @@
 	return unknownOutcome(http.StatusBadGateway, reasonConnectionLost)
 }
 
+// abandoned reports whether the request was given up before it was sent, which says
+// nothing about the upstream.
+func (p *Problem) abandoned() bool {
+	return p.class == retry.Refused && (p.Reason == reasonCallerLeft || p.Reason == reasonDeadline)
+}
+
 // notSentReason returns why nothing was sent: the deadline if the request's context has
 // exceeded it, otherwise fallback. A dial timeout is not the request's deadline,
 // although its error looks alike.
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -7,6 +7,7 @@
 
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/overload"
 	"github.com/walldrift/walldrift/internal/retry"
 )
@@ -111,10 +112,10 @@
 }
 
 // retriesStopped reports whether no further try may be made, because the request's
-// context has ended or this node is shutting down.
+// context has ended, its caller has disconnected or this node is shutting down.
 func (ex *exchange) retriesStopped(ctx context.Context) bool {
 	ex.responding.Store(false)
-	return ctx.Err() != nil || ex.f.unansweredCtx.Err() != nil
+	return http1.CallerDisconnected(ctx) || ex.f.unansweredCtx.Err() != nil
 }
 
 // responseBufferLimit returns the longest response that is buffered now, and how many
--- a/internal/proxy/try.go
+++ b/internal/proxy/try.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/walldrift/walldrift/internal/admission"
 	"github.com/walldrift/walldrift/internal/clock"
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/ledger"
 	"github.com/walldrift/walldrift/internal/membership"
 	"github.com/walldrift/walldrift/internal/retry"
@@ -36,7 +39,7 @@
 	ex.steps = newTrySteps(ex.start)
 	resp, problem := ex.send(ex.steps.trace(ctx), target)
 	if problem != nil {
-		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: ctx.Err() == nil})
+		ex.f.tryEnded(target.Name, routing.Outcome{Generation: target.Generation, Failed: ctx.Err() == nil && !problem.abandoned()})
 		return ex.f.problemResponse(problem, ex.req), problem.class
 	}
 	class := classOf(resp.Header)
@@ -141,7 +144,10 @@
 	out := ex.peerRequest(ctx, target, admitted)
 	ex.f.countRequest(target, out)
 	resp, err := transport.RoundTrip(out)
-	if err != nil {
+	switch {
+	case errors.Is(err, http1.ErrAbandoned):
+		return nil, ex.abandonedProblem(err)
+	case err != nil:
 		return nil, sendFailure(ctx, err)
 	}
 	return resp, nil
