--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -226,9 +227,9 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// abandon ends the watches and closes the connection, which stops the goroutine that
-// sends the body.
-func (ex *clientExchange) abandon() {
+// close ends the watches and closes the connection, which stops the goroutine that sends
+// the body.
+func (ex *clientExchange) close() {
 	if ex.stopContextWatch != nil {
 		ex.stopContextWatch()
 	}
@@ -236,6 +237,15 @@
 	_ = ex.cc.nc.Close()
 }
 
+// abandon is close for a request without a complete response. It resets the connection: an
+// ordinary close would still deliver what of the request waits in the socket.
+func (ex *clientExchange) abandon() {
+	if t, ok := ex.cc.nc.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	ex.close()
+}
+
 // bodySent reports whether the complete request was sent.
 func (ex *clientExchange) bodySent() bool {
 	if ex.bodyResult == nil {
@@ -286,6 +296,10 @@
 			ex.client.putIdle(ex.cc)
 			return
 		}
+		if complete {
+			ex.close()
+			return
+		}
 		ex.abandon()
 	})
 }
