--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -146,16 +146,13 @@
 		cancel()
 		return false
 	}
-	c.handlerSlots <- struct{}{}
+	c.acquireHandlerSlot()
 	c.handlers.Go(func() { c.runHandler(ex) })
 	if !ex.body.empty {
 		c.restoreBuffer()
-		select {
-		case <-ex.body.finished:
-		case <-ex.done:
-		}
+		c.awaitBody(ex)
 	}
-	return ex.keepAlive
+	return ex.keepAlive && c.ctx.Err() == nil
 }
 
 // enqueue appends an exchange to the response order. It returns false if no further
