--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -54,6 +54,8 @@
 
 	mu     sync.Mutex
 	ran    map[string]int
+	// arrived is when the head of a request was last read.
+	arrived map[string]time.Time
 	handle http.HandlerFunc // replaces the default response if it is set
 	// advertised has the headers by which the upstream tells its state in each response.
 	advertised http.Header
@@ -69,6 +71,9 @@
 		return
 	}
 	id := r.Header.Get(testDialect.RequestID)
+	u.mu.Lock()
+	u.arrived[id] = time.Now()
+	u.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -96,6 +101,13 @@
 	return u.ran[id]
 }
 
+// arrivedAfter reports whether a request arrived later than at.
+func (u *upstream) arrivedAfter(id string, at time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.arrived[id].After(at)
+}
+
 // fleet is a group of sidecars with an upstream beside each, on loopback addresses of
 // their own.
 type fleet struct {
@@ -152,7 +164,7 @@
 func (f *fleet) addUpstream(ip string, i int, work time.Duration) {
 	l, err := net.Listen("tcp", ip+":0")
 	assert.NilError(f.t, err)
-	u := &upstream{id: "shop-" + strconv.Itoa(i), work: work, ran: make(map[string]int), addr: l.Addr().(*net.TCPAddr).AddrPort()}
+	u := &upstream{id: "shop-" + strconv.Itoa(i), work: work, ran: make(map[string]int), arrived: make(map[string]time.Time), addr: l.Addr().(*net.TCPAddr).AddrPort()}
 	u.server = &http.Server{Handler: u}
 	go func() { _ = u.server.Serve(l) }()
 	f.upstreams = append(f.upstreams, u)
