--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -52,11 +52,11 @@
 
 	wrongInstance atomic.Int32 // requests for another instance ID
 
-	mu     sync.Mutex
-	ran    map[string]int
+	mu  sync.Mutex
+	ran map[string]int
 	// arrived is when the head of a request was last read.
 	arrived map[string]time.Time
-	handle http.HandlerFunc // replaces the default response if it is set
+	handle  http.HandlerFunc // replaces the default response if it is set
 	// advertised has the headers by which the upstream tells its state in each response.
 	advertised http.Header
 }
