--- a/internal/proxy/abandoned.go
+++ b/internal/proxy/abandoned.go
@@ -106,7 +106,7 @@
 	if !c.remote || c.req.Context().Err() == nil && reason != reasonCallerLeft {
 		return
 	}
-	r := AbandonedRequest{ID: c.req.Header.Get(c.b.cfg.Dialect.RequestID), Kind: c.env.Kind, Side: sideNodes, Upstream: c.b.cfg.Name, Tries: 1}
+	r := AbandonedRequest{ID: c.req.Header.Get(c.b.cfg.Dialect.RequestID), Kind: c.env.Kind, Side: sideNodes, Upstream: c.env.Target, Tries: 1}
 	c.steps.describe(&r, c.start)
 	c.b.metrics.abandoned(r)
 	c.b.cfg.OnAbandoned(r)
