--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -55,8 +55,8 @@
 func SimulateSuspension(d time.Duration) { advanced.Add(int64(d)) }
 
 const (
-	// checkInterval is the interval at which Watch checks for a suspension. For up to this
-	// long after a suspension, Now does not include it yet.
+	// checkInterval is the interval at which Watch checks for suspensions and stalls. For up
+	// to this long after a suspension, Now does not include it yet.
 	checkInterval = 100 * time.Millisecond
 	// minSuspension is the shortest suspension that is detected. It is longer than two
 	// readings of the clocks take, so that a delay between them is not mistaken for one.
@@ -67,19 +67,27 @@
 // started; supported says whether the system reports it.
 var suspendedAtStart, supported = suspendedSinceBoot()
 
-// Watch detects suspensions of the machine until ctx ends, and calls onSuspension with the
-// length of each. It returns at once on systems that do not report suspensions.
-func Watch(ctx context.Context, onSuspension func(time.Duration)) {
-	if !supported {
-		return
-	}
+// Events are called by Watch; each with the length of what it has detected.
+type Events struct {
+	OnSuspension func(time.Duration) // of the machine, on systems that report them
+	OnStall      func(time.Duration) // of this process: it got no processor time
+}
+
+// Watch detects suspensions of the machine and stalls of this process until ctx ends.
+func Watch(ctx context.Context, events Events) {
 	last := suspendedAtStart
 	periodic.Run(ctx, checkInterval, func(time.Time) {
+		if stalled := stalls.check(time.Since(processStart)); stalled > 0 {
+			events.OnStall(stalled)
+		}
+		if !supported {
+			return
+		}
 		total, ok := suspendedSinceBoot()
 		if gap := total - last; ok && gap >= minSuspension {
 			last = total
 			suspended.Store(int64(total - suspendedAtStart))
-			onSuspension(gap)
+			events.OnSuspension(gap)
 		}
 	})
 }
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -37,5 +37,5 @@
 func TestNoSuspensionDetected(t *testing.T) {
 	ctx, stop := context.WithTimeout(t.Context(), 5*checkInterval)
 	defer stop()
-	Watch(ctx, func(d time.Duration) { t.Errorf("suspended for %v", d) })
+	Watch(ctx, Events{OnSuspension: func(d time.Duration) { t.Errorf("suspended for %v", d) }, OnStall: func(time.Duration) {}})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -177,7 +177,7 @@
 	}
 	group.Go(func() { s.follower.Run(run) })
 	group.Go(func() { s.quarantined.run(run) })
-	group.Go(func() { clock.Watch(run, s.machineResumed) })
+	group.Go(func() { clock.Watch(run, clock.Events{OnSuspension: s.machineResumed, OnStall: s.processStalled}) })
 	group.Go(func() { periodic.Run(run, sweepInterval, s.sweep) })
 	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
 	var err error
@@ -206,6 +206,12 @@
 	s.quotas.paused(clock.Now())
 }
 
+// processStalled counts and logs that this process got no processor time.
+func (s *Sidecar) processStalled(d time.Duration) {
+	s.metrics.Scope.Counter("stalls").Inc(1)
+	s.log.Warn("process was stalled", "for", d)
+}
+
 // sweep drops expired state. Idle connections expire by steady, the time of the steady
 // clock.
 func (s *Sidecar) sweep(steady time.Time) {
