--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -29,6 +29,7 @@
 	since            time.Time // process start
 	partitionedUntil time.Time // partitioned from all other nodes until then
 	pausedUntil      time.Time // process paused until then
+	unreachableUntil time.Time // other nodes can't reach it until then, but it reaches them
 }
 
 var epoch = time.Unix(1_000_000, 0)
@@ -69,7 +70,18 @@
 	if a == b {
 		return true
 	}
-	return !now.Before(a.partitionedUntil) && !now.Before(b.partitionedUntil) && !now.Before(b.pausedUntil)
+	return !now.Before(a.partitionedUntil) && !now.Before(b.partitionedUntil) && !now.Before(b.pausedUntil) && !now.Before(b.unreachableUntil)
+}
+
+// confirm asks the standby for the owner what it has lent.
+func (f *fleet) confirm(now time.Time) {
+	owner, standby := f.owners()
+	if now.Before(owner.pausedUntil) || !reaches(now, owner, standby) {
+		return
+	}
+	for _, customer := range owner.lender.Unconfirmed(now) {
+		owner.lender.Confirm(now, customer, LentAsStandby{Process: uint64(standby.since.UnixNano()), Tokens: standby.lender.LentAsStandby(customer)})
+	}
 }
 
 // borrow sends a node's borrow request.
@@ -78,9 +90,9 @@
 	want := n.borrower.StartBorrowing(now, "customer")
 	switch {
 	case reaches(now, n, owner):
-		n.borrower.ApplyGrant(now, now, "customer", want, owner.lender.Lend(now, owner.since, "customer", f.limit, want))
+		n.borrower.ApplyGrant(now, now, "customer", want, owner.lender.Lend(now, owner.since, "customer", f.limit, true, want))
 	case reaches(now, n, standby) && reaches(now, standby, owner):
-		n.borrower.ApplyGrant(now, now, "customer", want, owner.lender.Lend(now, owner.since, "customer", f.limit, want))
+		n.borrower.ApplyGrant(now, now, "customer", want, owner.lender.Lend(now, owner.since, "customer", f.limit, true, want))
 	case reaches(now, n, standby):
 		g := standby.lender.LendAsStandby(now, "customer", f.limit, want.Want)
 		n.borrower.ApplyGrant(now, now, "customer", want, g)
@@ -159,6 +171,9 @@
 		now := epoch.Add(at + 10*time.Second)
 		injectFaults(now)
 		f.resume(now)
+		if at%ConfirmInterval == 0 {
+			f.confirm(now)
+		}
 		for due += f.limit.Rate * demand * step.Seconds(); due >= 1; due-- {
 			requests++
 			if f.request(now, place(at)) {
@@ -243,6 +258,61 @@
 	}
 }
 
+// While the owner and the other nodes do not reach each other, or only the owner reaches
+// them, both sides together admit no more than the platform accepts, though each is sent
+// more than the limit. Owner and standby lent 1.75 times the rate.
+func TestLimitHoldsOverBothSidesOfACut(t *testing.T) {
+	for _, oneWay := range []bool{false, true} {
+		for _, nodes := range []int{4, 30} {
+			t.Run(fmt.Sprintf("one way %v, %d nodes", oneWay, nodes), func(t *testing.T) {
+				f := newFleet(1, nodes, Limit{Rate: 40, Burst: 20})
+				owner, _ := f.owners()
+				cut := func(now time.Time) {
+					since, until := epoch.Add(18*time.Second), epoch.Add(30*time.Second)
+					switch {
+					case now.Before(since):
+					case oneWay:
+						owner.unreachableUntil = until
+					default:
+						owner.partitionedUntil = until
+					}
+				}
+				n := 0
+				_, admitted := f.run(30, 3, func(time.Duration) *node {
+					if n++; n%2 == 0 {
+						return owner
+					}
+					return f.nodes[f.rnd.IntN(nodes)]
+				}, cut)
+				assert.Assert(t, float64(f.maxInWindow()) <= f.bound(), "%d in a window, %v allowed", f.maxInWindow(), f.bound())
+				assert.Assert(t, float64(admitted) >= 0.8*30*40, "%d admitted", admitted)
+			})
+		}
+	}
+}
+
+// What a side of a cut gets if only it has requests.
+func TestShareOfOneSideOfACut(t *testing.T) {
+	for side, share := range map[string]float64{"owner": unconfirmedRateFactor, "others": standbyRateFactor} {
+		t.Run(side, func(t *testing.T) {
+			f := newFleet(1, 30, Limit{Rate: 40, Burst: 20})
+			owner, _ := f.owners()
+			owner.partitionedUntil = epoch.Add(time.Hour)
+			_, admitted := f.run(20, 3, func(time.Duration) *node {
+				if side == "owner" {
+					return owner
+				}
+				for {
+					if n := f.nodes[f.rnd.IntN(len(f.nodes))]; n != owner {
+						return n
+					}
+				}
+			}, noFaults)
+			assert.Assert(t, float64(admitted) >= 0.9*share*20*40, "%d admitted", admitted)
+		})
+	}
+}
+
 // The model must tell a working limit from naive policies, which exceed the limit or
 // refuse requests within it.
 func TestNaivePoliciesFail(t *testing.T) {
@@ -290,14 +360,14 @@
 func TestPausedOwnerLendsFromEmptyBuckets(t *testing.T) {
 	limit := Limit{Rate: 10, Burst: 30}
 	l := NewLender()
-	g := l.Lend(epoch.Add(10*time.Second), epoch, "c", limit, Request{Want: 1})
+	g := l.Lend(epoch.Add(10*time.Second), epoch, "c", limit, false, Request{Want: 1})
 	assert.Equal(t, g.Tokens, 1)
 	resumed := epoch.Add(20 * time.Second)
 	l.Paused(resumed)
-	g = l.Lend(resumed, epoch, "c", limit, Request{Want: 10})
+	g = l.Lend(resumed, epoch, "c", limit, false, Request{Want: 10})
 	assert.Equal(t, g.Tokens, 0)
 	assert.Assert(t, g.After > 0)
-	g = l.Lend(resumed.Add(time.Second), epoch, "c", limit, Request{Want: 10, Spent: 12})
+	g = l.Lend(resumed.Add(time.Second), epoch, "c", limit, false, Request{Want: 10, Spent: 12})
 	assert.Equal(t, g.Tokens, 0)
 	l.Paused(resumed.Add(time.Second))
 	assert.Assert(t, l.Tokens(resumed.Add(time.Second), "c") < 0)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -11,10 +11,16 @@
 	customers map[string]*customerBucket
 }
 
-// customerBucket is an owner's state for one customer.
+// customerBucket is an owner's or a standby's state for one customer.
 type customerBucket struct {
 	bucket
 	borrowRequests decay.Rate
+	confirmedUntil time.Time // the standby lends nothing that the owner does not know of
+	// standbyTotal is what the standby had lent by its last report, reported by which
+	// process.
+	standbyTotal LentAsStandby
+	// lentAsStandby is what this node has lent as the standby since its process started.
+	lentAsStandby int
 }
 
 // NewLender returns a lender that has lent nothing.
@@ -44,16 +50,30 @@
 
 // Lend lends up to the requested number of tokens of a customer. since is when this node
 // became the owner. A new bucket starts empty at that time, so that tokens that an
-// earlier owner may have lent are not lent again.
-func (l *Lender) Lend(now, since time.Time, customer string, limit Limit, r Request) Grant {
+// earlier owner may have lent are not lent again. Unless the owner has no standby, it lends
+// at unconfirmedRateFactor of the rate while Confirm has not been called for a Lease.
+func (l *Lender) Lend(now, since time.Time, customer string, limit Limit, hasStandby bool, r Request) Grant {
+	b := l.bucketOf(customer, limit, since)
+	if hasStandby && !now.Before(b.confirmedUntil) {
+		limit.Rate *= unconfirmedRateFactor
+	}
+	return b.lend(now, limit, r)
+}
+
+// bucketOf returns the bucket of a customer, which starts empty at since if it is new.
+func (l *Lender) bucketOf(customer string, limit Limit, since time.Time) *customerBucket {
 	b, ok := l.customers[customer]
 	if !ok {
 		b = &customerBucket{bucket: bucket{limit: limit, updatedAt: since}}
 		l.customers[customer] = b
 	}
+	return b
+}
+
+func (b *customerBucket) lend(now time.Time, limit Limit, r Request) Grant {
 	b.countBorrow(now)
 	b.refill(now, limit)
-	b.tokens = max(b.tokens-float64(r.Spent), -max(limit.Burst, limit.Rate))
+	b.tokens = max(b.tokens-float64(r.Spent), -b.maxDebt())
 	fair := max(int(b.tokens)/fairDivisor, 1)
 	n := b.take(min(r.Want, fair))
 	if n == 0 {
@@ -62,20 +82,76 @@
 	return Grant{Tokens: n}
 }
 
-// standbyRateFactor is the share of a customer's rate that a standby lends: the owner may
-// be lending to nodes that can reach it, and a node whose process ends doesn't report
-// what it has spent.
-const standbyRateFactor = 0.75
+// While an owner and its standby do not reach each other, both lend, and neither knows of
+// the other one's loans. Together their shares stay a little above the limit: what is left of
+// the quarter by which customers may exceed it covers what is lent before they notice.
+const (
+	// standbyRateFactor is the share of a customer's rate that a standby lends.
+	standbyRateFactor = 0.6
+	// unconfirmedRateFactor is the share that an owner lends without its standby's word.
+	unconfirmedRateFactor = 0.5
+)
 
 // LendAsStandby is Lend for a node that can't reach the owner. Tokens spent without the
 // owner are reported to the owner and not here: most of them were lent by the standby.
 func (l *Lender) LendAsStandby(now time.Time, customer string, limit Limit, want int) Grant {
 	limit.Rate *= standbyRateFactor
-	g := l.Lend(now, now, customer, limit, Request{Want: want})
+	b := l.bucketOf(customer, limit, now)
+	g := b.lend(now, limit, Request{Want: want})
+	b.lentAsStandby += g.Tokens
 	g.FromStandby = true
 	return g
 }
 
+// ConfirmInterval is how often an owner asks standbys for their word: twice in a Lease, so
+// that one lost answer changes nothing.
+const ConfirmInterval = Lease / 2
+
+// LentAsStandby is the number of tokens of a customer that a process has lent as the standby
+// since it started.
+type LentAsStandby struct {
+	Process uint64 `cbor:"1,keyasint"` // distinguishes the processes of a node
+	Tokens  int    `cbor:"2,keyasint"`
+}
+
+// LentAsStandby returns how many tokens of a customer this node has lent as the standby.
+func (l *Lender) LentAsStandby(customer string) int {
+	if b, ok := l.customers[customer]; ok {
+		return b.lentAsStandby
+	}
+	return 0
+}
+
+// Unconfirmed returns the customers of which this node has lent so much that it needs the
+// word of their standby to lend at their full rate.
+func (l *Lender) Unconfirmed(now time.Time) []string {
+	var names []string
+	for name, b := range l.customers {
+		if now.Sub(b.updatedAt) < Lease && b.tokens < max(b.limit.Burst, 1)/2 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Confirm records that the standby of a customer has answered a request that was sent at
+// the given time. What it has lent since its last answer is taken off.
+func (l *Lender) Confirm(sent time.Time, customer string, total LentAsStandby) {
+	b, ok := l.customers[customer]
+	if !ok {
+		return
+	}
+	before := b.standbyTotal
+	if before.Process != total.Process {
+		before.Tokens = 0
+	}
+	b.standbyTotal, b.confirmedUntil = total, sent.Add(Lease)
+	b.tokens = max(b.tokens-float64(total.Tokens-before.Tokens), -b.maxDebt())
+}
+
+// maxDebt is how many tokens below zero a bucket may get by what was lent elsewhere.
+func (b *customerBucket) maxDebt() float64 { return max(b.limit.Burst, b.limit.Rate) }
+
 // borrowRateDecay is the time after which a borrow request's weight in the rate has
 // fallen to a third.
 const borrowRateDecay = time.Second
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -45,6 +45,8 @@
 	holder *snapshot.Holder
 	owners *quotaOwners
 	counts quotaCounters
+	// process distinguishes this process from others at its address.
+	process uint64
 
 	mu           sync.Mutex // guards the fields below
 	borrower     *quota.Borrower
@@ -58,9 +60,9 @@
 // having been paused: the standby may have granted tokens in its place.
 const pauseThreshold = 2 * sweepInterval
 
-// quotaCounters count requests refused over a limit, borrow requests sent, and those
-// without a response.
-type quotaCounters struct{ refused, sent, unanswered tally.Counter }
+// quotaCounters count requests refused over a limit, borrow requests sent, those without a
+// response, and requests to standbys for confirmation without one.
+type quotaCounters struct{ refused, sent, unanswered, unconfirmed tally.Counter }
 
 func newCustomerQuotas(s *Sidecar) *customerQuotas {
 	scope := s.metrics.Scope
@@ -69,10 +71,12 @@
 		holder: s.holder,
 		owners: newQuotaOwners(s.follower.Members, s.cfg.Upstream.Addr(), clock.Now()),
 		counts: quotaCounters{
-			refused:    scope.Counter("quota_refusals"),
-			sent:       scope.Counter("quota_questions"),
-			unanswered: scope.Counter("quota_questions_unanswered"),
+			refused:     scope.Counter("quota_refusals"),
+			sent:        scope.Counter("quota_questions"),
+			unanswered:  scope.Counter("quota_questions_unanswered"),
+			unconfirmed: scope.Counter("quota_confirmations_unanswered"),
 		},
+		process:      rand.Uint64(),
 		borrower:     quota.NewBorrower(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		lender:       quota.NewLender(),
 		pending:      make(map[string]chan struct{}),
--- a/internal/sidecar/quota_borrow.go
+++ b/internal/sidecar/quota_borrow.go
@@ -21,6 +21,9 @@
 	// AsStandby says that the receiver is asked as the standby. It asks the owner in turn,
 	// and grants tokens itself if the owner does not respond to it either.
 	AsStandby bool `cbor:"3,keyasint,omitempty"`
+	// Confirm asks the receiver, instead, how much it has lent of these customers as the
+	// standby of the sender. The response is a list of quota.LentAsStandby.
+	Confirm []string `cbor:"4,keyasint,omitempty"`
 }
 
 // startBorrow borrows tokens of a customer, with one borrow request per customer in
@@ -34,7 +37,7 @@
 	now := clock.Now()
 	r := q.borrower.StartBorrowing(now, c.Name)
 	if owner := q.owners.ownerOf(c.Name); owner.self {
-		q.borrower.ApplyGrant(now, now, c.Name, r, q.lender.Lend(now, owner.since, c.Name, limitOf(c), r))
+		q.borrower.ApplyGrant(now, now, c.Name, r, q.lender.Lend(now, owner.since, c.Name, limitOf(c), owner.standby.IsValid(), r))
 		close(response)
 		return response
 	}
@@ -108,6 +111,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if len(request.Confirm) > 0 {
+		_ = peerhttp.Respond(w, q.lentAsStandby(request.Confirm)) // without a response the owner asks again
+		return
+	}
 	g, err := q.lend(request)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
@@ -135,7 +142,7 @@
 	defer q.mu.Unlock()
 	now := clock.Now()
 	if owner.self {
-		return q.lender.Lend(now, owner.since, request.Customer, limit, request.Request), nil
+		return q.lender.Lend(now, owner.since, request.Customer, limit, owner.standby.IsValid(), request.Request), nil
 	}
 	return q.lender.LendAsStandby(now, request.Customer, limit, request.Request.Want), nil
 }
--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -81,7 +81,8 @@
 			client:       l,
 			holder:       holder,
 			owners:       newQuotaOwners(members, peerAt(i).Addr(), clock.Now().Add(-time.Minute)),
-			counts:       quotaCounters{none, none, none},
+			counts:       quotaCounters{none, none, none, none},
+			process:      uint64(i) + 1,
 			borrower:     quota.NewBorrower(rand.New(rand.NewPCG(uint64(i), 1))),
 			lender:       quota.NewLender(),
 			pending:      make(map[string]chan struct{}),
@@ -212,6 +213,37 @@
 	}
 }
 
+// An owner that others do not reach learns from its standby what that has lent in its place,
+// and takes it off: otherwise both lend the rate.
+func TestOwnerLearnsWhatItsStandbyLends(t *testing.T) {
+	customer := table.Customer{Name: "hauliers", Rate: 100, Burst: 20}
+	l := newQuotaNodes(t, 4, customer)
+	at := l.all[peerAt(0)].owners.ownerOf("hauliers")
+	owner, standby := l.all[at.peer], l.all[at.standby]
+	l.unreachable.Store(at.peer, true)
+	take := func(q *customerQuotas, n int) {
+		for range n {
+			_, _ = q.Take(context.Background(), &customer)
+			time.Sleep(time.Millisecond)
+		}
+	}
+	take(owner, 20)
+	for peer, q := range l.all {
+		if peer != at.peer && peer != at.standby {
+			take(q, 100)
+		}
+	}
+	lent := standby.lender.LentAsStandby("hauliers")
+	assert.Assert(t, lent >= 10, "%d", lent)
+	take(owner, 20) // so that it needs the word of its standby
+	before := owner.lender.Tokens(clock.Now(), "hauliers")
+	owner.confirmAll()
+	after := owner.lender.Tokens(clock.Now(), "hauliers")
+	assert.Assert(t, after < before-float64(lent)/2, "%v tokens, %v before, %d were lent", after, before, lent)
+	owner.confirmAll()
+	assert.Assert(t, owner.lender.Tokens(clock.Now(), "hauliers") >= after, "taken off once")
+}
+
 // Operators see the limits and counts of customers, but not their keys.
 func TestQuotasAreListed(t *testing.T) {
 	l := newQuotaNodes(t, 3, hauliers)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -177,6 +177,7 @@
 	}
 	group.Go(func() { s.follower.Run(run) })
 	group.Go(func() { s.quarantined.run(run) })
+	group.Go(func() { s.quotas.confirmPeriodically(run) })
 	group.Go(func() { clock.Watch(run, clock.Events{OnSuspension: s.machineResumed, OnStall: s.processStalled}) })
 	group.Go(func() { periodic.Run(run, sweepInterval, s.sweep) })
 	s.log.Info("started", "callers", s.cfg.Callers, "peers", s.cfg.Peers, "store", s.cfg.Store, "service", s.cfg.Service)
