--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -67,7 +67,7 @@
 // started; supported says whether the system reports it.
 var suspendedAtStart, supported = suspendedSinceBoot()
 
-// Events are called by Watch; each with the length of what it has detected.
+// Events holds the callbacks of Watch. Each gets the length of what was detected.
 type Events struct {
 	OnSuspension func(time.Duration) // of the machine, on systems that report them
 	OnStall      func(time.Duration) // of this process: it got no processor time
@@ -76,8 +76,9 @@
 // Watch detects suspensions of the machine and stalls of this process until ctx ends.
 func Watch(ctx context.Context, events Events) {
 	last := suspendedAtStart
+	var stalls stallDetector
 	periodic.Run(ctx, checkInterval, func(time.Time) {
-		if stalled := stalls.check(time.Since(processStart)); stalled > 0 {
+		if stalled := stalls.check(time.Now()); stalled > 0 {
 			events.OnStall(stalled)
 		}
 		if !supported {
--- a/internal/proxy/abandoned.go
+++ b/internal/proxy/abandoned.go
@@ -55,7 +55,7 @@
 type trySteps struct {
 	start              time.Time // the request's arrival
 	admitted           time.Time
-	connected, written atomic.Int64 // nanoseconds from start; 0 if not reached
+	connected, written atomic.Int64 // nanoseconds from start, plus 1; 0 if not reached
 }
 
 func newTrySteps(start time.Time) *trySteps {
@@ -65,8 +65,8 @@
 // trace returns a context by which the transport reports its steps.
 func (s *trySteps) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(int64(clock.Since(s.start))) },
-		WroteRequest: func(httptrace.WroteRequestInfo) { s.written.Store(int64(clock.Since(s.start))) },
+		GotConn:      func(httptrace.GotConnInfo) { s.connected.Store(int64(clock.Since(s.start)) + 1) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { s.written.Store(int64(clock.Since(s.start)) + 1) },
 	})
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -146,7 +146,9 @@
 		before.Tokens = 0
 	}
 	b.standbyTotal, b.confirmedUntil = total, sent.Add(Lease)
-	b.tokens = max(b.tokens-float64(total.Tokens-before.Tokens), -b.maxDebt())
+	// The standby forgets what it has lent when a table without the customer comes.
+	lent := max(total.Tokens-before.Tokens, 0)
+	b.tokens = max(b.tokens-float64(lent), -b.maxDebt())
 }
 
 // maxDebt is how many tokens below zero a bucket may get by what was lent elsewhere.
