--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -63,28 +63,12 @@
 	case v := <-ch:
 		return v
 	case <-late:
-		return g.startOrRefuse(t, ch)
+		return g.stopWaiting(t, ch, ReasonTooLate)
 	case <-ctx.Done():
 		return g.stopWaiting(t, ch, ReasonCancelled)
 	}
 }
 
-// startOrRefuse starts a waiting request that has reached its latest start if it may be
-// started now, and refuses it otherwise. The timer that starts requests as a limit opens may
-// be late on a busy machine; without this, requests were refused by upstreams that were free.
-func (g *Gate) startOrRefuse(t *Ticket, ch chan Verdict) Verdict {
-	g.mu.Lock()
-	started := g.queue.StartNow(clock.Now(), t)
-	if started {
-		delete(g.waiters, t)
-	}
-	g.mu.Unlock()
-	if started {
-		return Verdict{Started: true}
-	}
-	return g.stopWaiting(t, ch, ReasonTooLate)
-}
-
 // stopWaiting removes a waiting request from the queue and refuses it. If it has received
 // a verdict in the meantime, that verdict is returned instead.
 func (g *Gate) stopWaiting(t *Ticket, ch chan Verdict, r Reason) Verdict {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -250,16 +250,6 @@
 	return start, late
 }
 
-// StartNow starts a waiting request, before those ahead of it, if a slot is free and the
-// limits allow it. It reports whether it did.
-func (q *Queue) StartNow(now time.Time, t *Ticket) bool {
-	if q.inUse >= q.cfg.Slots || !q.limit.allows(now) || !q.Remove(t) {
-		return false
-	}
-	q.start(now)
-	return true
-}
-
 // Remove removes a waiting request and reports whether it was waiting.
 func (q *Queue) Remove(t *Ticket) bool {
 	for _, k := range q.kinds {
