--- a/internal/http1/caller_leaves_test.go
+++ b/internal/http1/caller_leaves_test.go
@@ -55,6 +55,18 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
+// assertNotSentAfterLeaving sends a request through forwardThrough, leaves once its round
+// trip has reached a step, and checks that it goes no further.
+func assertNotSentAfterLeaving(t *testing.T, nc net.Conn, reached <-chan struct{}, proceed chan<- struct{}, failed <-chan error, arrived <-chan string) {
+	t.Helper()
+	write(t, nc, get("/"))
+	<-reached
+	hangUp(t, nc)
+	close(proceed)
+	assert.Assert(t, errors.Is(<-failed, ErrNotSent))
+	assert.Equal(t, len(arrived), 0)
+}
+
 // Requests reached upstreams 0.65 s after their callers had left: a connection was
 // established while the process got no processor time, and the request was written before
 // the end of its caller was noticed.
@@ -68,12 +80,7 @@
 		return nil
 	}
 	nc, failed := forwardThrough(t, c, addr, unchanged)
-	write(t, nc, get("/"))
-	<-dialling
-	hangUp(t, nc)
-	close(proceed)
-	assert.Assert(t, errors.Is(<-failed, ErrNotSent))
-	assert.Equal(t, len(arrived), 0)
+	assertNotSentAfterLeaving(t, nc, dialling, proceed, failed, arrived)
 	assert.Equal(t, len(c.idle[addr]), 1, "the connection is kept")
 }
 
@@ -91,12 +98,7 @@
 			<-proceed
 		}})
 	})
-	write(t, nc, get("/"))
-	<-connected
-	hangUp(t, nc)
-	close(proceed)
-	assert.Assert(t, errors.Is(<-failed, ErrNotSent))
-	assert.Equal(t, len(arrived), 0)
+	assertNotSentAfterLeaving(t, nc, connected, proceed, failed, arrived)
 }
 
 // lateTimer is a context whose deadline has passed in a pause, before its timer ran.
--- a/internal/proxy/abandoned.go
+++ b/internal/proxy/abandoned.go
@@ -70,6 +70,9 @@
 	})
 }
 
+// isConnected reports whether the try has got a connection to the next hop.
+func (s *trySteps) isConnected() bool { return s.connected.Load() > 0 }
+
 // describe fills in the steps that a request has reached by now. A request without a try
 // has none.
 func (s *trySteps) describe(r *AbandonedRequest, start time.Time) {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -21,7 +20,6 @@
 // dispatch sends the request to the upstream. The slot is released at the latest when
 // the response's body ends.
 func (c *backendCall) dispatch(ctx context.Context, cancel context.CancelFunc) (*http.Response, *Problem) {
-	var connected atomic.Bool
 	if c.keyed {
 		// A repeated request with this key needs the response even if this caller
 		// disconnects.
@@ -34,12 +32,8 @@
 	outer := cancel
 	cancel = func() { unbind(); outer() }
 	c.steps = newTrySteps(c.start)
-	ctx = c.steps.trace(ctx)
-	out := c.upstreamRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connected.Store(true)
-			c.b.cfg.OnConnect(true)
-		},
+	out := c.upstreamRequest(httptrace.WithClientTrace(c.steps.trace(ctx), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { c.b.cfg.OnConnect(true) },
 	}))
 	c.sentAt = clock.Now()
 	c.b.detector.requestSent(c)
@@ -47,11 +41,11 @@
 	if err != nil {
 		ctxErr := ctx.Err()
 		cancel()
-		if !connected.Load() && ctxErr == nil && !errors.Is(err, http1.ErrAbandoned) {
+		if !c.steps.isConnected() && ctxErr == nil && !errors.Is(err, http1.ErrAbandoned) {
 			c.b.cfg.OnConnect(false)
 			c.b.detector.recordCrash()
 		}
-		problem := c.callProblem(ctxErr, err, connected.Load())
+		problem := c.callProblem(ctxErr, err, c.steps.isConnected())
 		c.noteLostConnection(ctxErr, problem)
 		return nil, problem
 	}
@@ -156,11 +150,9 @@
 	}
 	c.sending.release()
 	c.releaseSlot(complete)
-	if !complete {
-		c.noteAbandoned("")
-	}
 	cancel()
 	if !complete {
+		c.noteAbandoned("")
 		c.finishKey(ledger.OutcomeUnknown, nil)
 	} else if c.keyed {
 		c.finishKey(ledger.Done, &ledger.Response{
