A status that is none ends the response; heads are checked before they are parsed

What callers saw: of an upstream that answered with status 000, 001 or 099 callers got the bytes behind that head as the response where they looked like one (200), and else 504 once the whole deadline had passed, a slot held meanwhile. 600 and 999 were passed on.

Cause: the client of the sidecar trusted http.ReadResponse to say what a response is. It takes any three digits for a status; every status below 200 was then taken for an informational one, so that the next bytes were read as the head of the response. Requests have had a check of their own (checkHead); responses had none.

Change: responseHead decides, line by line as they arrive, whether bytes are a response; the parser gets a head only when it is complete and each line keeps to the grammar (RFC 9112 section 4, RFC 9110 section 15: 100 to 599; 101 only answers a request for it, which is never sent). A line that doesn't ends the exchange at once: connection reset, 502, reason answer-malformed, outcome unknown. The head waits in the read buffer, which grows up to the limit for it, in place of a reader that counted; growReader serves the server's heads too.

TestOddResponsesAreRead: no reason phrase, further statuses, HTTP/1.0, a body that ends with its connection and bare line feeds are served as before.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -92,8 +93,8 @@
 // clientConn is one connection to a server.
 type clientConn struct {
 	nc       net.Conn
-	br       *bufio.Reader // reads from head
-	head     *headReader
+	br       *bufio.Reader // reads from source; larger than usual amid a long head
+	source   io.Reader
 	addr     string
 	epoch    int
 	lastUsed time.Time
@@ -142,9 +143,9 @@
 	if err != nil {
 		return nil, err
 	}
-	head := &headReader{source: newDeadlineReader(nc), left: unlimited}
-	br := bufio.NewReaderSize(head, readBufferSize)
-	return &clientConn{nc: nc, br: br, head: head, addr: addr, epoch: c.countDial(), lastUsed: time.Now()}, nil
+	source := newDeadlineReader(nc)
+	br := bufio.NewReaderSize(source, readBufferSize)
+	return &clientConn{nc: nc, br: br, source: source, addr: addr, epoch: c.countDial(), lastUsed: time.Now()}, nil
 }
 
 // dialPauseMargin is how far beyond its timeout a dial must end to be attributed to a
@@ -191,6 +192,9 @@
 // putIdle keeps a connection whose response has ended for later requests.
 func (c *Client) putIdle(cc *clientConn) {
 	cc.lastUsed = time.Now()
+	if cc.br.Size() > readBufferSize {
+		cc.br = bufio.NewReaderSize(cc.source, readBufferSize) // nothing is buffered
+	}
 	c.putUnused(cc)
 }
 
--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -182,7 +182,7 @@
 func (ex *clientExchange) readResponse() (*http.Response, error) {
 	foreignBytes := int64(0)
 	for foreign, informational := 0, 0; foreign <= maxForeignResponses; {
-		resp, err := ex.cc.head.readHead(ex.cc.br, ex.req, ex.client.cfg.HeadBytes)
+		resp, err := ex.cc.readHead(ex.req, ex.client.cfg.HeadBytes)
 		if err != nil {
 			return nil, ex.withCause(err)
 		}
--- a/internal/http1/conn_read.go
+++ b/internal/http1/conn_read.go
@@ -1,9 +1,6 @@
 package http1
 
 import (
-	"bufio"
-	"bytes"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -42,17 +39,10 @@
 			return nil, ErrHeadTooLarge
 		}
 		if len(buf) == c.br.Size() {
-			c.growBuffer(limit)
+			c.br = growReader(c.br, c.rd, max(limit, 2*len(buf)))
 		}
 		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
 			return nil, err
 		}
 	}
 }
-
-// growBuffer replaces the read buffer by a larger one.
-func (c *conn) growBuffer(limit int) {
-	old, _ := c.br.Peek(c.br.Buffered())
-	kept := bytes.Clone(old)
-	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), c.rd), max(limit, 2*len(kept)))
-}
--- a/internal/http1/head_reader.go
+++ b/internal/http1/head_reader.go
@@ -2,37 +2,62 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http"
-)
 
-// unlimited is the value of headReader.left outside of heads.
-const unlimited = -1
+	"github.com/cockroachdb/errors"
+)
 
-// headReader bounds the bytes that are read while the head of a response is parsed. The
-// parser has no bound of its own and holds in memory what it has read.
-type headReader struct {
-	source io.Reader
-	left   int // bytes that may still be read
+// readHead reads the head of a response of at most limit bytes. Its lines are checked as
+// they arrive, and it is parsed when it is complete.
+func (cc *clientConn) readHead(req *http.Request, limit int) (*http.Response, error) {
+	if err := cc.awaitHead(limit); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(cc.br, req)
+	if err != nil {
+		return nil, errors.Mark(err, ErrMalformedResponse)
+	}
+	return resp, nil
 }
 
-// Read implements io.Reader.
-func (h *headReader) Read(p []byte) (int, error) {
-	if h.left == unlimited {
-		return h.source.Read(p)
+// awaitHead waits until a complete head is buffered, without consuming it.
+func (cc *clientConn) awaitHead(limit int) error {
+	var head responseHead
+	for checked := 0; ; {
+		buf, _ := cc.br.Peek(cc.br.Buffered())
+		for {
+			line, n := cutLine(buf[checked:])
+			if checked += n; checked > limit || n == 0 {
+				break
+			}
+			if end, err := head.line(line); end || err != nil {
+				return err
+			}
+		}
+		if len(buf) >= limit {
+			return ErrUnboundedResponse
+		}
+		if len(buf) == cc.br.Size() {
+			cc.br = growReader(cc.br, cc.source, min(2*len(buf), limit))
+		}
+		if _, err := cc.br.Peek(len(buf) + 1); err != nil {
+			return unexpectedEOF(err)
+		}
 	}
-	if h.left == 0 {
-		return 0, ErrUnboundedResponse
+}
+
+// unexpectedEOF returns the error of a connection that ended amid a head.
+func unexpectedEOF(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
 	}
-	n, err := h.source.Read(p[:min(len(p), h.left)])
-	h.left -= n
-	return n, err
+	return err
 }
 
-// readHead reads the head of a response of at most limit bytes. The buffer of br may also
-// take in bytes that follow the head; they do not count.
-func (h *headReader) readHead(br *bufio.Reader, req *http.Request, limit int) (*http.Response, error) {
-	h.left = limit + br.Size()
-	defer func() { h.left = unlimited }()
-	return http.ReadResponse(br, req)
+// growReader returns a reader of the given size that goes on where br stands.
+func growReader(br *bufio.Reader, source io.Reader, size int) *bufio.Reader {
+	buffered, _ := br.Peek(br.Buffered())
+	return bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), source), size)
 }
--- /dev/null
+++ b/internal/http1/malformed_test.go
@@ -0,0 +1,98 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// ownResponse is a whole response to the request "a".
+const ownResponse = "HTTP/1.1 200 OK\r\n" + idHeader + ": a\r\nContent-Length: 2\r\n\r\nok"
+
+// serveRaw answers each request with the bytes of answer, and keeps the connection open or
+// closes it.
+func serveRaw(t *testing.T, answer string, closes bool) string {
+	t.Helper()
+	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if _, err := io.WriteString(nc, answer); err != nil || closes {
+				return
+			}
+		}
+	})
+	return addr
+}
+
+// malformedStatusLines are no status lines, or have no valid status.
+var malformedStatusLines = []string{
+	"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+	"HTTP/1.1 0 OK", "HTTP/1.1 00 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -01 OK",
+	"HTTP/1.1 20\x00 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK",
+	"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1", "HTTP/1.1 ", "HTTP/2.0 200 OK", "HTTP/9.9 200 OK", "HTTP/1.10 200 OK", "HTTP/1.x 200 OK",
+	"http/1.1 200 OK", "ICY 200 OK", "",
+}
+
+// Guards against a response made of bytes that are none, and of what follows them: each
+// status line before a whole response, alone, after informational responses and after a
+// response to another request. The connection stays open, so only the bytes can tell.
+func TestMalformedStatusLine(t *testing.T) {
+	for _, line := range malformedStatusLines {
+		assertMalformed(t, line+"\r\n"+idHeader+": a\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// assertMalformed checks that a server that sends bytes, behind what may stand before a
+// response, and then a whole response, has sent none.
+func assertMalformed(t *testing.T, sent string) {
+	t.Helper()
+	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n", strings.Replace(ownResponse, ": a", ": b", 1)} {
+		addr := serveRaw(t, before+sent+ownResponse, false)
+		body, err := roundTrip(newTestClient(), newRequest(t, addr, "GET", "a", nil))
+		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q: %q, %v", before+sent, body, err)
+	}
+}
+
+// A malformed status line ends the exchange when it has arrived, not only with its head.
+func TestMalformedStatusLineWithoutRest(t *testing.T) {
+	addr := serveRaw(t, "HTTP/1.1 000 OK\r\n", false)
+	_, err := roundTrip(newTestClient(), newRequest(t, addr, "GET", "a", nil))
+	assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%v", err)
+}
+
+// Guards against refusals of responses that are odd and allowed.
+func TestOddResponsesAreRead(t *testing.T) {
+	const own, length = idHeader + ": a\r\n", "Content-Length: 2\r\n\r\nok"
+	for _, c := range []struct {
+		sent   string
+		closes bool
+	}{
+		{sent: "HTTP/1.1 200\r\n" + own + length},
+		{sent: "HTTP/1.1 200 \r\n" + own + length},
+		{sent: "HTTP/1.1 200 very  \tw\xc3\xa9ll\r\n" + own + length},
+		{sent: "HTTP/1.1 299 OK\r\n" + own + length},
+		{sent: "HTTP/1.1 599 \r\n" + own + length},
+		{sent: "HTTP/1.0 200 OK\r\n" + own + length},
+		{sent: "HTTP/1.9 200 OK\r\n" + own + length},
+		{sent: "HTTP/1.1 200 OK\n" + strings.ReplaceAll(own+length, "\r", "")},
+		{sent: "HTTP/1.1 200 OK\r\n" + own + "\r\nok", closes: true},
+		{sent: "HTTP/1.0 200\r\n" + own + "\r\nok", closes: true},
+		{sent: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199\r\nAny: x\r\n\r\nHTTP/1.1 200 OK\r\n" + own + length},
+	} {
+		addr := serveRaw(t, c.sent, c.closes)
+		client := newTestClient()
+		for range 2 { // the second one on the same connection, where it stays open
+			body, err := roundTrip(client, newRequest(t, addr, "GET", "a", nil))
+			assert.NilError(t, err, "%q", c.sent)
+			assert.Equal(t, body, "ok", "%q", c.sent)
+		}
+	}
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -129,8 +129,11 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
 	}
-	if errors.Is(err, http1.ErrUnboundedResponse) {
+	switch {
+	case errors.Is(err, http1.ErrUnboundedResponse):
 		return unknownOutcome(http.StatusBadGateway, reasonUnboundedResponse)
+	case errors.Is(err, http1.ErrMalformedResponse):
+		return unknownOutcome(http.StatusBadGateway, reasonMalformedResponse)
 	}
 	return unknownOutcome(http.StatusBadGateway, reasonConnectionLost)
 }
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -55,6 +55,7 @@
 	reasonRejected          = "upstream-rejected"  // the upstream says that it did not run the request
 	reasonWrongInstance     = "another-instance"   // another instance answers at the upstream's address
 	reasonNotGenuine        = "answer-not-genuine" // a success without the upstream's signature
+	reasonMalformedResponse = "answer-malformed"   // the upstream sends bytes that are no response
 	reasonUnboundedResponse = "answer-too-long"    // the upstream sends more than is read before a response's body
 	reasonRefusalNotProven  = "refusal-not-proven" // a status that implies "not run", without the upstream's statement that it did not run
 )
--- a/internal/sidecar/head_cut_test.go
+++ b/internal/sidecar/head_cut_test.go
@@ -34,18 +34,7 @@
 	resets        bool
 }
 
-func (u *cutUpstream) serve(l net.Listener) {
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go u.respond(nc)
-	}
-}
-
 func (u *cutUpstream) respond(nc net.Conn) {
-	defer func() { _ = nc.Close() }()
 	br := bufio.NewReader(nc)
 	for {
 		req, err := http.ReadRequest(br)
@@ -55,7 +44,7 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		names := testDialect.RequestID + ": " + req.Header.Get(testDialect.RequestID) + "\r\n" + testDialect.Signature + ": " + u.id + "\r\n"
+		names := ownFields(req, u.id)
 		after, err := strconv.Atoi(req.Header.Get(cutAfterHeader))
 		if err != nil {
 			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+names+"Content-Length: 5\r\n\r\nwhole")
@@ -89,15 +78,11 @@
 				t.Run(fmt.Sprintf("%s, %q, resets %v", framing, informational, resets), func(t *testing.T) {
 					f := startFleet(t, 2, 0)
 					u := &cutUpstream{framing: response, informational: informational, resets: resets}
-					for _, replaced := range f.upstreams {
-						_ = replaced.server.Close()
-						l, err := net.Listen("tcp", replaced.addr.String())
-						assert.NilError(t, err)
-						t.Cleanup(func() { _ = l.Close() })
+					f.replaceUpstreams(func(id string, nc net.Conn) {
 						own := *u
-						own.id = replaced.id
-						go own.serve(l)
-					}
+						own.id = id
+						own.respond(nc)
+					})
 					u.id = f.upstreams[0].id
 					for kind, body := range bodies {
 						for after := range u.incompleteBytes("cut") {
--- /dev/null
+++ b/internal/sidecar/malformed_response_test.go
@@ -0,0 +1,97 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// responseKind is what an upstream of these tests sends: a status line, lines that follow
+// it in the head, and what follows the fields that name the response as its own.
+type responseKind struct{ statusLine, fields, rest string }
+
+// answerBy makes all upstreams send the response that a request names in responseHeader, and
+// then wait for the end of the connection, or end it themselves where nothing else ends the
+// response.
+func (f *fleet) answerBy(kinds map[string]responseKind, closes func(responseKind) bool) {
+	f.replaceUpstreams(func(id string, nc net.Conn) {
+		br := bufio.NewReader(nc)
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, req.Body); err != nil {
+				return
+			}
+			own := ownFields(req, id)
+			kind := kinds[req.Header.Get(responseHeader)]
+			rest := strings.ReplaceAll(kind.rest, ownFieldsMark, own)
+			_, _ = io.WriteString(nc, kind.statusLine+"\r\n"+kind.fields+own+rest)
+			if closes(kind) {
+				return
+			}
+		}
+	})
+}
+
+const (
+	// responseHeader names the response that a request gets.
+	responseHeader = "Test-Response"
+	// ownFieldsMark stands for the result of ownFields in responseKind.rest.
+	ownFieldsMark = "OWN-FIELDS"
+	// innerResponse is a whole response amid another one.
+	innerResponse = "HTTP/1.1 200 OK\r\n" + ownFieldsMark + "Content-Length: 5\r\n\r\ninner"
+)
+
+// forEachKind sends a read and a write for each kind of response through each sidecar, and
+// checks what their callers get.
+func (f *fleet) forEachKind(t *testing.T, kinds map[string]responseKind, check func(t *testing.T, status int, header http.Header, body string)) {
+	for name := range kinds {
+		t.Run(name, func(t *testing.T) {
+			for i := range f.sidecars {
+				for _, req := range []*http.Request{f.request(i, "GET", "/read/x", ""), f.request(i, "POST", "/write/x", "body")} {
+					req.Header.Set(responseHeader, name)
+					status, header, body := f.send(req)
+					check(t, status, header, body)
+				}
+			}
+		})
+	}
+}
+
+// assertNoResponse checks that callers get none of the responses, and that they are told so
+// before their deadline.
+func assertNoResponse(t *testing.T, kinds map[string]responseKind, closes func(responseKind) bool) {
+	t.Helper()
+	f := startFleet(t, 2, 0)
+	f.answerBy(kinds, closes)
+	f.forEachKind(t, kinds, func(t *testing.T, status int, header http.Header, body string) {
+		assert.Equal(t, status, http.StatusBadGateway, "%q", body)
+		assert.Equal(t, header.Get(testDialect.Signature), "")
+	})
+}
+
+// Guards against the bytes behind a status that is none, told to callers as the response:
+// a status below 200 was taken for an informational one.
+func TestResponseWithoutValidStatusIsNone(t *testing.T) {
+	kinds := make(map[string]responseKind)
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		for framing, rest := range map[string]string{
+			"length":         "Content-Length: 5\r\n\r\nwhole",
+			"chunks":         "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+			"empty":          "Content-Length: 0\r\n\r\n",
+			"no length":      "\r\nwhole",
+			"a response":     "\r\n" + innerResponse,
+			"a response too": "Content-Length: 500\r\n\r\n" + innerResponse,
+		} {
+			kinds[status+" with "+framing] = responseKind{statusLine: "HTTP/1.1 " + status + " Odd", rest: rest}
+		}
+	}
+	assertNoResponse(t, kinds, func(responseKind) bool { return false })
+}
--- /dev/null
+++ b/internal/sidecar/raw_upstream_test.go
@@ -0,0 +1,38 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+
+	"gotest.tools/v3/assert"
+)
+
+// replaceUpstreams ends all upstreams and serves each connection to their addresses by
+// respond, which gets the ID of the upstream there. The connection is closed after it.
+func (f *fleet) replaceUpstreams(respond func(id string, nc net.Conn)) {
+	f.t.Helper()
+	for _, replaced := range f.upstreams {
+		_ = replaced.server.Close()
+		l, err := net.Listen("tcp", replaced.addr.String())
+		assert.NilError(f.t, err)
+		f.t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = nc.Close() }()
+					respond(replaced.id, nc)
+				}()
+			}
+		}()
+	}
+}
+
+// ownFields returns the header lines that name a response as the upstream's own, made for a
+// request.
+func ownFields(req *http.Request, upstream string) string {
+	return testDialect.RequestID + ": " + req.Header.Get(testDialect.RequestID) + "\r\n" + testDialect.Signature + ": " + upstream + "\r\n"
+}
