A line of a head that is no field ends the response

What callers saw: an upstream's response in whose head the name of a field held a blank ("X Foo: a", "X-Foo : a") was told as it was, less that line; where the line was the framing ("Content-Length : 3", "Transfer-Encoding : chunked") callers got a 200 with a body that the upstream had not framed so.

Cause: the parser keeps names with blanks as they stand, so that "Content-Length " is a field of its own and frames nothing; the server that writes the head for the caller drops what is no name. It joins a folded line to the value before it, also one that names a field. checkHead refuses both in requests since long; nothing did so in responses.

Change: responseHead checks each line of fields as the status line before: a name is a token, a value holds no control character (RFC 9110 sections 5.1 and 5.5), a folded line has no name, and a transfer coding stands neither beside a length nor in HTTP/1.0 (RFC 9112 sections 5.1, 5.2, 6.1, 6.3), where the RFC leaves a gateway the choice, 502 is the one that two readers can't take differently. Requests use the same rule for names (cutField); they were refused before as well, by the parser.

With the change all 57 are 502, reason answer-malformed. TestMalformedLine: 39 lines, before and behind the id, in a 103 and in a response to another request. TestOddResponsesAreRead: all bytes that a name may have, empty values, a repeated length that is the same, trailers and chunk extensions are read.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Errors of a request head.
@@ -52,8 +53,8 @@
 		if n == 0 || len(line) == 0 {
 			continue
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+		name, value, ok := cutField(line)
+		if !ok {
 			return errors.Wrap(ErrBadHead, "a line is folded or has no field name")
 		}
 		switch {
@@ -77,6 +78,24 @@
 	return nil
 }
 
+// cutField returns the name and the value of a field's line; false if it has no valid name.
+func cutField(line []byte) (name, value []byte, ok bool) {
+	name, value, ok = bytes.Cut(line, []byte(":"))
+	return name, value, ok && len(name) > 0 && !bytes.ContainsFunc(name, isNoTokenRune)
+}
+
+func isNoTokenRune(r rune) bool { return !httpguts.IsTokenRune(r) }
+
+// hasControl reports whether b holds a control character other than a tab.
+func hasControl(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
 func equalFold(b []byte, lower string) bool {
 	return len(b) == len(lower) && bytes.EqualFold(b, []byte(lower))
 }
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// malformedLines are no lines of a head's fields, or contradict others as to where its body
+// ends.
+var malformedLines = []string{
+	"X Foo: a", "X-Foo : a", "X-Foo\t: a", " X-Foo: a", "\tX-Foo: a", "X-\x00Foo: a", "X-\x01Foo: a", "X-\x0bFoo: a", "X-\x1fFoo: a", "X-\x7fFoo: a",
+	"X-\rFoo: a", "X-\x80Foo: a", "X-F\xc3\xb6\xc3\xb6: a", "X(Foo: a", "\"X\": a", ": a", "X-Foo", "X-Foo: a\r\n folded", "X-Foo: a\r\n\tfolded: b",
+	"X-Foo: \x00", "X-Foo: \x1b", "X-Foo: \x7f", "X-Foo: a\rb",
+	"Content-Length : 3", "Content Length: 3", " Content-Length: 3", "Content-Length: 3\r\nContent-Length: 4", "Content-Length: -1", "Content-Length: +3", "Content-Length: 3x", "Content-Length: 3, 4", "Content-Length: 99999999999999999999",
+	"Transfer-Encoding : chunked", "Transfer Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 3", "Content-Length: 3\r\nTransfer-Encoding: chunked",
+	"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: \x0bchunked", "Transfer-Encoding: identity",
+}
+
+// Guards against a response whose head has a line that readers take for different things.
+func TestMalformedLine(t *testing.T) {
+	for _, line := range malformedLines {
+		assertMalformed(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n"+idHeader+": a\r\n\r\n")
+		assertMalformed(t, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\n"+line+"\r\n\r\n")
+		assertMalformed(t, "HTTP/1.1 103 Early Hints\r\nLink: l\r\n"+line+"\r\n\r\n")
+		assertMalformed(t, "HTTP/1.1 200 OK\r\n"+idHeader+": b\r\n"+line+"\r\n\r\n")
+	}
+	assertMalformed(t, "HTTP/1.0 200 OK\r\n"+idHeader+": a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+}
+
 // assertMalformed checks that a server that sends bytes, behind what may stand before a
 // response, and then a whole response, has sent none.
 func assertMalformed(t *testing.T, sent string) {
@@ -85,6 +107,9 @@
 		{sent: "HTTP/1.1 200 OK\n" + strings.ReplaceAll(own+length, "\r", "")},
 		{sent: "HTTP/1.1 200 OK\r\n" + own + "\r\nok", closes: true},
 		{sent: "HTTP/1.0 200\r\n" + own + "\r\nok", closes: true},
+		{sent: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\nx:\r\nX-Empty: \t \r\nX-Any:\t\"(\xff\x80)\" \t,\r\n" + own + length},
+		{sent: "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n" + length},
+		{sent: "HTTP/1.1 200 OK\r\n" + own + "transfer-encoding:\tChunked\r\n\r\n2;any=x\r\nok\r\n0\r\nX-Sum: 1\r\n\r\n"},
 		{sent: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199\r\nAny: x\r\n\r\nHTTP/1.1 200 OK\r\n" + own + length},
 	} {
 		addr := serveRaw(t, c.sent, c.closes)
--- a/internal/http1/response_head.go
+++ b/internal/http1/response_head.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformedResponse is returned when a server sends bytes that are not the head of a
@@ -16,7 +15,10 @@
 // that decides whether bytes of a server are a response: a parser gets them only if all of
 // its lines keep to the grammar (RFC 9112 section 4). The zero value awaits the status line.
 type responseHead struct {
-	status int // 0 before the status line
+	status  int // 0 before the status line
+	http10  bool
+	lengths int // lines that give a length
+	codings int // lines that give a transfer coding
 }
 
 // line checks the next line, given without its end, and reports whether it ends the head.
@@ -25,15 +27,11 @@
 	case h.status == 0:
 		return false, h.statusLine(line)
 	case len(line) == 0:
-		return true, nil
+		return true, h.checkFraming()
 	}
-	return false, nil
+	return false, h.fieldLine(line)
 }
 
-// informational reports whether the head is that of an informational response, which
-// another head follows.
-func (h *responseHead) informational() bool { return h.status < http.StatusOK }
-
 const (
 	// statusPrefix is how the status line of a server that speaks HTTP/1 begins; its
 	// minor version follows.
@@ -55,9 +53,10 @@
 	if !isNumber(minor) || !isNumber(code) {
 		return errors.Wrap(ErrMalformedResponse, "version or status is not a number")
 	}
-	if len(reason) > 0 && reason[0] != ' ' || !httpguts.ValidHeaderFieldValue(string(reason)) {
+	if len(reason) > 0 && reason[0] != ' ' || hasControl(reason) {
 		return errors.Wrap(ErrMalformedResponse, "invalid reason phrase")
 	}
+	h.http10 = minor[0] == '0'
 	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
 	if h.status < http.StatusContinue || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrMalformedResponse, "invalid status %s", code)
@@ -65,6 +64,35 @@
 	return nil
 }
 
+// fieldLine checks the line of a field. A folded line has no name: whether it belongs to the
+// value before it or is a field of its own, readers answer differently.
+func (h *responseHead) fieldLine(line []byte) error {
+	name, value, ok := cutField(line)
+	if !ok {
+		return errors.Wrap(ErrMalformedResponse, "a line has no valid field name")
+	}
+	if hasControl(value) {
+		return errors.Wrap(ErrMalformedResponse, "a field's value holds a control character")
+	}
+	switch {
+	case equalFold(name, "content-length"):
+		h.lengths++
+	case equalFold(name, "transfer-encoding"):
+		h.codings++
+	}
+	return nil
+}
+
+// checkFraming checks that the head does not say in two ways where its body ends, of which
+// readers may choose either (RFC 9112 sections 6.1 and 6.3). The parser checks the values,
+// and takes a repeated length that is the same.
+func (h *responseHead) checkFraming() error {
+	if h.codings > 0 && (h.http10 || h.lengths > 0) {
+		return errors.Wrap(ErrMalformedResponse, "a transfer coding beside a length or in HTTP/1.0")
+	}
+	return nil
+}
+
 // cutLine returns the first line of buf without its end and the number of bytes with it; 0
 // if the line is incomplete. A bare line feed ends a line too (RFC 9112 section 2.2).
 func cutLine(buf []byte) (line []byte, n int) {
--- a/internal/sidecar/malformed_response_test.go
+++ b/internal/sidecar/malformed_response_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -95,3 +96,22 @@
 	}
 	assertNoResponse(t, kinds, func(responseKind) bool { return false })
 }
+
+// Guards against responses whose head has a line that is no field, told to callers without
+// that line, or with a body that the line frames for other readers.
+func TestResponseWithInvalidFieldNameIsNone(t *testing.T) {
+	const line, chunks = "HTTP/1.1 200 OK", "5\r\nwhole\r\n0\r\n\r\n"
+	kinds := make(map[string]responseKind)
+	for _, name := range []string{"X Foo: a", "X-Foo : a", " X-Foo: a", "X-Foo\t: a", "X-\x01Foo: a", "X-\x7fFoo: a", "X\x00Foo: a",
+		"X\rFoo: a", ": a", "X-Foo", "X(Foo: a", "X-F\xc3\xb6\xc3\xb6: a", "X-Whole: a\r\n folded: b", "X-Whole: a\r\n\tfolded"} {
+		kinds[strconv.Quote(name)+", length"] = responseKind{line, name + "\r\n", "Content-Length: 5\r\n\r\nwhole"}
+		kinds[strconv.Quote(name)+", chunks"] = responseKind{line, name + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks}
+		kinds[strconv.Quote(name)+", last"] = responseKind{line, "Content-Length: 5\r\n", name + "\r\n\r\nwhole"}
+	}
+	for _, framing := range []string{"Content-Length : 3", "Content Length: 3", "Content-Length\t: 3", "Transfer-Encoding : chunked", "Transfer Encoding: chunked"} {
+		kinds[strconv.Quote(framing)+", alone"] = responseKind{line, framing + "\r\n", "\r\nten bytes."}
+		kinds[strconv.Quote(framing)+", length"] = responseKind{line, framing + "\r\n", "Content-Length: 5\r\n\r\nwhole"}
+		kinds[strconv.Quote(framing)+", chunks"] = responseKind{line, framing + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks}
+	}
+	assertNoResponse(t, kinds, func(k responseKind) bool { return strings.HasSuffix(k.rest, "ten bytes.") })
+}
