A response that ends with its connection is whole only if that end was a clean one

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. Callers got the part as a whole response.

Cause: a socket tells its error once. The goroutine that writes the body took the ECONNRESET, and the read of the response found an ordinary end, the only mark of completeness that such a response has. How the write had ended was asked only when a connection was to be reused.

Change: cleanEndConn, the only kind of connection that a Client dials, returns io.EOF from a read only if no write has met an error that rules out an end before it. It waits for a write in progress, which it interrupts, as that one may hold the error. EPIPE and success are possible after a clean end: Linux keeps EPIPE for a reset behind the server's end, so that a whole early response is served although its connection is reset later. After a deadline the reader takes bytes from the socket itself; what error it takes there it keeps (deadlineReader.recvErr).

The addresses of test fleets went up to 255 fleets a process; runs with -count go beyond it.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -92,7 +92,7 @@
 
 // clientConn is one connection to a server.
 type clientConn struct {
-	nc       net.Conn
+	nc       *cleanEndConn
 	br       *bufio.Reader // reads from source; larger than usual amid a long head
 	source   io.Reader
 	addr     string
@@ -154,19 +154,19 @@
 
 // dial connects to a server. A dial whose timeout passed during a process pause says
 // nothing about the server, so it is tried once more.
-func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
+func (c *Client) dial(ctx context.Context, addr string) (*cleanEndConn, error) {
 	if err := checkAwaited(ctx); err != nil {
 		return nil, err
 	}
 	start := time.Now()
-	nc, err := c.dialer.DialContext(ctx, "tcp", addr)
+	nc, err := dialCleanEnd(ctx, &c.dialer, addr)
 	if err == nil || time.Since(start) < c.cfg.DialTimeout+dialPauseMargin {
 		return nc, err
 	}
 	if abandoned := checkAwaited(ctx); abandoned != nil {
 		return nil, abandoned
 	}
-	return c.dialer.DialContext(ctx, "tcp", addr)
+	return dialCleanEnd(ctx, &c.dialer, addr)
 }
 
 // countDial counts a new connection and returns the epoch it belongs to.
--- a/internal/http1/client_exchange.go
+++ b/internal/http1/client_exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -240,9 +239,7 @@
 // abandon is close for a request without a complete response. It resets the connection: an
 // ordinary close would still deliver what of the request waits in the socket.
 func (ex *clientExchange) abandon() {
-	if t, ok := ex.cc.nc.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
+	_ = ex.cc.nc.SetLinger(0)
 	ex.close()
 }
 
--- a/internal/http1/deadline.go
+++ b/internal/http1/deadline.go
@@ -26,6 +26,9 @@
 	// if there is none, or if tracksWaits is not set.
 	waitingSince atomic.Int64
 	tracksWaits  bool
+	// recvErr is the error that recv took from the socket, which tells it once. Only the
+	// goroutine that reads uses it.
+	recvErr error
 
 	mu        sync.Mutex
 	deadline  time.Time // zero for none or an interrupt
@@ -108,7 +111,7 @@
 	remaining := r.remainingAtDeadline()
 	switch {
 	case remaining == 0 && r.atEOF():
-		return 0, io.EOF
+		return 0, r.endOfInput()
 	case remaining == 0:
 		return 0, err
 	}
@@ -163,7 +166,19 @@
 	return n == 0 && err == nil
 }
 
+// endOfInput returns io.EOF, or the error that shows that the end was not a clean one.
+func (r *deadlineReader) endOfInput() error {
+	if c, ok := r.nc.(*cleanEndConn); ok {
+		return c.endOfInput()
+	}
+	return io.EOF
+}
+
+// recv reads without blocking. After an error other than the lack of bytes it fails for good.
 func (r *deadlineReader) recv(p []byte, flags int) (n int, err error) {
+	if r.recvErr != nil {
+		return 0, r.recvErr
+	}
 	closed := r.raw.Control(func(fd uintptr) {
 		for {
 			n, _, err = syscall.Recvfrom(int(fd), p, flags|syscall.MSG_DONTWAIT)
@@ -175,6 +190,9 @@
 	if closed != nil {
 		return 0, closed
 	}
+	if err != nil && err != syscall.EAGAIN && err != syscall.EWOULDBLOCK {
+		r.recvErr = err
+	}
 	return n, err
 }
 
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -142,7 +142,7 @@
 	block := nextBlock.Add(1)
 	peers := freePort(t)
 	for i := range n {
-		ip := fmt.Sprintf("127.1.%d.%d", block, i+1)
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+block/256, block%256, i+1)
 		f.addUpstream(ip, i, work)
 		f.addSidecar(ip, i, peers)
 	}
