Clients of net/http read responses by the same rule

What callers saw, through walldrift node: a 200 with a body that the upstream had not framed so, an informational head's inner 200, 101 and 999 as they came; a status of 000 ended the handler in a panic, so that callers got an end of their connection and the slot stayed taken; 2 of 60 long uploads got a part of a response as a whole one. The clients of the store, of the platform, of the health page and of the admin address took such responses for the state that they ask for.

Change: CheckedTransport, an http.Transport whose connections pass on only lines of heads that responseHead accepts, and an end only if it was clean (cleanEndConn; TLS marks ends itself). A connection learns from the trace of each request that a head comes next, so that framing stays with net/http; a response that net/http takes from bytes which came before the request is refused.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -16,6 +17,7 @@
 
 	"github.com/walldrift/walldrift/internal/admin"
 	"github.com/walldrift/walldrift/internal/distribution"
+	"github.com/walldrift/walldrift/internal/http1"
 )
 
 // errNotFound marks a 404 response: the path or the named object does not exist.
@@ -202,7 +204,8 @@
 	if err != nil {
 		return nil, usagef("--node %q: %v", addr, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Transport: http1.NewCheckedTransport(&http.Transport{DisableKeepAlives: true}, &net.Dialer{})}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "node %s", addr)
 	}
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -57,7 +57,7 @@
 }
 
 // roundTrip sends a request and reads its complete response.
-func roundTrip(c *Client, req *http.Request) (string, error) {
+func roundTrip(c http.RoundTripper, req *http.Request) (string, error) {
 	resp, err := c.RoundTrip(req)
 	if err != nil {
 		return "", err
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -1,8 +1,6 @@
 package http1
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -10,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/standin/rawhttp"
 )
 
 // ownResponse is a whole response to the request "a".
@@ -19,17 +19,10 @@
 // closes it.
 func serveRaw(t *testing.T, answer string, closes bool) string {
 	t.Helper()
-	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
-		for {
-			if _, err := http.ReadRequest(br); err != nil {
-				return
-			}
-			if _, err := io.WriteString(nc, answer); err != nil || closes {
-				return
-			}
-		}
-	})
-	return addr
+	server, err := rawhttp.NewServer(answer, closes)
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server.Addr()
 }
 
 // malformedStatusLines are no status lines, or have no valid status.
@@ -76,13 +69,26 @@
 // response, and then a whole response, has sent none.
 func assertMalformed(t *testing.T, sent string) {
 	t.Helper()
-	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n", strings.Replace(ownResponse, ": a", ": b", 1)} {
+	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n", responseToOther} {
 		addr := serveRaw(t, before+sent+ownResponse, false)
 		body, err := roundTrip(newTestClient(), newRequest(t, addr, "GET", "a", nil))
 		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q: %q, %v", before+sent, body, err)
+		if before == responseToOther {
+			continue // net/http knows no ids
+		}
+		body, err = roundTrip(newTestTransport(t), newRequest(t, addr, "GET", "a", nil))
+		assert.Assert(t, err != nil, "%q: %q", before+sent, body)
 	}
 }
 
+var responseToOther = strings.Replace(ownResponse, ": a", ": b", 1)
+
+func newTestTransport(t *testing.T) *CheckedTransport {
+	transport := NewCheckedTransport(&http.Transport{}, &net.Dialer{})
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
 // A malformed status line ends the exchange when it has arrived, not only with its head.
 func TestMalformedStatusLineWithoutRest(t *testing.T) {
 	addr := serveRaw(t, "HTTP/1.1 000 OK\r\n", false)
@@ -113,11 +119,12 @@
 		{sent: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199\r\nAny: x\r\n\r\nHTTP/1.1 200 OK\r\n" + own + length},
 	} {
 		addr := serveRaw(t, c.sent, c.closes)
-		client := newTestClient()
-		for range 2 { // the second one on the same connection, where it stays open
-			body, err := roundTrip(client, newRequest(t, addr, "GET", "a", nil))
-			assert.NilError(t, err, "%q", c.sent)
-			assert.Equal(t, body, "ok", "%q", c.sent)
+		for _, client := range []http.RoundTripper{newTestClient(), newTestTransport(t)} {
+			for range 2 { // the second one on the same connection, where it stays open
+				body, err := roundTrip(client, newRequest(t, addr, "GET", "a", nil))
+				assert.NilError(t, err, "%q", c.sent)
+				assert.Equal(t, body, "ok", "%q", c.sent)
+			}
 		}
 	}
 }
--- a/internal/http1/response_head.go
+++ b/internal/http1/response_head.go
@@ -32,6 +32,10 @@
 	return false, h.fieldLine(line)
 }
 
+// informational reports whether the head is that of an informational response, which
+// another head follows.
+func (h *responseHead) informational() bool { return h.status < http.StatusOK }
+
 const (
 	// statusPrefix is how the status line of a server that speaks HTTP/1 begins; its
 	// minor version follows.
--- /dev/null
+++ b/internal/http1/transport_test.go
@@ -0,0 +1,100 @@
+package http1
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+)
+
+// A line may arrive in parts.
+func TestHeadsThatArriveInParts(t *testing.T) {
+	for sent, whole := range map[string]bool{
+		"HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n" + ownResponse: true,
+		"HTTP/1.1 200 OK\r\nX Foo: a\r\n\r\n":                       false,
+		"HTTP/1.1 000 OK\r\n\r\n" + ownResponse:                     false,
+	} {
+		addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+			if _, err := http.ReadRequest(br); err == nil {
+				_, _ = io.Copy(onlyWriter{nc}, iotest.OneByteReader(strings.NewReader(sent)))
+			}
+			_, _ = br.ReadByte()
+		})
+		for _, client := range []http.RoundTripper{newTestClient(), newTestTransport(t)} {
+			_, err := roundTrip(client, newRequest(t, addr, "GET", "a", nil))
+			assert.Equal(t, err == nil, whole, "%q: %v", sent, err)
+		}
+	}
+}
+
+// Guards against bytes behind a response, which belong to no request, told as the response
+// to the next one on the connection.
+func TestBytesBehindAResponseAreNoResponse(t *testing.T) {
+	const inner = "HTTP/1.1 201 Created\r\n" + idHeader + ": a\r\nContent-Length: 5\r\n\r\ninner"
+	for _, extra := range []string{"HTTP/1.1 000 Odd\r\n\r\n" + inner, "HTTP/1.1 200 OK\r\nX Foo: a\r\nContent-Length: 1\r\n\r\nx", inner} {
+		addr := serveRaw(t, ownResponse+extra, false)
+		for _, client := range []http.RoundTripper{newTestClient(), newTestTransport(t)} {
+			for range 50 {
+				body, err := roundTrip(client, newRequest(t, addr, "POST", "a", nil))
+				assert.Assert(t, err != nil || body == "ok", "%q: %q", extra, body)
+			}
+		}
+	}
+}
+
+// The response that net/http reads from bytes that came before the request is refused.
+func TestResponseBeforeItsRequestIsRefused(t *testing.T) {
+	c := &checkedConn{}
+	c.expectHead()
+	assert.NilError(t, c.check([]byte(ownResponse)))
+	assert.Assert(t, c.headRead())
+	assert.NilError(t, c.check([]byte("anything of a body, or behind it")))
+	c.expectHead()
+	assert.Assert(t, !c.headRead())
+	assert.Assert(t, errors.Is(c.check([]byte("HTTP/1.1 000 OK\r\n")), ErrMalformedResponse))
+}
+
+func TestCheckedTransportOverTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(idHeader) == "a" {
+			_, _ = io.WriteString(w, "ok")
+			return
+		}
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(nc, "HTTP/1.1 000 OK\r\n\r\n"+ownResponse)
+			_ = nc.Close()
+		}
+	}))
+	defer server.Close()
+	settings := server.Client().Transport.(*http.Transport)
+	transport := NewCheckedTransport(&http.Transport{TLSClientConfig: settings.TLSClientConfig}, &net.Dialer{})
+	defer transport.CloseIdleConnections()
+	for id, whole := range map[string]bool{"a": true, "b": false} {
+		req := newRequest(t, server.Listener.Addr().String(), "GET", id, nil)
+		req.URL.Scheme = "https"
+		_, err := roundTrip(transport, req)
+		assert.Equal(t, err == nil, whole, "%v", err)
+	}
+}
+
+// Guards against an end of a CheckedTransport's connection told as a clean one, where a
+// write has taken the error of a reset.
+func TestCheckedTransportDialsForCleanEnds(t *testing.T) {
+	addr, _ := scriptServer(t, func(_ int, nc net.Conn, _ *bufio.Reader) { reset(nc.(*net.TCPConn)) })
+	nc, err := newTestTransport(t).transport.DialContext(t.Context(), "tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = nc.Close() }()
+	for err == nil {
+		_, err = io.WriteString(nc, "b")
+	}
+	_, err = nc.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && err != io.EOF, "%v", err)
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/periodic"
 )
 
@@ -136,7 +138,8 @@
 	if n.cfg.HealthPath == "" {
 		return
 	}
-	client := &http.Client{Timeout: healthTimeout}
+	client := newHealthClient()
+	defer client.CloseIdleConnections()
 	url := n.cfg.Upstream.JoinPath(n.cfg.HealthPath).String()
 	tick := time.NewTicker(n.cfg.HealthPeriod)
 	defer tick.Stop()
@@ -161,6 +164,11 @@
 	}
 }
 
+func newHealthClient() *http.Client {
+	t := &http.Transport{MaxResponseHeaderBytes: int64(http1.DefaultLimits().HeaderBytes)}
+	return &http.Client{Timeout: healthTimeout, Transport: http1.NewCheckedTransport(t, &net.Dialer{Timeout: healthTimeout})}
+}
+
 // drainingMarker in a health response means that the upstream is draining.
 const drainingMarker = "draining"
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,12 +10,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/table"
 )
 
@@ -61,7 +63,7 @@
 // sent as User-Agent.
 func NewClient(base, caller string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 90 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
-	return &Client{base: base, caller: caller, http: &http.Client{Transport: t}}
+	return &Client{base: base, caller: caller, http: &http.Client{Transport: http1.NewCheckedTransport(t, &net.Dialer{})}}
 }
 
 // maxHeadBytes is the longest head of a response that is read, in bytes.
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -142,7 +142,6 @@
 	}
 	dialer := &net.Dialer{Timeout: upstreamDialTimeout}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
 		MaxIdleConns:        maxIdleUpstreamConns,
 		MaxIdleConnsPerHost: maxIdleUpstreamConns,
 		IdleConnTimeout:     time.Minute,
@@ -156,8 +155,8 @@
 		cfg:           cfg,
 		holder:        holder,
 		gate:          admission.NewGate(admission.Config{Slots: cfg.Slots, QueueLimit: cfg.QueueLimit, StartedAt: now}),
-		pooled:        pooled,
-		unpooled:      unpooled,
+		pooled:        http1.NewCheckedTransport(pooled, dialer),
+		unpooled:      http1.NewCheckedTransport(unpooled, dialer),
 		metrics:       m,
 		claims:        claims,
 		runTimes:      overload.NewRunTimes(),
