A status of another node that is none is no response; the other readers of responses are tested

What callers saw: a node that speaks HTTP/3 to others told any number as a status, 101, 600 and 999 as well; a number below 100 would end its handler in a panic. Seen only with a stand-in: nodes of this code send statuses that they have checked.

Cause: HTTP/3 checks names, values, lengths and ends of responses, and leaves the status to its user.

Change: Pool asks IsFinalStatus, which responseHead uses too. A response of another node that is malformed or too long has its reason (answer-malformed, answer-too-long) at the sending node as well; it was told as connection-lost there, unlike docs/CONNECTIONS.md says (noResponseReason).

Evidence: TestInvalidStatusOfANodeIsNoResponse red before (101 passed). A malformed response to a read is tried again elsewhere (TestLostResponseOfARead).

--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -71,12 +71,14 @@
 	t.Helper()
 	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n", responseToOther} {
 		addr := serveRaw(t, before+sent+ownResponse, false)
-		body, err := roundTrip(newTestClient(), newRequest(t, addr, "GET", "a", nil))
-		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q: %q, %v", before+sent, body, err)
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			body, err := roundTrip(newTestClient(), newRequest(t, addr, method, "a", nil))
+			assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q: %q, %v", before+sent, body, err)
+		}
 		if before == responseToOther {
 			continue // net/http knows no ids
 		}
-		body, err = roundTrip(newTestTransport(t), newRequest(t, addr, "GET", "a", nil))
+		body, err := roundTrip(newTestTransport(t), newRequest(t, addr, "GET", "a", nil))
 		assert.Assert(t, err != nil, "%q: %q", before+sent, body)
 	}
 }
--- a/internal/http1/response_head.go
+++ b/internal/http1/response_head.go
@@ -62,7 +62,7 @@
 	}
 	h.http10 = minor[0] == '0'
 	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
-	if h.status < http.StatusContinue || h.status > maxStatus || h.status == http.StatusSwitchingProtocols {
+	if h.status < http.StatusContinue || !h.informational() && !IsFinalStatus(h.status) || h.status == http.StatusSwitchingProtocols {
 		return errors.Wrapf(ErrMalformedResponse, "invalid status %s", code)
 	}
 	return nil
@@ -97,6 +97,10 @@
 	return nil
 }
 
+// IsFinalStatus reports whether a status is one that a response to a request may have in the
+// end.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // cutLine returns the first line of buf without its end and the number of bytes with it; 0
 // if the line is incomplete. A bare line feed ends a line too (RFC 9112 section 2.2).
 func cutLine(buf []byte) (line []byte, n int) {
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -34,6 +34,31 @@
 	}
 }
 
+// Guards against a wait for more bytes after a malformed head: net/http drops the error of a
+// read that ends amid a line.
+func TestMalformedHeadEndsAllReads(t *testing.T) {
+	server := &countedReads{Reader: strings.NewReader("HTTP/1.1 000 OK\r\n")}
+	c := &checkedConn{Conn: server}
+	for range 3 {
+		_, err := c.Read(make([]byte, 32))
+		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%v", err)
+	}
+	assert.Equal(t, server.reads, 1)
+}
+
+// countedReads is a connection on which only reads are possible, which it counts.
+type countedReads struct {
+	net.Conn
+	io.Reader
+	reads int
+}
+
+// Read implements io.Reader.
+func (c *countedReads) Read(p []byte) (int, error) {
+	c.reads++
+	return c.Reader.Read(p)
+}
+
 // Guards against bytes behind a response, which belong to no request, told as the response
 // to the next one on the connection.
 func TestBytesBehindAResponseAreNoResponse(t *testing.T) {
@@ -88,7 +113,10 @@
 // Guards against an end of a CheckedTransport's connection told as a clean one, where a
 // write has taken the error of a reset.
 func TestCheckedTransportDialsForCleanEnds(t *testing.T) {
-	addr, _ := scriptServer(t, func(_ int, nc net.Conn, _ *bufio.Reader) { reset(nc.(*net.TCPConn)) })
+	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+		_, _ = br.ReadByte()
+		reset(nc.(*net.TCPConn))
+	})
 	nc, err := newTestTransport(t).transport.DialContext(t.Context(), "tcp", addr)
 	assert.NilError(t, err)
 	defer func() { _ = nc.Close() }()
@@ -98,3 +126,22 @@
 	_, err = nc.Read(make([]byte, 1))
 	assert.Assert(t, err != nil && err != io.EOF, "%v", err)
 }
+
+// A whole response comes before on the same connection.
+func TestMalformedResponseOnAReusedConnection(t *testing.T) {
+	addr, _ := scriptServer(t, func(_ int, nc net.Conn, br *bufio.Reader) {
+		for _, sent := range []string{ownResponse, "HTTP/1.1 000 OK\r\n\r\n" + ownResponse} {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(nc, sent)
+		}
+		_, _ = br.ReadByte()
+	})
+	for _, client := range []http.RoundTripper{newTestClient(), newTestTransport(t)} {
+		_, err := roundTrip(client, newRequest(t, addr, "POST", "a", nil))
+		assert.NilError(t, err)
+		body, err := roundTrip(client, newRequest(t, addr, "POST", "a", nil))
+		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q, %v", body, err)
+	}
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -129,13 +129,19 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
 	}
+	return unknownOutcome(http.StatusBadGateway, noResponseReason(err))
+}
+
+// noResponseReason returns why a request that was sent has no response, given the error of
+// its round trip.
+func noResponseReason(err error) string {
 	switch {
 	case errors.Is(err, http1.ErrUnboundedResponse):
-		return unknownOutcome(http.StatusBadGateway, reasonUnboundedResponse)
+		return reasonUnboundedResponse
 	case errors.Is(err, http1.ErrMalformedResponse):
-		return unknownOutcome(http.StatusBadGateway, reasonMalformedResponse)
+		return reasonMalformedResponse
 	}
-	return unknownOutcome(http.StatusBadGateway, reasonConnectionLost)
+	return reasonConnectionLost
 }
 
 // noteLostConnection reports to the crash detector a request that the upstream may have
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/quic-go/quic-go/http3"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/membership"
 )
 
@@ -222,6 +223,11 @@
 		t.pool.addInUse(t.c, -1)
 		return nil, err
 	}
+	if !http1.IsFinalStatus(resp.StatusCode) { // HTTP/3 checks the rest of a head
+		_ = resp.Body.Close()
+		t.pool.addInUse(t.c, -1)
+		return nil, errors.Wrapf(http1.ErrMalformedResponse, "status %d", resp.StatusCode)
+	}
 	resp.Body = &trackedBody{ReadCloser: resp.Body, expected: -1, onEnd: func(bool) { t.pool.addInUse(t.c, -1) }}
 	return resp, nil
 }
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +13,9 @@
 	"github.com/quic-go/quic-go/http3"
 	"gotest.tools/v3/assert"
 
+	"github.com/walldrift/walldrift/internal/http1"
 	"github.com/walldrift/walldrift/internal/membership"
+	"github.com/walldrift/walldrift/internal/peer"
 )
 
 // hangingDialer does not answer until its context ends.
@@ -47,3 +51,38 @@
 		assert.Equal(t, d.dials, 2)
 	})
 }
+
+// Guards against a status of another node that is none, taken for that of a response.
+func TestInvalidStatusOfANodeIsNoResponse(t *testing.T) {
+	authority, err := peer.NewAuthority()
+	assert.NilError(t, err)
+	listen := func(name string, h http.Handler) *peer.Endpoint {
+		id, err := authority.Issue(name)
+		assert.NilError(t, err)
+		e, err := peer.Listen(netip.MustParseAddrPort("127.0.0.1:0"), id, h, nil)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = e.Close() })
+		return e
+	}
+	server := listen("server", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status, err := strconv.Atoi(r.URL.Path[1:])
+		assert.NilError(t, err)
+		w.WriteHeader(status)
+	}))
+	pool := NewPool(DefaultPoolConfig(), listen("client", nil), "client")
+	defer pool.Close()
+	for status, valid := range map[int]bool{200: true, 299: true, 599: true, 101: false, 600: false, 999: false} {
+		transport, err := pool.TransportTo(t.Context(), membership.Instance{Name: "server", Peer: server.Addr()})
+		assert.NilError(t, err)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://server/"+strconv.Itoa(status), nil)
+		assert.NilError(t, err)
+		resp, err := transport.RoundTrip(req)
+		assert.Equal(t, err == nil, valid, "%d: %v", status, err)
+		if valid {
+			assert.Equal(t, resp.StatusCode, status)
+			assert.NilError(t, resp.Body.Close())
+			continue
+		}
+		assert.Assert(t, errors.Is(err, http1.ErrMalformedResponse), "%d: %v", status, err)
+	}
+}
--- a/internal/proxy/remote.go
+++ b/internal/proxy/remote.go
@@ -42,7 +42,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return unknownOutcome(http.StatusGatewayTimeout, reasonDeadline)
 	}
-	return unknownOutcome(http.StatusBadGateway, reasonConnectionLost)
+	return unknownOutcome(http.StatusBadGateway, noResponseReason(err))
 }
 
 // abandoned reports whether the request was given up before it was sent, which says
--- a/internal/sidecar/faults_test.go
+++ b/internal/sidecar/faults_test.go
@@ -63,6 +63,13 @@
 			_, _ = io.WriteString(w, "part")
 			panic(http.ErrAbortHandler)
 		},
+		"no response": func(w http.ResponseWriter) {
+			nc, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(nc, "HTTP/1.1 000 Odd\r\n\r\n")
+				_ = nc.Close()
+			}
+		},
 		"not signed": func(w http.ResponseWriter) { w.Header().Del(testDialect.Signature); _, _ = io.WriteString(w, "x") },
 		"of another request": func(w http.ResponseWriter) {
 			w.Header().Set(testDialect.RequestID, "other")
--- a/internal/sidecar/malformed_response_test.go
+++ b/internal/sidecar/malformed_response_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -31,7 +32,10 @@
 				return
 			}
 			own := ownFields(req, id)
-			kind := kinds[req.Header.Get(responseHeader)]
+			kind, ok := kinds[req.Header.Get(responseHeader)]
+			if !ok {
+				kind = wholeResponse
+			}
 			rest := strings.ReplaceAll(kind.rest, ownFieldsMark, own)
 			_, _ = io.WriteString(nc, kind.statusLine+"\r\n"+kind.fields+own+rest)
 			if closes(kind) {
@@ -41,6 +45,9 @@
 	})
 }
 
+// wholeResponse is for requests that ask for none.
+var wholeResponse = responseKind{"HTTP/1.1 200 OK", "", "Content-Length: 5\r\n\r\nwhole"}
+
 const (
 	// responseHeader names the response that a request gets.
 	responseHeader = "Test-Response"
@@ -51,11 +58,15 @@
 )
 
 // forEachKind sends a read and a write for each kind of response through each sidecar, and
-// checks what their callers get.
+// checks what their callers get. Whole responses come before on the same connections.
 func (f *fleet) forEachKind(t *testing.T, kinds map[string]responseKind, check func(t *testing.T, status int, header http.Header, body string)) {
 	for name := range kinds {
 		t.Run(name, func(t *testing.T) {
 			for i := range f.sidecars {
+				for range f.upstreams {
+					status, _, body := f.send(f.request(i, "GET", "/read/x", ""))
+					assert.Equal(t, status, http.StatusOK, body)
+				}
 				for _, req := range []*http.Request{f.request(i, "GET", "/read/x", ""), f.request(i, "POST", "/write/x", "body")} {
 					req.Header.Set(responseHeader, name)
 					status, header, body := f.send(req)
@@ -78,6 +89,26 @@
 	})
 }
 
+// Guards against refusals of responses that are odd and allowed.
+func TestOddResponseIsServed(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n2;any\r\nwh\r\n3\r\nole\r\n0\r\nX Odd: in a trailer, which is not passed on\r\n\r\n"
+	kinds := map[string]responseKind{
+		"no reason":      {"HTTP/1.1 200", "", "Content-Length: 5\r\n\r\nwhole"},
+		"empty reason":   {"HTTP/1.1 200 ", "", chunks},
+		"unknown fields": {"HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~: a\r\nX-Unknown:\r\nX-Bytes: \xff\t\"\r\n", "Content-Length: 5\r\n\r\nwhole"},
+		"no length":      {"HTTP/1.1 200 OK", "", "\r\nwhole"},
+		"version 1.0":    {"HTTP/1.0 200 OK", "", "\r\nwhole"},
+		"informational":  {"HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 102\r\n\r\nHTTP/1.1 200 OK", "", chunks},
+	}
+	f := startFleet(t, 2, 0)
+	f.answerBy(kinds, func(k responseKind) bool { return strings.HasPrefix(k.rest, "\r\n") })
+	f.forEachKind(t, kinds, func(t *testing.T, status int, header http.Header, body string) {
+		assert.Equal(t, status, http.StatusOK, body)
+		assert.Equal(t, body, "whole")
+		assert.Assert(t, header.Get(testDialect.Signature) != "")
+	})
+}
+
 // Guards against the bytes behind a status that is none, told to callers as the response:
 // a status below 200 was taken for an informational one.
 func TestResponseWithoutValidStatusIsNone(t *testing.T) {
@@ -115,3 +146,38 @@
 	}
 	assertNoResponse(t, kinds, func(k responseKind) bool { return strings.HasSuffix(k.rest, "ten bytes.") })
 }
+
+// Guards against responses of another node that are none: forwarded requests and peer
+// requests get them from its address, in place of that node.
+func TestMalformedResponseOfAnotherNodeIsNone(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 000 Odd\r\n\r\n" + innerResponse, "HTTP/1.1 200 OK\r\nX Foo: a\r\n" + ownFieldsMark + "Content-Length: 5\r\n\r\ninner",
+		"HTTP/1.1 103 Early Hints\r\nX-Foo : a\r\n\r\n" + innerResponse, "HTTP/1.1 200 OK\r\n" + ownFieldsMark + "Content-Length : 3\r\n\r\ninner",
+	} {
+		t.Run(strconv.Quote(raw), func(t *testing.T) {
+			f := startFleet(t, 2, 0)
+			f.sidecars[1].closeAll()
+			l, err := net.Listen("tcp", f.settings[1].Peers.String())
+			assert.NilError(t, err)
+			var forwarded atomic.Int32
+			f.serveRaw(l, func(nc net.Conn) {
+				req, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					return
+				}
+				if req.Header.Get(testDialect.RequestID) != "" {
+					forwarded.Add(1)
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(nc, strings.ReplaceAll(raw, ownFieldsMark, ownFields(req, f.upstreams[1].id)))
+			})
+			for range 20 {
+				for _, req := range []*http.Request{f.request(0, "GET", "/read/x", ""), f.request(0, "POST", "/write/x", "body")} {
+					_, _, body := f.send(req)
+					assert.Assert(t, !strings.Contains(body, "inner"), body)
+				}
+			}
+			assert.Assert(t, forwarded.Load() > 0)
+		})
+	}
+}
--- a/internal/sidecar/raw_upstream_test.go
+++ b/internal/sidecar/raw_upstream_test.go
@@ -15,22 +15,27 @@
 		_ = replaced.server.Close()
 		l, err := net.Listen("tcp", replaced.addr.String())
 		assert.NilError(f.t, err)
-		f.t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				nc, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer func() { _ = nc.Close() }()
-					respond(replaced.id, nc)
-				}()
-			}
-		}()
+		f.serveRaw(l, func(nc net.Conn) { respond(replaced.id, nc) })
 	}
 }
 
+// serveRaw serves each connection of a listener by respond, and closes it after that.
+func (f *fleet) serveRaw(l net.Listener, respond func(nc net.Conn)) {
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = nc.Close() }()
+				respond(nc)
+			}()
+		}
+	}()
+}
+
 // ownFields returns the header lines that name a response as the upstream's own, made for a
 // request.
 func ownFields(req *http.Request, upstream string) string {
