Raw answers of stand-ins in one place

Three tests read requests and wrote raw answers by loops of their own, and three accepted connections so; rawhttp does both. TestResponsesThatBreakOffAreNoSuccess plays the same cuts as before. No change of the product: the tests of sidecar, http1, node, cli and platform that use it pass.

--- a/internal/cli/status_test.go
+++ b/internal/cli/status_test.go
@@ -20,11 +20,11 @@
 		"HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200\r\n\r\n{}":  false,
 		"HTTP/1.1 103 \r\nX Foo: a\r\n\r\nHTTP/1.1 200\r\n\r\n": false,
 	} {
-		server, err := rawhttp.NewServer(response, true)
+		addr, server, err := rawhttp.Start(rawhttp.Answer{Bytes: response, End: rawhttp.Close})
 		assert.NilError(t, err)
-		raw, err := requestAdmin(t.Context(), http.MethodGet, server.Addr(), "/status")
+		raw, err := requestAdmin(t.Context(), http.MethodGet, addr, "/status")
 		assert.Equal(t, err == nil, valid, "%q: %v", response, err)
 		assert.Equal(t, string(raw) == "{}", valid, "%q", response)
-		server.Close()
+		_ = server.Close()
 	}
 }
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -19,10 +19,14 @@
 // closes it.
 func serveRaw(t *testing.T, answer string, closes bool) string {
 	t.Helper()
-	server, err := rawhttp.NewServer(answer, closes)
+	end := rawhttp.KeepOpen
+	if closes {
+		end = rawhttp.Close
+	}
+	addr, l, err := rawhttp.Start(rawhttp.Answer{Bytes: answer, End: end})
 	assert.NilError(t, err)
-	t.Cleanup(server.Close)
-	return server.Addr()
+	t.Cleanup(func() { _ = l.Close() })
+	return addr
 }
 
 // malformedStatusLines are no status lines, or have no valid status.
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -17,12 +17,12 @@
 		"HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\ndraining":       false,
 		"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\ndraining, not": false,
 	} {
-		server, err := rawhttp.NewServer(response, true)
+		addr, server, err := rawhttp.Start(rawhttp.Answer{Bytes: response, End: rawhttp.Close})
 		assert.NilError(t, err)
 		client := newHealthClient()
-		draining, err := queryDraining(t.Context(), client, "http://"+server.Addr()+"/")
+		draining, err := queryDraining(t.Context(), client, "http://"+addr+"/")
 		assert.Equal(t, err == nil, valid, "%q: %v", response, err)
 		assert.Assert(t, draining || !valid, "%q", response)
-		server.Close()
+		_ = server.Close()
 	}
 }
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -22,14 +22,14 @@
 		"HTTP/1.1 200 OK\r\n" + index + "Content-Length: 9\r\n\r\nvalue":               false,
 		"HTTP/1.0 200 OK\r\n" + index + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue": false,
 	} {
-		server, err := rawhttp.NewServer(response, true)
+		addr, server, err := rawhttp.Start(rawhttp.Answer{Bytes: response, End: rawhttp.Close})
 		assert.NilError(t, err)
-		v, err := NewClient("http://"+server.Addr(), "test").Read(t.Context(), KeyTable)
+		v, err := NewClient("http://"+addr, "test").Read(t.Context(), KeyTable)
 		assert.Equal(t, err == nil, valid, "%q: %v", response, err)
 		if valid {
 			assert.Equal(t, string(v.Raw), "value")
 			assert.Equal(t, v.Index, uint64(7))
 		}
-		server.Close()
+		_ = server.Close()
 	}
 }
--- a/internal/sidecar/head_cut_test.go
+++ b/internal/sidecar/head_cut_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/standin/rawhttp"
 )
 
 // cutAfterHeader tells the upstreams of these tests after how many bytes they end the
@@ -34,29 +36,17 @@
 	resets        bool
 }
 
-func (u *cutUpstream) respond(nc net.Conn) {
-	br := bufio.NewReader(nc)
-	for {
-		req, err := http.ReadRequest(br)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		names := ownFields(req, u.id)
-		after, err := strconv.Atoi(req.Header.Get(cutAfterHeader))
-		if err != nil {
-			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n"+names+"Content-Length: 5\r\n\r\nwhole")
-			continue
-		}
-		_, _ = io.WriteString(nc, u.informational)
-		_, _ = io.WriteString(nc, ("HTTP/1.1 200 OK\r\n" + names + u.framing.head + u.framing.body)[:after])
-		if u.resets {
-			_ = nc.(*net.TCPConn).SetLinger(0)
-		}
-		return
+func (u *cutUpstream) answer(req *http.Request) rawhttp.Answer {
+	names := ownFields(req, u.id)
+	after, err := strconv.Atoi(req.Header.Get(cutAfterHeader))
+	if err != nil {
+		return rawhttp.Answer{Bytes: "HTTP/1.1 200 OK\r\n" + names + "Content-Length: 5\r\n\r\nwhole"}
+	}
+	a := rawhttp.Answer{Bytes: u.informational + ("HTTP/1.1 200 OK\r\n" + names + u.framing.head + u.framing.body)[:after], End: rawhttp.Close}
+	if u.resets {
+		a.End = rawhttp.Reset
 	}
+	return a
 }
 
 // incompleteBytes returns up to how many bytes of the response to a request do not make it
@@ -78,10 +68,10 @@
 				t.Run(fmt.Sprintf("%s, %q, resets %v", framing, informational, resets), func(t *testing.T) {
 					f := startFleet(t, 2, 0)
 					u := &cutUpstream{framing: response, informational: informational, resets: resets}
-					f.replaceUpstreams(func(id string, nc net.Conn) {
+					f.answer(func(id string, req *http.Request) rawhttp.Answer {
 						own := *u
 						own.id = id
-						own.respond(nc)
+						return own.answer(req)
 					})
 					u.id = f.upstreams[0].id
 					for kind, body := range bodies {
--- a/internal/sidecar/malformed_response_test.go
+++ b/internal/sidecar/malformed_response_test.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +9,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/standin/rawhttp"
 )
 
 // responseKind is what an upstream of these tests sends: a status line, lines that follow
@@ -21,27 +21,17 @@
 // then wait for the end of the connection, or end it themselves where nothing else ends the
 // response.
 func (f *fleet) answerBy(kinds map[string]responseKind, closes func(responseKind) bool) {
-	f.replaceUpstreams(func(id string, nc net.Conn) {
-		br := bufio.NewReader(nc)
-		for {
-			req, err := http.ReadRequest(br)
-			if err != nil {
-				return
-			}
-			if _, err := io.Copy(io.Discard, req.Body); err != nil {
-				return
-			}
-			own := ownFields(req, id)
-			kind, ok := kinds[req.Header.Get(responseHeader)]
-			if !ok {
-				kind = wholeResponse
-			}
-			rest := strings.ReplaceAll(kind.rest, ownFieldsMark, own)
-			_, _ = io.WriteString(nc, kind.statusLine+"\r\n"+kind.fields+own+rest)
-			if closes(kind) {
-				return
-			}
+	f.answer(func(id string, req *http.Request) rawhttp.Answer {
+		kind, ok := kinds[req.Header.Get(responseHeader)]
+		if !ok {
+			kind = wholeResponse
+		}
+		own := ownFields(req, id)
+		a := rawhttp.Answer{Bytes: kind.statusLine + "\r\n" + kind.fields + own + strings.ReplaceAll(kind.rest, ownFieldsMark, own)}
+		if closes(kind) {
+			a.End = rawhttp.Close
 		}
+		return a
 	})
 }
 
@@ -161,15 +151,12 @@
 			assert.NilError(t, err)
 			var forwarded atomic.Int32
 			f.serveRaw(l, func(nc net.Conn) {
-				req, err := http.ReadRequest(bufio.NewReader(nc))
-				if err != nil {
-					return
-				}
-				if req.Header.Get(testDialect.RequestID) != "" {
-					forwarded.Add(1)
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(nc, strings.ReplaceAll(raw, ownFieldsMark, ownFields(req, f.upstreams[1].id)))
+				rawhttp.Serve(nc, func(req *http.Request) rawhttp.Answer {
+					if req.Header.Get(testDialect.RequestID) != "" {
+						forwarded.Add(1)
+					}
+					return rawhttp.Answer{Bytes: strings.ReplaceAll(raw, ownFieldsMark, ownFields(req, f.upstreams[1].id)), End: rawhttp.Close}
+				})
 			})
 			for range 20 {
 				for _, req := range []*http.Request{f.request(0, "GET", "/read/x", ""), f.request(0, "POST", "/write/x", "body")} {
--- a/internal/sidecar/raw_upstream_test.go
+++ b/internal/sidecar/raw_upstream_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/walldrift/walldrift/internal/standin/rawhttp"
 )
 
 // replaceUpstreams ends all upstreams and serves each connection to their addresses by
@@ -19,21 +21,17 @@
 	}
 }
 
+// answer ends all upstreams and answers each request to their addresses.
+func (f *fleet) answer(answer func(id string, req *http.Request) rawhttp.Answer) {
+	f.replaceUpstreams(func(id string, nc net.Conn) {
+		rawhttp.Serve(nc, func(req *http.Request) rawhttp.Answer { return answer(id, req) })
+	})
+}
+
 // serveRaw serves each connection of a listener by respond, and closes it after that.
 func (f *fleet) serveRaw(l net.Listener, respond func(nc net.Conn)) {
 	f.t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = nc.Close() }()
-				respond(nc)
-			}()
-		}
-	}()
+	go rawhttp.Accept(l, respond)
 }
 
 // ownFields returns the header lines that name a response as the upstream's own, made for a
--- a/internal/standin/rawhttp/server.go
+++ b/internal/standin/rawhttp/server.go
@@ -8,43 +8,50 @@
 	"net/http"
 )
 
-// Server answers each request with the same bytes.
-type Server struct {
-	listener net.Listener
-	answer   string
-	closes   bool
+// Answer is what is sent for a request.
+type Answer struct {
+	Bytes string
+	End   End // of the connection, behind the bytes
 }
 
-// NewServer starts a server on loopback. With closes, it ends each connection after the
-// answer, otherwise it waits for the next request.
-func NewServer(answer string, closes bool) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// End is what becomes of a connection after an answer.
+type End int
+
+// Ends of connections.
+const (
+	KeepOpen End = iota // the next request is awaited
+	Close
+	Reset
+)
+
+// Start listens on loopback, answers each request by the same answer, and returns the address
+// and the listener.
+func Start(answer Answer) (addr string, l net.Listener, err error) {
+	l, err = net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
-	s := &Server{listener: l, answer: answer, closes: closes}
-	go s.accept()
-	return s, nil
+	go Accept(l, func(nc net.Conn) { Serve(nc, func(*http.Request) Answer { return answer }) })
+	return l.Addr().String(), l, nil
 }
 
-// Addr returns the address of the form ip:port.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
-
-// Close stops accepting connections.
-func (s *Server) Close() { _ = s.listener.Close() }
-
-func (s *Server) accept() {
+// Accept serves each connection of a listener, and closes it after that, until the listener
+// is closed.
+func Accept(l net.Listener, serve func(net.Conn)) {
 	for {
-		nc, err := s.listener.Accept()
+		nc, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go s.serve(nc)
+		go func() {
+			defer func() { _ = nc.Close() }()
+			serve(nc)
+		}()
 	}
 }
 
-func (s *Server) serve(nc net.Conn) {
-	defer func() { _ = nc.Close() }()
+// Serve reads the requests of a connection and sends their answers.
+func Serve(nc net.Conn, answer func(*http.Request) Answer) {
 	br := bufio.NewReader(nc)
 	for {
 		req, err := http.ReadRequest(br)
@@ -54,7 +61,12 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		if _, err := io.WriteString(nc, s.answer); err != nil || s.closes {
+		a := answer(req)
+		if _, err := io.WriteString(nc, a.Bytes); err != nil || a.End == Close {
+			return
+		}
+		if a.End == Reset {
+			_ = nc.(*net.TCPConn).SetLinger(0)
 			return
 		}
 	}
