A node resets the connection of a response that it aborts

What callers saw: a caller of HTTP/1.0 got a part of a long response without a length from walldrift node and an ordinary end, which is all that tells it that a response is whole.

Cause: the server of net/http closes the connection of an aborted response in the ordinary way; the framing of HTTP/1.1 shows that it is incomplete, HTTP/1.0 has none. The sidecar's server resets it since long.

Change: the node's server for callers resets it as well (SO_LINGER 0 before the close).

HTTP/3 between nodes resets streams; TestCutAnswerIsNotWhole is of that.

--- a/internal/fleet/malformed_response_test.go
+++ b/internal/fleet/malformed_response_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -102,3 +104,24 @@
 		}
 	}
 }
+
+// Guards against a part of a response that a caller of HTTP/1.0 takes for a whole one: the end
+// of its connection is all that tells it.
+func TestBrokenResponseToHTTP10IsNotWhole(t *testing.T) {
+	long := strings.Repeat("l", 1<<20)
+	f := startSmall(t, Config{Upstream: rawUpstream(0, func(nc *net.TCPConn) {
+		_, _ = io.WriteString(nc, long)
+		_ = nc.SetLinger(0)
+	})})
+	for _, framing := range []string{"", "Content-Length: 2097152\r\n"} {
+		for _, node := range []string{"look-1", "pay-1"} {
+			nc, err := net.Dial("tcp", strings.TrimPrefix(CallerURL(f.Node(node)), "http://"))
+			assert.NilError(t, err)
+			_, err = fmt.Fprintf(nc, "GET /look/x HTTP/1.0\r\n%s: %s\r\n\r\n", headerRawResponse, strconv.Quote("HTTP/1.1 200 OK\r\n"+framing+"\r\n"))
+			assert.NilError(t, err)
+			raw, err := io.ReadAll(nc)
+			_ = nc.Close()
+			assert.Assert(t, err != nil || !bytes.Contains(raw[:min(len(raw), 20)], []byte(" 200 ")), "%q: %d bytes and an ordinary end", framing, len(raw))
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,7 +147,7 @@
 
 		MaxInFlight: n.cfg.MaxInFlight,
 	}, n.holder, n.service.Member, n.pool, requests, n.service.Synced)
-	n.callers = &http.Server{Handler: n.frontend, ReadHeaderTimeout: headerTimeout}
+	n.callers = newCallersServer(n.frontend)
 	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
