--- a/internal/http1/response_head.go
+++ b/internal/http1/response_head.go
@@ -34,7 +34,7 @@
 
 // informational reports whether the head is that of an informational response, which
 // another head follows.
-func (h *responseHead) informational() bool { return h.status < http.StatusOK }
+func (h *responseHead) informational() bool { return isInformational(h.status) }
 
 const (
 	// statusPrefix is how the status line of a server that speaks HTTP/1 begins; its
@@ -47,8 +47,7 @@
 	maxStatus = 599
 )
 
-// statusLine checks the status line. This client never asks for another protocol, so that a
-// response that switches to one is none.
+// statusLine checks the status line.
 func (h *responseHead) statusLine(line []byte) error {
 	if len(line) < minStatusLine || !bytes.HasPrefix(line, []byte(statusPrefix)) || line[len(statusPrefix)+1] != ' ' {
 		return errors.Wrap(ErrMalformedResponse, "no status line of HTTP/1")
@@ -62,7 +61,7 @@
 	}
 	h.http10 = minor[0] == '0'
 	h.status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
-	if h.status < http.StatusContinue || !h.informational() && !IsFinalStatus(h.status) || h.status == http.StatusSwitchingProtocols {
+	if !isInformational(h.status) && !IsFinalStatus(h.status) {
 		return errors.Wrapf(ErrMalformedResponse, "invalid status %s", code)
 	}
 	return nil
@@ -97,6 +96,12 @@
 	return nil
 }
 
+// isInformational reports whether a status is one of responses that precede another one. No
+// request asks for another protocol, so that a response which switches to one is none.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // IsFinalStatus reports whether a status is one that a response to a request may have in the
 // end.
 func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
