Read as a newcomer: names of the clean end, kinds of answers with their ends

possibleAfterCleanEnd says what it decides; resetOnAbort leaves a panic and its stack alone in place of taking it up and raising it again; the kinds of responses in tests hold how their connection ends in place of a function that guesses it.

--- a/internal/http1/clean_end.go
+++ b/internal/http1/clean_end.go
@@ -56,21 +56,21 @@
 }
 
 // endOfInput returns io.EOF, or the error of a write that shows that the end which a read
-// has found was not a clean one. The server will answer nothing more, so a write in progress
-// is interrupted.
+// has found was not a clean one. A write in progress may hold that error, so it is awaited;
+// it is interrupted first, as the server answers nothing more.
 func (c *cleanEndConn) endOfInput() error {
 	_ = c.SetWriteDeadline(longPast)
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if saysNothingOfEnd(c.writeErr) {
+	if possibleAfterCleanEnd(c.writeErr) {
 		return io.EOF
 	}
 	return errors.Wrap(c.writeErr, "connection broke off")
 }
 
-// saysNothingOfEnd reports whether the result of a write is possible after a clean end: a
-// success, a deadline of this process, or EPIPE, the error of a reset that follows such an
-// end.
-func saysNothingOfEnd(err error) bool {
+// possibleAfterCleanEnd reports whether a write may have this result although the server has
+// ended its side in the ordinary way: success, a deadline of this process, or EPIPE, the
+// error of a reset that follows such an end.
+func possibleAfterCleanEnd(err error) bool {
 	return err == nil || isTimeout(err) || errors.Is(err, syscall.EPIPE)
 }
--- a/internal/http1/response_head.go
+++ b/internal/http1/response_head.go
@@ -102,8 +102,7 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// IsFinalStatus reports whether a status is one that a response to a request may have in the
-// end.
+// IsFinalStatus reports whether a status is one of responses that no other one follows.
 func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
 // cutLine returns the first line of buf without its end and the number of bytes with it; 0
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -23,16 +23,13 @@
 // abort its response.
 func resetOnAbort(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		complete := false
 		defer func() {
-			p := recover()
-			if p == nil {
-				return
-			}
-			if nc, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
+			if nc, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !complete {
 				_ = nc.SetLinger(0)
 			}
-			panic(p)
 		}()
 		handler.ServeHTTP(w, r)
+		complete = true
 	})
 }
--- a/internal/sidecar/malformed_response_test.go
+++ b/internal/sidecar/malformed_response_test.go
@@ -15,28 +15,25 @@
 
 // responseKind is what an upstream of these tests sends: a status line, lines that follow
 // it in the head, and what follows the fields that name the response as its own.
-type responseKind struct{ statusLine, fields, rest string }
+type responseKind struct {
+	statusLine, fields, rest string
+	end                      rawhttp.End
+}
 
-// answerBy makes all upstreams send the response that a request names in responseHeader, and
-// then wait for the end of the connection, or end it themselves where nothing else ends the
-// response.
-func (f *fleet) answerBy(kinds map[string]responseKind, closes func(responseKind) bool) {
+// answerBy makes all upstreams send the response that a request names in responseHeader.
+func (f *fleet) answerBy(kinds map[string]responseKind) {
 	f.answer(func(id string, req *http.Request) rawhttp.Answer {
 		kind, ok := kinds[req.Header.Get(responseHeader)]
 		if !ok {
 			kind = wholeResponse
 		}
 		own := ownFields(req, id)
-		a := rawhttp.Answer{Bytes: kind.statusLine + "\r\n" + kind.fields + own + strings.ReplaceAll(kind.rest, ownFieldsMark, own)}
-		if closes(kind) {
-			a.End = rawhttp.Close
-		}
-		return a
+		return rawhttp.Answer{Bytes: kind.statusLine + "\r\n" + kind.fields + own + strings.ReplaceAll(kind.rest, ownFieldsMark, own), End: kind.end}
 	})
 }
 
 // wholeResponse is for requests that ask for none.
-var wholeResponse = responseKind{"HTTP/1.1 200 OK", "", "Content-Length: 5\r\n\r\nwhole"}
+var wholeResponse = responseKind{statusLine: "HTTP/1.1 200 OK", rest: "Content-Length: 5\r\n\r\nwhole"}
 
 const (
 	// responseHeader names the response that a request gets.
@@ -69,10 +66,10 @@
 
 // assertNoResponse checks that callers get none of the responses, and that they are told so
 // before their deadline.
-func assertNoResponse(t *testing.T, kinds map[string]responseKind, closes func(responseKind) bool) {
+func assertNoResponse(t *testing.T, kinds map[string]responseKind) {
 	t.Helper()
 	f := startFleet(t, 2, 0)
-	f.answerBy(kinds, closes)
+	f.answerBy(kinds)
 	f.forEachKind(t, kinds, func(t *testing.T, status int, header http.Header, body string) {
 		assert.Equal(t, status, http.StatusBadGateway, "%q", body)
 		assert.Equal(t, header.Get(testDialect.Signature), "")
@@ -83,15 +80,15 @@
 func TestOddResponseIsServed(t *testing.T) {
 	const chunks = "Transfer-Encoding: chunked\r\n\r\n2;any\r\nwh\r\n3\r\nole\r\n0\r\nX Odd: in a trailer, which is not passed on\r\n\r\n"
 	kinds := map[string]responseKind{
-		"no reason":      {"HTTP/1.1 200", "", "Content-Length: 5\r\n\r\nwhole"},
-		"empty reason":   {"HTTP/1.1 200 ", "", chunks},
-		"unknown fields": {"HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~: a\r\nX-Unknown:\r\nX-Bytes: \xff\t\"\r\n", "Content-Length: 5\r\n\r\nwhole"},
-		"no length":      {"HTTP/1.1 200 OK", "", "\r\nwhole"},
-		"version 1.0":    {"HTTP/1.0 200 OK", "", "\r\nwhole"},
-		"informational":  {"HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 102\r\n\r\nHTTP/1.1 200 OK", "", chunks},
+		"no reason":      {"HTTP/1.1 200", "", "Content-Length: 5\r\n\r\nwhole", rawhttp.KeepOpen},
+		"empty reason":   {"HTTP/1.1 200 ", "", chunks, rawhttp.KeepOpen},
+		"unknown fields": {"HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~: a\r\nX-Unknown:\r\nX-Bytes: \xff\t\"\r\n", "Content-Length: 5\r\n\r\nwhole", rawhttp.KeepOpen},
+		"no length":      {"HTTP/1.1 200 OK", "", "\r\nwhole", rawhttp.Close},
+		"version 1.0":    {"HTTP/1.0 200 OK", "", "\r\nwhole", rawhttp.Close},
+		"informational":  {"HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 102\r\n\r\nHTTP/1.1 200 OK", "", chunks, rawhttp.KeepOpen},
 	}
 	f := startFleet(t, 2, 0)
-	f.answerBy(kinds, func(k responseKind) bool { return strings.HasPrefix(k.rest, "\r\n") })
+	f.answerBy(kinds)
 	f.forEachKind(t, kinds, func(t *testing.T, status int, header http.Header, body string) {
 		assert.Equal(t, status, http.StatusOK, body)
 		assert.Equal(t, body, "whole")
@@ -115,7 +112,7 @@
 			kinds[status+" with "+framing] = responseKind{statusLine: "HTTP/1.1 " + status + " Odd", rest: rest}
 		}
 	}
-	assertNoResponse(t, kinds, func(responseKind) bool { return false })
+	assertNoResponse(t, kinds)
 }
 
 // Guards against responses whose head has a line that is no field, told to callers without
@@ -125,16 +122,16 @@
 	kinds := make(map[string]responseKind)
 	for _, name := range []string{"X Foo: a", "X-Foo : a", " X-Foo: a", "X-Foo\t: a", "X-\x01Foo: a", "X-\x7fFoo: a", "X\x00Foo: a",
 		"X\rFoo: a", ": a", "X-Foo", "X(Foo: a", "X-F\xc3\xb6\xc3\xb6: a", "X-Whole: a\r\n folded: b", "X-Whole: a\r\n\tfolded"} {
-		kinds[strconv.Quote(name)+", length"] = responseKind{line, name + "\r\n", "Content-Length: 5\r\n\r\nwhole"}
-		kinds[strconv.Quote(name)+", chunks"] = responseKind{line, name + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks}
-		kinds[strconv.Quote(name)+", last"] = responseKind{line, "Content-Length: 5\r\n", name + "\r\n\r\nwhole"}
+		kinds[strconv.Quote(name)+", length"] = responseKind{line, name + "\r\n", "Content-Length: 5\r\n\r\nwhole", rawhttp.KeepOpen}
+		kinds[strconv.Quote(name)+", chunks"] = responseKind{line, name + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks, rawhttp.KeepOpen}
+		kinds[strconv.Quote(name)+", last"] = responseKind{line, "Content-Length: 5\r\n", name + "\r\n\r\nwhole", rawhttp.KeepOpen}
 	}
 	for _, framing := range []string{"Content-Length : 3", "Content Length: 3", "Content-Length\t: 3", "Transfer-Encoding : chunked", "Transfer Encoding: chunked"} {
-		kinds[strconv.Quote(framing)+", alone"] = responseKind{line, framing + "\r\n", "\r\nten bytes."}
-		kinds[strconv.Quote(framing)+", length"] = responseKind{line, framing + "\r\n", "Content-Length: 5\r\n\r\nwhole"}
-		kinds[strconv.Quote(framing)+", chunks"] = responseKind{line, framing + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks}
+		kinds[strconv.Quote(framing)+", alone"] = responseKind{line, framing + "\r\n", "\r\nten bytes.", rawhttp.Close}
+		kinds[strconv.Quote(framing)+", length"] = responseKind{line, framing + "\r\n", "Content-Length: 5\r\n\r\nwhole", rawhttp.KeepOpen}
+		kinds[strconv.Quote(framing)+", chunks"] = responseKind{line, framing + "\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks, rawhttp.KeepOpen}
 	}
-	assertNoResponse(t, kinds, func(k responseKind) bool { return strings.HasSuffix(k.rest, "ten bytes.") })
+	assertNoResponse(t, kinds)
 }
 
 // Guards against responses of another node that are none: forwarded requests and peer
