--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -81,10 +81,17 @@
 // cutField returns the name and the value of a field's line; false if it has no valid name.
 func cutField(line []byte) (name, value []byte, ok bool) {
 	name, value, ok = bytes.Cut(line, []byte(":"))
-	return name, value, ok && len(name) > 0 && !bytes.ContainsFunc(name, isNoTokenRune)
+	return name, value, ok && isToken(name)
 }
 
-func isNoTokenRune(r rune) bool { return !httpguts.IsTokenRune(r) }
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !httpguts.IsTokenRune(rune(c)) {
+			return false
+		}
+	}
+	return len(b) > 0
+}
 
 // hasControl reports whether b holds a control character other than a tab.
 func hasControl(b []byte) bool {
