--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -49,6 +49,7 @@
 	resp, err := c.transport.RoundTrip(req.WithContext(ctx))
 	if err == nil && !used.headRead() {
 		_ = resp.Body.Close()
+		_ = used.Close() // its own response would be taken for that of a later request
 		return nil, errors.Wrap(ErrMalformedResponse, "the response came before its request")
 	}
 	return resp, err
