Whether a head was read is asked of each request's own, not of the connection

Cause: net/http gives a connection whose response has no body to another request before RoundTrip returns.

Change: expectHead returns a state of the request's own, which its RoundTrip asks; the connection holds the newest.

--- a/internal/http1/transport.go
+++ b/internal/http1/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: nc}, nil
+		return newCheckedConn(nc), nil
 	}
 	t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		// TLS marks a clean end itself.
@@ -34,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: nc}, nil
+		return newCheckedConn(nc), nil
 	}
 	return &CheckedTransport{t}
 }
@@ -42,12 +43,13 @@
 // RoundTrip implements http.RoundTripper.
 func (c *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used *checkedConn
+	var expected *expectedHead
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		used = info.Conn.(*checkedConn)
-		used.expectHead()
+		expected = used.expectHead()
 	}})
 	resp, err := c.transport.RoundTrip(req.WithContext(ctx))
-	if err == nil && !used.headRead() {
+	if err == nil && !expected.read.Load() {
 		_ = resp.Body.Close()
 		_ = used.Close() // its own response would be taken for that of a later request
 		return nil, errors.Wrap(ErrMalformedResponse, "the response came before its request")
@@ -63,26 +65,30 @@
 type checkedConn struct {
 	net.Conn
 
-	mu      sync.Mutex // guards the fields below
-	head    responseHead
-	partial []byte // of a line
-	inBody  bool   // the final head of the request's response was read
-	err     error  // the head was malformed
+	mu       sync.Mutex // guards the fields below
+	expected *expectedHead
+	partial  []byte // of a line
+	err      error  // a head was malformed
 }
 
-// expectHead makes the bytes that come next those of the response to another request. A read
-// may already wait for them.
-func (c *checkedConn) expectHead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head, c.partial, c.inBody = responseHead{}, nil, false
+func newCheckedConn(nc net.Conn) *checkedConn {
+	return &checkedConn{Conn: nc, expected: &expectedHead{}}
 }
 
-// headRead reports whether the final head of the request's response was read.
-func (c *checkedConn) headRead() bool {
+// expectedHead is the head of the response to one request. The next request on the
+// connection may begin before the RoundTrip of this one returns.
+type expectedHead struct {
+	head responseHead
+	read atomic.Bool // the final head was read
+}
+
+// expectHead makes the bytes that come next those of the response to another request. A read
+// may already wait for them.
+func (c *checkedConn) expectHead() *expectedHead {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inBody
+	c.expected, c.partial = &expectedHead{}, nil
+	return c.expected
 }
 
 // Read implements io.Reader.
@@ -102,7 +108,7 @@
 func (c *checkedConn) check(buf []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.err == nil && !c.inBody && len(buf) > 0 {
+	for c.err == nil && !c.expected.read.Load() && len(buf) > 0 {
 		line, n := cutLine(buf)
 		if n == 0 {
 			c.partial = append(c.partial, buf...)
@@ -113,19 +119,20 @@
 			c.partial = c.partial[:0]
 		}
 		buf = buf[n:]
-		c.err = c.checkLine(line)
+		c.err = c.expected.line(line)
 	}
 	return c.err
 }
 
-func (c *checkedConn) checkLine(line []byte) error {
-	end, err := c.head.line(line)
+// line checks the next line, which may be that of an informational response before.
+func (e *expectedHead) line(line []byte) error {
+	end, err := e.head.line(line)
 	switch {
 	case !end:
-	case c.head.informational():
-		c.head = responseHead{}
+	case e.head.informational():
+		e.head = responseHead{}
 	default:
-		c.inBody = true
+		e.read.Store(true)
 	}
 	return err
 }
--- a/internal/http1/transport_test.go
+++ b/internal/http1/transport_test.go
@@ -38,7 +38,7 @@
 // read that ends amid a line.
 func TestMalformedHeadEndsAllReads(t *testing.T) {
 	server := &countedReads{Reader: strings.NewReader("HTTP/1.1 000 OK\r\n")}
-	c := &checkedConn{Conn: server}
+	c := newCheckedConn(server)
 	for range 3 {
 		_, err := c.Read(make([]byte, 32))
 		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%v", err)
@@ -76,13 +76,13 @@
 
 // The response that net/http reads from bytes that came before the request is refused.
 func TestResponseBeforeItsRequestIsRefused(t *testing.T) {
-	c := &checkedConn{}
-	c.expectHead()
+	c := newCheckedConn(nil)
+	first := c.expectHead()
 	assert.NilError(t, c.check([]byte(ownResponse)))
-	assert.Assert(t, c.headRead())
+	assert.Assert(t, first.read.Load())
 	assert.NilError(t, c.check([]byte("anything of a body, or behind it")))
-	c.expectHead()
-	assert.Assert(t, !c.headRead())
+	second := c.expectHead()
+	assert.Assert(t, first.read.Load() && !second.read.Load())
 	assert.Assert(t, errors.Is(c.check([]byte("HTTP/1.1 000 OK\r\n")), ErrMalformedResponse))
 }
 
@@ -145,3 +145,27 @@
 		assert.Assert(t, errors.Is(err, ErrMalformedResponse), "%q, %v", body, err)
 	}
 }
+
+// Guards against a response taken for one that came before its request: net/http gives a
+// connection whose response has no body to another request before RoundTrip returns.
+func TestResponsesWithoutBodyOfConcurrentRequests(t *testing.T) {
+	addr := serveRaw(t, "HTTP/1.1 200 OK\r\n"+idHeader+": a\r\nContent-Length: 0\r\n\r\n", false)
+	transport := NewCheckedTransport(&http.Transport{MaxIdleConnsPerHost: 8, MaxConnsPerHost: 2}, &net.Dialer{})
+	defer transport.CloseIdleConnections()
+	const callers, requests = 16, 500
+	results := make(chan error, callers)
+	for range callers {
+		go func() {
+			for range requests {
+				if _, err := roundTrip(transport, newRequest(t, addr, "POST", "a", nil)); err != nil {
+					results <- err
+					return
+				}
+			}
+			results <- nil
+		}()
+	}
+	for range callers {
+		assert.NilError(t, <-results)
+	}
+}
